Build, shared types, platform client, HTTP server, settings and metrics

The parts that every process shares come first, so that the other modules can be built side by side: strong ids, clocks, numbered log events, service documents, domain tables, the object store concept with an in-memory store for tests, and an HTTP server whose streams can be told apart as finished or cut off.

--- /dev/null
+++ b/src/entry/internal/responder.cpp
@@ -0,0 +1,284 @@
+#include "entry/internal/responderimplementation.h"
+
+#include <fmt/format.h>
+
+namespace persimmon::entry {
+namespace {
+
+restinio::http_status_line_t
+StatusLine(int aStatus)
+{
+  static const std::map<int, const char*> kPhrases = {
+    { 200, "OK" },
+    { 201, "Created" },
+    { 204, "No Content" },
+    { 400, "Bad Request" },
+    { 401, "Unauthorized" },
+    { 403, "Forbidden" },
+    { 404, "Not Found" },
+    { 405, "Method Not Allowed" },
+    { 409, "Conflict" },
+    { 410, "Gone" },
+    { 412, "Precondition Failed" },
+    { 413, "Content Too Large" },
+    { 422, "Unprocessable Content" },
+    { 428, "Precondition Required" },
+    { 429, "Too Many Requests" },
+    { 500, "Internal Server Error" },
+    { 502, "Bad Gateway" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+  const auto found = kPhrases.find(aStatus);
+  const char* phrase = found == kPhrases.end() ? "Status" : found->second;
+  return { restinio::http_status_code_t(static_cast<std::uint16_t>(aStatus)), phrase };
+}
+
+std::string
+ChunkOf(const std::string& aBytes)
+{
+  return fmt::format("{:x}\r\n{}\r\n", aBytes.size(), aBytes);
+}
+
+constexpr const char* kLastChunk = "0\r\n\r\n";
+
+} // namespace
+
+responder::implementation::implementation(restinio::request_handle_t aRequest)
+  : mRequest(std::move(aRequest))
+{
+}
+
+bool
+responder::implementation::End()
+{
+  const std::lock_guard lock(mMutex);
+  const bool first = !mEnded;
+  mEnded = true;
+  return first;
+}
+
+bool
+responder::implementation::HasEnded() const
+{
+  const std::lock_guard lock(mMutex);
+  return mEnded;
+}
+
+void
+responder::implementation::Send(server_response aResponse)
+{
+  const std::lock_guard writing(mWriteMutex);
+  if (mStream || !End()) {
+    return;
+  }
+  auto response = mRequest->create_response(StatusLine(aResponse.status));
+  for (server_header& header : aResponse.headers) {
+    response.append_header(std::move(header.name), std::move(header.value));
+  }
+  response.set_body(std::move(aResponse.body));
+  response.done();
+}
+
+void
+responder::implementation::StartStream(int aStatus, const std::vector<server_header>& aHeaders)
+{
+  const std::lock_guard writing(mWriteMutex);
+  if (mStream || HasEnded()) {
+    return;
+  }
+  mStream.emplace(
+    mRequest->create_response<restinio::user_controlled_output_t>(StatusLine(aStatus)));
+  for (const server_header& header : aHeaders) {
+    mStream->append_header(header.name, header.value);
+  }
+  mStream->append_header("Transfer-Encoding", "chunked");
+  // A stream that is cut off can only be told from a finished one by its closed connection.
+  mStream->connection_close();
+  mStream->flush();
+}
+
+void
+responder::implementation::Write(const std::string& aBytes)
+{
+  const std::lock_guard writing(mWriteMutex);
+  if (!mStream || aBytes.empty() || HasEnded()) {
+    return;
+  }
+  std::string chunk = ChunkOf(aBytes);
+  const std::size_t size = chunk.size();
+  {
+    const std::lock_guard lock(mMutex);
+    mPending += size;
+  }
+  mStream->append_body(std::move(chunk));
+  mStream->flush([weak = weak_from_this(), size](const asio::error_code& aError) {
+    if (const auto self = weak.lock()) {
+      self->WriteDone(size, static_cast<bool>(aError));
+    }
+  });
+}
+
+void
+responder::implementation::WriteDone(std::size_t aBytes, bool aFailed)
+{
+  std::function<void()> drained;
+  {
+    const std::lock_guard lock(mMutex);
+    mPending -= std::min(aBytes, mPending);
+    if (mPending == 0 && !mEnded) {
+      drained = mOnDrain;
+    }
+  }
+  if (aFailed) {
+    ConnectionClosed();
+  } else if (drained) {
+    drained();
+  }
+}
+
+void
+responder::implementation::FinishStream()
+{
+  const std::lock_guard writing(mWriteMutex);
+  if (!mStream || !End()) {
+    return;
+  }
+  mStream->append_body(kLastChunk);
+  mStream->done();
+}
+
+void
+responder::implementation::CloseConnection()
+{
+  // A last part without bytes makes RESTinio close the connection.
+  const restinio::response_output_flags_t flags{
+    restinio::response_parts_attr_t::final_parts,
+    restinio::response_connection_attr_t::connection_close
+  };
+  const auto connection = restinio::impl::access_req_connection(*mRequest);
+  if (connection) {
+    connection->write_response_parts(mRequest->request_id(), flags, restinio::write_group_t{ {} });
+  }
+}
+
+void
+responder::implementation::Abort()
+{
+  const std::lock_guard writing(mWriteMutex);
+  if (!End()) {
+    return;
+  }
+  if (mStream) {
+    mStream->done();
+  } else {
+    CloseConnection();
+  }
+}
+
+std::size_t
+responder::implementation::PendingBytes() const
+{
+  const std::lock_guard lock(mMutex);
+  return mPending;
+}
+
+void
+responder::implementation::OnLeave(std::function<void()> aCallback)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mLeft) {
+      mOnLeave = std::move(aCallback);
+      return;
+    }
+  }
+  aCallback();
+}
+
+void
+responder::implementation::OnDrain(std::function<void()> aCallback)
+{
+  const std::lock_guard lock(mMutex);
+  mOnDrain = std::move(aCallback);
+}
+
+void
+responder::implementation::ConnectionClosed()
+{
+  std::function<void()> callback;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mEnded || mLeft) {
+      return;
+    }
+    mLeft = true;
+    mEnded = true;
+    callback = std::move(mOnLeave);
+    mOnLeave = nullptr;
+    mOnDrain = nullptr;
+  }
+  if (callback) {
+    callback();
+  }
+}
+
+responder::responder(std::shared_ptr<implementation> aImplementation)
+  : mImplementation(std::move(aImplementation))
+{
+}
+
+responder::~responder()
+{
+  mImplementation->Abort();
+}
+
+void
+responder::Send(server_response aResponse)
+{
+  mImplementation->Send(std::move(aResponse));
+}
+
+void
+responder::StartStream(int aStatus, const std::vector<server_header>& aHeaders)
+{
+  mImplementation->StartStream(aStatus, aHeaders);
+}
+
+void
+responder::Write(const std::string& aBytes)
+{
+  mImplementation->Write(aBytes);
+}
+
+void
+responder::FinishStream()
+{
+  mImplementation->FinishStream();
+}
+
+void
+responder::Abort()
+{
+  mImplementation->Abort();
+}
+
+std::size_t
+responder::PendingBytes() const
+{
+  return mImplementation->PendingBytes();
+}
+
+void
+responder::OnLeave(std::function<void()> aCallback)
+{
+  mImplementation->OnLeave(std::move(aCallback));
+}
+
+void
+responder::OnDrain(std::function<void()> aCallback)
+{
+  mImplementation->OnDrain(std::move(aCallback));
+}
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/src/entry/internal/serverrequest.cpp
@@ -0,0 +1,46 @@
+#include "entry/serverrequest.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+
+namespace persimmon::entry {
+namespace {
+
+bool
+SameLetter(char aLeft, char aRight)
+{
+  return std::tolower(static_cast<unsigned char>(aLeft)) ==
+         std::tolower(static_cast<unsigned char>(aRight));
+}
+
+} // namespace
+
+std::string
+server_request::Header(const std::string& aName) const
+{
+  for (const server_header& header : headers) {
+    if (std::equal(
+          header.name.begin(), header.name.end(), aName.begin(), aName.end(), SameLetter)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+std::string
+server_request::QueryMember(const std::string& aName) const
+{
+  std::string_view rest = query;
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('&'), rest.size());
+    const std::string_view member = rest.substr(0, end);
+    if (member.size() > aName.size() && member.starts_with(aName) && member[aName.size()] == '=') {
+      return std::string(member.substr(aName.size() + 1));
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return {};
+}
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/src/entry/responder.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "entry/serverresponse.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmon::entry {
+
+/// Answers one request, either whole by Send() or as a stream of chunks. Every function may be
+/// called from any thread; after the answer has ended, or the caller has left, they do nothing.
+class responder
+{
+public:
+  class implementation;
+
+  explicit responder(std::shared_ptr<implementation> aImplementation);
+  ~responder();
+  responder(const responder&) = delete;
+  responder& operator=(const responder&) = delete;
+
+  /// Sends a whole response.
+  void Send(server_response aResponse);
+  /// Sends the status and headers of a streamed response.
+  void StartStream(int aStatus, const std::vector<server_header>& aHeaders);
+  /// Sends bytes of a streamed response as one chunk.
+  void Write(const std::string& aBytes);
+  /// Ends a streamed response cleanly.
+  void FinishStream();
+  /// Closes the connection at once, so that the caller sees the answer as cut off.
+  void Abort();
+  /// Bytes that were written and have not yet been taken by the caller's connection.
+  [[nodiscard]] std::size_t PendingBytes() const;
+  /// Sets what to call, once, when the caller leaves before the answer has ended. It is called at
+  /// once if the caller has left already.
+  void OnLeave(std::function<void()> aCallback);
+  /// Sets what to call when PendingBytes() has fallen to zero.
+  void OnDrain(std::function<void()> aCallback);
+
+private:
+  std::shared_ptr<implementation> mImplementation;
+};
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/src/entry/serverresponse.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "entry/serverrequest.h"
+
+#include <string>
+#include <vector>
+
+namespace persimmon::entry {
+
+/// A whole HTTP response. The server adds Content-Length.
+struct server_response
+{
+  int status = 200;
+  std::vector<server_header> headers;
+  std::string body;
+};
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/src/platform/internal/httpclient.cpp
@@ -0,0 +1,181 @@
+#include "platform/httpclient.h"
+
+#include <algorithm>
+#include <curl/curl.h>
+
+namespace persimmon::platform {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 64U << 20U;
+
+struct curl_closer
+{
+  void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
+};
+
+struct list_closer
+{
+  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+};
+
+using header_list = std::unique_ptr<curl_slist, list_closer>;
+
+std::size_t
+AppendBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
+{
+  auto& body = *static_cast<std::string*>(aTarget);
+  const std::size_t bytes = aSize * aCount;
+  if (body.size() + bytes > kMaxBodyBytes) {
+    return 0;
+  }
+  body.append(aData, bytes);
+  return bytes;
+}
+
+std::string
+Trimmed(std::string_view aText)
+{
+  const std::size_t first = aText.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  const std::size_t last = aText.find_last_not_of(" \t\r\n");
+  return std::string(aText.substr(first, last - first + 1));
+}
+
+std::size_t
+AppendHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
+{
+  auto& headers = *static_cast<std::vector<http_header>*>(aTarget);
+  const std::string_view line(aData, aSize * aCount);
+  const std::size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    headers.push_back({ std::string(line.substr(0, colon)), Trimmed(line.substr(colon + 1)) });
+  }
+  return aSize * aCount;
+}
+
+bool
+SameLetter(char aLeft, char aRight)
+{
+  return std::tolower(static_cast<unsigned char>(aLeft)) ==
+         std::tolower(static_cast<unsigned char>(aRight));
+}
+
+header_list
+BuildHeaders(const http_request& aRequest)
+{
+  curl_slist* list = nullptr;
+  for (const http_header& header : aRequest.headers) {
+    list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
+  }
+  list = curl_slist_append(list, "Expect:");
+  return header_list(list);
+}
+
+void
+EnsureCurlStarted()
+{
+  static const CURLcode kStarted = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(kStarted);
+}
+
+http_failure
+FailureOf(CURL* aHandle, CURLcode aCode)
+{
+  if (aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_COULDNT_RESOLVE_HOST ||
+      aCode == CURLE_URL_MALFORMAT) {
+    return http_failure::not_sent;
+  }
+  long sent = 0;
+  curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &sent);
+  return sent > 0 ? http_failure::maybe_sent : http_failure::not_sent;
+}
+
+} // namespace
+
+std::string
+http_response::Header(const std::string& aName) const
+{
+  for (const http_header& header : headers) {
+    if (std::equal(
+          header.name.begin(), header.name.end(), aName.begin(), aName.end(), SameLetter)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+struct http_client::implementation
+{
+  std::unique_ptr<CURL, curl_closer> handle;
+  http_failure failure = http_failure::none;
+  std::string detail;
+};
+
+http_client::http_client()
+  : mImplementation(std::make_unique<implementation>())
+{
+  EnsureCurlStarted();
+  mImplementation->handle.reset(curl_easy_init());
+}
+
+http_client::~http_client() = default;
+http_client::http_client(http_client&&) noexcept = default;
+http_client&
+http_client::operator=(http_client&&) noexcept = default;
+
+std::optional<http_response>
+http_client::Send(const http_request& aRequest)
+{
+  CURL* handle = mImplementation->handle.get();
+  curl_easy_reset(handle);
+  http_response response;
+  const header_list headers = BuildHeaders(aRequest);
+  curl_easy_setopt(handle, CURLOPT_URL, aRequest.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.ms));
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
+  if (aRequest.method == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+  } else if (!aRequest.body.empty() || aRequest.method == "POST" || aRequest.method == "PUT") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, aRequest.body.data());
+    curl_easy_setopt(
+      handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(aRequest.body.size()));
+  }
+  if (aRequest.freshConnection) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+  const CURLcode code = curl_easy_perform(handle);
+  if (code != CURLE_OK) {
+    mImplementation->failure = FailureOf(handle, code);
+    mImplementation->detail = curl_easy_strerror(code);
+    return std::nullopt;
+  }
+  long status = 0;
+  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+  response.status = static_cast<int>(status);
+  mImplementation->failure = http_failure::none;
+  return response;
+}
+
+http_failure
+http_client::LastFailure() const
+{
+  return mImplementation->failure;
+}
+
+const std::string&
+http_client::LastDetail() const
+{
+  return mImplementation->detail;
+}
+
+} // namespace persimmon::platform
--- /dev/null
+++ b/src/platform/internal/httpobjectstore.cpp
@@ -0,0 +1,304 @@
+#include "platform/httpobjectstore.h"
+
+#include "platform/httpclient.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace persimmon::platform {
+namespace {
+
+constexpr duration kWatchGrace{ 2000 };
+constexpr int kOk = 200;
+constexpr int kCreated = 201;
+constexpr int kNoContent = 204;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kPreconditionFailed = 412;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+std::string
+Quoted(revision aRevision)
+{
+  return fmt::format("\"{}\"", aRevision.value);
+}
+
+std::optional<revision>
+ParseTag(const std::string& aTag)
+{
+  if (aTag.size() < 3 || aTag.front() != '"' || aTag.back() != '"') {
+    return std::nullopt;
+  }
+  revision parsed;
+  const char* end = aTag.data() + aTag.size() - 1;
+  const auto result = std::from_chars(aTag.data() + 1, end, parsed.value);
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return parsed;
+}
+
+store_error
+ErrorOfStatus(int aStatus)
+{
+  switch (aStatus) {
+    case kNotFound:
+      return store_error::not_found;
+    case kPreconditionFailed:
+      return store_error::conflict;
+    case kGone:
+      return store_error::compacted;
+    case kTooManyRequests:
+      return store_error::rate_limited;
+    case kServiceUnavailable:
+      return store_error::unavailable;
+    default:
+      return store_error::bad_answer;
+  }
+}
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus == kOk || aStatus == kCreated || aStatus == kNoContent;
+}
+
+} // namespace
+
+const char*
+StoreErrorName(store_error aError)
+{
+  switch (aError) {
+    case store_error::none:
+      return "none";
+    case store_error::not_found:
+      return "not_found";
+    case store_error::conflict:
+      return "conflict";
+    case store_error::unavailable:
+      return "unavailable";
+    case store_error::unknown_outcome:
+      return "unknown_outcome";
+    case store_error::rate_limited:
+      return "rate_limited";
+    case store_error::compacted:
+      return "compacted";
+    case store_error::bad_answer:
+      return "bad_answer";
+  }
+  return "unknown";
+}
+
+struct http_object_store::implementation
+{
+  std::string baseUrl;
+  duration timeout;
+  http_client client;
+  store_reason why;
+
+  std::optional<http_response> Call(const http_request& aRequest, bool aWrites)
+  {
+    auto response = client.Send(aRequest);
+    if (!response) {
+      const bool maybeDone = aWrites && client.LastFailure() == http_failure::maybe_sent;
+      why = { maybeDone ? store_error::unknown_outcome : store_error::unavailable,
+              client.LastDetail() };
+      return std::nullopt;
+    }
+    if (!IsSuccess(response->status)) {
+      why = { ErrorOfStatus(response->status), fmt::format("status {}", response->status) };
+      return std::nullopt;
+    }
+    why = {};
+    return response;
+  }
+
+  http_request Request(std::string aMethod, const std::string& aPath) const
+  {
+    http_request request;
+    request.method = std::move(aMethod);
+    request.url = baseUrl + aPath;
+    request.timeout = timeout;
+    return request;
+  }
+
+  std::optional<revision> RevisionOf(const http_response& aResponse)
+  {
+    const auto parsed = ParseTag(aResponse.Header("ETag"));
+    if (!parsed) {
+      why = { store_error::bad_answer, "no ETag with a revision" };
+    }
+    return parsed;
+  }
+
+  std::optional<revision> WriteRevision(const http_response& aResponse)
+  {
+    const auto parsed = RevisionOf(aResponse);
+    if (!parsed) {
+      why.code = store_error::unknown_outcome;
+    }
+    return parsed;
+  }
+
+  std::optional<nlohmann::json> Body(const http_response& aResponse)
+  {
+    json_problem problem;
+    auto value = ParseJson(aResponse.body, problem);
+    if (!value) {
+      why = { store_error::bad_answer, problem.Text() };
+    }
+    return value;
+  }
+};
+
+http_object_store::http_object_store(std::string aBaseUrl, duration aTimeout)
+  : mImplementation(std::make_unique<implementation>())
+{
+  mImplementation->baseUrl = std::move(aBaseUrl);
+  mImplementation->timeout = aTimeout;
+}
+
+http_object_store::~http_object_store() = default;
+http_object_store::http_object_store(http_object_store&&) noexcept = default;
+http_object_store&
+http_object_store::operator=(http_object_store&&) noexcept = default;
+
+std::optional<stored_object>
+http_object_store::Get(const object_key& aKey)
+{
+  const auto response = mImplementation->Call(
+    mImplementation->Request("GET", fmt::format("/objects/{}/{}", aKey.kind, aKey.name)), false);
+  if (!response) {
+    return std::nullopt;
+  }
+  const auto version = mImplementation->RevisionOf(*response);
+  if (!version) {
+    return std::nullopt;
+  }
+  return stored_object{ aKey, *version, response->body };
+}
+
+std::optional<object_list>
+http_object_store::List(const std::string& aKind)
+{
+  const auto response =
+    mImplementation->Call(mImplementation->Request("GET", "/objects/" + aKind), false);
+  if (!response) {
+    return std::nullopt;
+  }
+  const auto body = mImplementation->Body(*response);
+  if (!body) {
+    return std::nullopt;
+  }
+  json_problem problem;
+  json_reader reader(*body, "$", problem);
+  reader.AllowUnknown();
+  object_list list;
+  list.asOf.value = static_cast<std::uint64_t>(reader.Number("revision", 0, INT64_MAX));
+  for (const nlohmann::json& item : reader.List("items")) {
+    json_reader entry(item, "$.items", problem);
+    entry.AllowUnknown();
+    stored_object object;
+    object.key = { aKind, entry.Text("name") };
+    object.version.value = static_cast<std::uint64_t>(entry.Number("revision", 0, INT64_MAX));
+    object.value = entry.TextOr("value", "");
+    list.objects.push_back(std::move(object));
+  }
+  if (!reader.Finish()) {
+    mImplementation->why = { store_error::bad_answer, problem.Text() };
+    return std::nullopt;
+  }
+  return list;
+}
+
+std::optional<revision>
+http_object_store::Put(const object_key& aKey,
+                       const std::string& aValue,
+                       const write_condition& aCondition)
+{
+  http_request request =
+    mImplementation->Request("PUT", fmt::format("/objects/{}/{}", aKey.kind, aKey.name));
+  request.body = aValue;
+  // A reused connection could make the client library send the write twice.
+  request.freshConnection = true;
+  if (aCondition.expected) {
+    request.headers.push_back({ "If-Match", Quoted(*aCondition.expected) });
+  } else {
+    request.headers.push_back({ "If-None-Match", "*" });
+  }
+  const auto response = mImplementation->Call(request, true);
+  return response ? mImplementation->WriteRevision(*response) : std::nullopt;
+}
+
+std::optional<revision>
+http_object_store::Delete(const object_key& aKey, revision aExpected)
+{
+  http_request request =
+    mImplementation->Request("DELETE", fmt::format("/objects/{}/{}", aKey.kind, aKey.name));
+  request.freshConnection = true;
+  request.headers.push_back({ "If-Match", Quoted(aExpected) });
+  const auto response = mImplementation->Call(request, true);
+  return response ? mImplementation->WriteRevision(*response) : std::nullopt;
+}
+
+std::optional<object_changes>
+http_object_store::Watch(const std::vector<std::string>& aKinds, revision aFrom, duration aWait)
+{
+  http_request request = mImplementation->Request(
+    "GET",
+    fmt::format(
+      "/watch?kinds={}&from={}&timeout_ms={}", fmt::join(aKinds, ","), aFrom.value, aWait.ms));
+  request.timeout = aWait + kWatchGrace;
+  const auto response = mImplementation->Call(request, false);
+  if (!response) {
+    return std::nullopt;
+  }
+  const auto body = mImplementation->Body(*response);
+  if (!body) {
+    return std::nullopt;
+  }
+  json_problem problem;
+  json_reader reader(*body, "$", problem);
+  reader.AllowUnknown();
+  object_changes result;
+  result.asOf.value = static_cast<std::uint64_t>(reader.Number("revision", 0, INT64_MAX));
+  for (const nlohmann::json& item : reader.List("events")) {
+    json_reader entry(item, "$.events", problem);
+    entry.AllowUnknown();
+    object_change change;
+    change.key = { entry.Text("kind"), entry.Text("name") };
+    change.version.value = static_cast<std::uint64_t>(entry.Number("revision", 0, INT64_MAX));
+    change.deleted = entry.FlagOr("deleted", false);
+    change.value = entry.TextOr("value", "");
+    result.changes.push_back(std::move(change));
+  }
+  if (!reader.Finish()) {
+    mImplementation->why = { store_error::bad_answer, problem.Text() };
+    return std::nullopt;
+  }
+  return result;
+}
+
+std::optional<std::vector<listed_instance>>
+http_object_store::Instances()
+{
+  const auto response = mImplementation->Call(mImplementation->Request("GET", "/instances"), false);
+  if (!response) {
+    return std::nullopt;
+  }
+  json_problem problem;
+  auto instances = ParseInstanceList(response->body, problem);
+  if (!instances) {
+    mImplementation->why = { store_error::bad_answer, problem.Text() };
+  }
+  return instances;
+}
+
+const store_reason&
+http_object_store::LastReason() const
+{
+  return mImplementation->why;
+}
+
+} // namespace persimmon::platform
--- /dev/null
+++ b/src/platform/internal/instancelist.cpp
@@ -0,0 +1,57 @@
+#include "platform/instancelist.h"
+
+#include <fmt/format.h>
+
+namespace persimmon::platform {
+
+std::optional<std::vector<listed_instance>>
+ParseInstanceList(std::string_view aText, json_problem& aProblem)
+{
+  const auto value = ParseJson(aText, aProblem);
+  if (!value) {
+    return std::nullopt;
+  }
+  json_reader reader(*value, "$", aProblem);
+  reader.AllowUnknown();
+  std::vector<listed_instance> instances;
+  std::size_t index = 0;
+  for (const nlohmann::json& entry : reader.List("instances")) {
+    json_reader member(entry, fmt::format("$.instances[{}]", index++), aProblem);
+    member.AllowUnknown();
+    listed_instance instance;
+    instance.instance.value = member.Text("id");
+    instance.address.value = member.Text("address");
+    instance.zone.value = member.TextOr("zone", "");
+    instance.domain.value = member.TextOr("domain", "");
+    instance.life.value = static_cast<std::uint64_t>(member.Number("incarnation", 0, INT64_MAX));
+    instance.leaving = member.FlagOr("leaving", false);
+    instance.fencing = member.FlagOr("fencing", true);
+    instance.service.value = member.TextOr("service", "");
+    instance.entry = member.FlagOr("entry", false);
+    instances.push_back(std::move(instance));
+  }
+  if (!reader.Finish()) {
+    return std::nullopt;
+  }
+  return instances;
+}
+
+std::string
+RenderInstanceList(const std::vector<listed_instance>& aInstances)
+{
+  nlohmann::json list = nlohmann::json::array();
+  for (const listed_instance& instance : aInstances) {
+    list.push_back({ { "id", instance.instance.value },
+                     { "address", instance.address.value },
+                     { "zone", instance.zone.value },
+                     { "domain", instance.domain.value },
+                     { "incarnation", instance.life.value },
+                     { "leaving", instance.leaving },
+                     { "fencing", instance.fencing },
+                     { "service", instance.service.value },
+                     { "entry", instance.entry } });
+  }
+  return nlohmann::json{ { "instances", std::move(list) } }.dump();
+}
+
+} // namespace persimmon::platform
--- /dev/null
+++ b/src/platform/tests/instancelisttests.cpp
@@ -0,0 +1,31 @@
+#include "platform/instancelist.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::platform;
+
+// clang-format off
+TEST_GROUP(instance_list){};
+// clang-format on
+
+TEST(instance_list, RenderedListParsesToTheSame)
+{
+  listed_instance instance;
+  instance.instance = { "i1" };
+  instance.address = { "127.0.0.1:9001" };
+  instance.life = { 3 };
+  instance.leaving = true;
+  json_problem problem;
+  const auto parsed = ParseInstanceList(RenderInstanceList({ instance }), problem);
+  CHECK(parsed.has_value());
+  CHECK(parsed->at(0) == instance);
+}
+
+TEST(instance_list, ProblemNamesTheInstance)
+{
+  json_problem problem;
+  CHECK_FALSE(
+    ParseInstanceList(R"({"instances":[{"id":"i1","incarnation":1}]})", problem).has_value());
+  STRCMP_EQUAL("$.instances[0].address", problem.path.c_str());
+}
--- /dev/null
+++ b/src/platform/tests/mocks/memoryobjectstore.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "platform/objectstore.h"
+
+#include <algorithm>
+#include <map>
+
+namespace persimmon::platform {
+
+/// An object store in memory for tests. Faults are set as plain members before a call; several
+/// stores that share one content act as the connections of several processes.
+class memory_object_store
+{
+public:
+  struct content
+  {
+    revision last;
+    std::map<object_key, stored_object> objects;
+    std::vector<object_change> history;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+  };
+
+  explicit memory_object_store(content& aContent)
+    : mContent(aContent)
+  {
+  }
+
+  /// Refuses every call.
+  bool down = false;
+  /// Carries the next write out and loses its reply.
+  bool loseNextReply = false;
+  /// Holds the next write back and loses its reply; Land() carries it out later.
+  bool delayNextWrite = false;
+
+  std::optional<stored_object> Get(const object_key& aKey)
+  {
+    if (!Reach()) {
+      return std::nullopt;
+    }
+    ++mContent.reads;
+    const auto found = mContent.objects.find(aKey);
+    if (found == mContent.objects.end()) {
+      return Fail<stored_object>(store_error::not_found);
+    }
+    return found->second;
+  }
+
+  std::optional<object_list> List(const std::string& aKind)
+  {
+    if (!Reach()) {
+      return std::nullopt;
+    }
+    ++mContent.reads;
+    object_list list{ mContent.last, {} };
+    for (const auto& [key, object] : mContent.objects) {
+      if (key.kind == aKind) {
+        list.objects.push_back(object);
+      }
+    }
+    return list;
+  }
+
+  std::optional<revision> Put(const object_key& aKey,
+                              const std::string& aValue,
+                              const write_condition& aCondition)
+  {
+    if (!Reach()) {
+      return std::nullopt;
+    }
+    if (delayNextWrite) {
+      delayNextWrite = false;
+      mDelayed.push_back({ aKey, aValue, aCondition });
+      return Fail<revision>(store_error::unknown_outcome);
+    }
+    const auto written = Write(aKey, aValue, aCondition);
+    if (loseNextReply) {
+      loseNextReply = false;
+      return Fail<revision>(store_error::unknown_outcome);
+    }
+    return written ? written : Fail<revision>(store_error::conflict);
+  }
+
+  std::optional<revision> Delete(const object_key& aKey, revision aExpected)
+  {
+    if (!Reach()) {
+      return std::nullopt;
+    }
+    const auto found = mContent.objects.find(aKey);
+    if (found == mContent.objects.end()) {
+      return Fail<revision>(store_error::not_found);
+    }
+    if (found->second.version != aExpected) {
+      return Fail<revision>(store_error::conflict);
+    }
+    ++mContent.writes;
+    mContent.last = mContent.last.Next();
+    mContent.objects.erase(found);
+    mContent.history.push_back({ aKey, mContent.last, true, "" });
+    return mContent.last;
+  }
+
+  std::optional<object_changes> Watch(const std::vector<std::string>& aKinds,
+                                      revision aFrom,
+                                      duration)
+  {
+    if (!Reach()) {
+      return std::nullopt;
+    }
+    ++mContent.reads;
+    object_changes result{ mContent.last, {} };
+    for (const object_change& change : mContent.history) {
+      const bool wanted = std::find(aKinds.begin(), aKinds.end(), change.key.kind) != aKinds.end();
+      if (wanted && change.version > aFrom) {
+        result.changes.push_back(change);
+      }
+    }
+    return result;
+  }
+
+  /// Carries the delayed writes out, as far as their conditions still hold.
+  void Land()
+  {
+    for (const delayed_write& write : mDelayed) {
+      Write(write.key, write.value, write.condition);
+    }
+    mDelayed.clear();
+  }
+
+  [[nodiscard]] const store_reason& LastReason() const { return mReason; }
+
+private:
+  struct delayed_write
+  {
+    object_key key;
+    std::string value;
+    write_condition condition;
+  };
+
+  bool Reach()
+  {
+    mReason = down ? store_reason{ store_error::unavailable, "down" } : store_reason{};
+    return !down;
+  }
+
+  template<typename Result>
+  std::optional<Result> Fail(store_error aError)
+  {
+    mReason = { aError, StoreErrorName(aError) };
+    return std::nullopt;
+  }
+
+  std::optional<revision> Write(const object_key& aKey,
+                                const std::string& aValue,
+                                const write_condition& aCondition)
+  {
+    const auto found = mContent.objects.find(aKey);
+    const bool exists = found != mContent.objects.end();
+    const bool holds =
+      aCondition.expected ? exists && found->second.version == *aCondition.expected : !exists;
+    if (!holds) {
+      return std::nullopt;
+    }
+    ++mContent.writes;
+    mContent.last = mContent.last.Next();
+    mContent.objects[aKey] = { aKey, mContent.last, aValue };
+    mContent.history.push_back({ aKey, mContent.last, false, aValue });
+    return mContent.last;
+  }
+
+  content& mContent;
+  store_reason mReason;
+  std::vector<delayed_write> mDelayed;
+};
+
+static_assert(object_store<memory_object_store>);
+
+} // namespace persimmon::platform
--- /dev/null
+++ b/src/settings/internal/settings.cpp
@@ -0,0 +1,243 @@
+#include "settings/settings.h"
+
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <iostream>
+#include <map>
+
+namespace persimmon {
+namespace options = boost::program_options;
+namespace {
+
+constexpr const char* kOperands = "operands";
+
+std::string
+VariableOf(const std::string& aName)
+{
+  std::string variable = "PERSIMMON_";
+  for (const char letter : aName) {
+    variable +=
+      letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+  }
+  return variable;
+}
+
+struct declared_setting
+{
+  std::string defaultValue;
+  bool required = false;
+};
+
+} // namespace
+
+struct settings::implementation
+{
+  std::string program;
+  std::string summary;
+  std::string version;
+  std::string operandHelp;
+  options::options_description flags{ "Settings" };
+  std::map<std::string, declared_setting> declared;
+  options::variables_map values;
+  std::vector<std::string> operands;
+  std::vector<std::string> problems;
+  bool checkOnly = false;
+
+  void Declare(const std::string& aName, const declared_setting& aSetting, const std::string& aHelp)
+  {
+    std::string help = fmt::format("{} [{}]", aHelp, VariableOf(aName));
+    if (aSetting.required) {
+      help += " (required)";
+    } else if (!aSetting.defaultValue.empty()) {
+      help += fmt::format(" (default {})", aSetting.defaultValue);
+    }
+    flags.add_options()(aName.c_str(), options::value<std::string>(), help.c_str());
+    declared[aName] = aSetting;
+  }
+
+  void PrintHelp() const
+  {
+    std::cout << program << ": " << summary << "\n\nUsage: " << program << " [settings]";
+    if (!operandHelp.empty()) {
+      std::cout << " " << operandHelp;
+    }
+    std::cout << "\n\n"
+              << flags << "\nExit codes: 0 success, 1 failure, 2 wrong settings or usage.\n";
+  }
+
+  void ParseFlags(int aCount, const char* const* aArguments)
+  {
+    options::options_description all;
+    all.add(flags);
+    options::positional_options_description positions;
+    if (!operandHelp.empty()) {
+      all.add_options()(kOperands, options::value<std::vector<std::string>>());
+      positions.add(kOperands, -1);
+    }
+    const int style =
+      options::command_line_style::unix_style & ~options::command_line_style::allow_guessing;
+    options::store(options::command_line_parser(aCount, aArguments)
+                     .options(all)
+                     .positional(positions)
+                     .style(style)
+                     .run(),
+                   values);
+    if (values.count(kOperands) != 0) {
+      operands = values[kOperands].as<std::vector<std::string>>();
+    }
+  }
+};
+
+settings::settings(std::string aProgram, std::string aSummary, std::string aVersion)
+  : mImplementation(std::make_unique<implementation>())
+{
+  mImplementation->program = std::move(aProgram);
+  mImplementation->summary = std::move(aSummary);
+  mImplementation->version = std::move(aVersion);
+  mImplementation->flags.add_options()("help", "print this text")("version", "print the version")(
+    "check-settings", "check the settings and end");
+}
+
+settings::~settings() = default;
+
+void
+settings::Add(const std::string& aName, const std::string& aDefault, const std::string& aHelp)
+{
+  mImplementation->Declare(aName, { aDefault, false }, aHelp);
+}
+
+void
+settings::AddRequired(const std::string& aName, const std::string& aHelp)
+{
+  mImplementation->Declare(aName, { "", true }, aHelp);
+}
+
+void
+settings::AcceptOperands(const std::string& aHelp)
+{
+  mImplementation->operandHelp = aHelp;
+}
+
+std::optional<int>
+settings::Parse(int aCount, const char* const* aArguments)
+{
+  try {
+    mImplementation->ParseFlags(aCount, aArguments);
+  } catch (const options::error& error) {
+    std::cerr << mImplementation->program << ": " << error.what() << " (see --help)\n";
+    return exit_usage;
+  }
+  if (mImplementation->values.count("help") != 0) {
+    mImplementation->PrintHelp();
+    return exit_success;
+  }
+  if (mImplementation->values.count("version") != 0) {
+    std::cout << mImplementation->program << " " << mImplementation->version << "\n";
+    return exit_success;
+  }
+  mImplementation->checkOnly = mImplementation->values.count("check-settings") != 0;
+  for (const auto& [name, setting] : mImplementation->declared) {
+    if (setting.required && Text(name).empty()) {
+      Fail(name, "a value");
+    }
+  }
+  return std::nullopt;
+}
+
+std::string
+settings::Text(const std::string& aName)
+{
+  const auto flag = mImplementation->values.find(aName);
+  if (flag != mImplementation->values.end()) {
+    return flag->second.as<std::string>();
+  }
+  const char* variable = std::getenv(VariableOf(aName).c_str());
+  return variable != nullptr ? variable : mImplementation->declared[aName].defaultValue;
+}
+
+std::int64_t
+settings::Number(const std::string& aName, std::int64_t aLowest, std::int64_t aHighest)
+{
+  const std::string text = Text(aName);
+  std::int64_t number = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool whole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+  if (!whole || number < aLowest || number > aHighest) {
+    Fail(aName, fmt::format("a whole number from {} to {}", aLowest, aHighest));
+    return aLowest;
+  }
+  return number;
+}
+
+double
+settings::Fraction(const std::string& aName, double aLowest, double aHighest)
+{
+  const std::string text = Text(aName);
+  double number = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool whole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+  if (!whole || number < aLowest || number > aHighest) {
+    Fail(aName, fmt::format("a number from {} to {}", aLowest, aHighest));
+    return aLowest;
+  }
+  return number;
+}
+
+bool
+settings::Flag(const std::string& aName)
+{
+  const std::string text = Text(aName);
+  if (text != "true" && text != "false") {
+    Fail(aName, "true or false");
+  }
+  return text == "true";
+}
+
+std::vector<std::string>
+settings::List(const std::string& aName)
+{
+  const std::string text = Text(aName);
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (start < text.size()) {
+    const std::size_t end = std::min(text.find(',', start), text.size());
+    if (end > start) {
+      parts.push_back(text.substr(start, end - start));
+    }
+    start = end + 1;
+  }
+  return parts;
+}
+
+const std::vector<std::string>&
+settings::Operands() const
+{
+  return mImplementation->operands;
+}
+
+void
+settings::Fail(const std::string& aName, const std::string& aExpected)
+{
+  mImplementation->problems.push_back(fmt::format(
+    "--{} (or {}): found \"{}\", expected {}", aName, VariableOf(aName), Text(aName), aExpected));
+}
+
+std::optional<int>
+settings::Finish()
+{
+  for (const std::string& problem : mImplementation->problems) {
+    std::cerr << mImplementation->program << ": " << problem << "\n";
+  }
+  if (!mImplementation->problems.empty()) {
+    return exit_usage;
+  }
+  if (mImplementation->checkOnly) {
+    std::cout << "settings are valid\n";
+    return exit_success;
+  }
+  return std::nullopt;
+}
+
+} // namespace persimmon
