Upstream loop: libcurl's multi interface driven by asio

Calls stream their head, data and end; a call may ask for a connection of its own. Tests show that libcurl resends silently over a reused connection that dies, that a fresh connection shuts this off, and that a failed resend is not taken for not sent.

--- /dev/null
+++ b/src/upstream/internal/activecall.cpp
@@ -0,0 +1,152 @@
+#include "upstream/internal/activecall.h"
+
+#include <charconv>
+
+namespace persimmon::upstream {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr long kReadBufferBytes = 8192;
+
+std::string_view
+Trimmed(std::string_view aText)
+{
+  const std::size_t first = aText.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+/// Reads the status out of a line such as `HTTP/1.1 200 OK`; 0 when there is none.
+int
+StatusOf(std::string_view aLine)
+{
+  const std::size_t space = aLine.find(' ');
+  int status = 0;
+  if (space != std::string_view::npos) {
+    std::from_chars(aLine.data() + space + 1, aLine.data() + aLine.size(), status);
+  }
+  return status;
+}
+
+} // namespace
+
+active_call::active_call(call_id aId, upstream_call aCall, call_handlers aHandlers)
+  : mId(aId)
+  , mCall(std::move(aCall))
+  , mHandlers(std::move(aHandlers))
+  , mUrl("http://" + mCall.address.value + mCall.target)
+  , mHandle(curl_easy_init())
+{
+  BuildHeaders();
+  SetOptions();
+}
+
+void
+active_call::BuildHeaders()
+{
+  curl_slist* list = nullptr;
+  for (const upstream_header& header : mCall.headers) {
+    list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
+  }
+  list = curl_slist_append(list, "Expect:");
+  mHeaders.reset(list);
+}
+
+void
+active_call::SetOptions()
+{
+  CURL* handle = mHandle.get();
+  curl_easy_setopt(handle, CURLOPT_URL, mUrl.c_str());
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, mCall.method.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, mHeaders.get());
+  curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBufferBytes);
+  curl_easy_setopt(
+    handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(mCall.connectTimeout.ms));
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(mCall.timeout.ms));
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &active_call::OnHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &active_call::OnBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+  if (mCall.method == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+  } else if (!mCall.body.empty() || mCall.method == "POST" || mCall.method == "PUT") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, mCall.body.data());
+    curl_easy_setopt(
+      handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(mCall.body.size()));
+  }
+  if (mCall.freshConnection) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+std::size_t
+active_call::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
+{
+  static_cast<active_call*>(aSelf)->ReadHeaderLine({ aData, aSize * aCount });
+  return aSize * aCount;
+}
+
+void
+active_call::ReadHeaderLine(std::string_view aLine)
+{
+  if (aLine.starts_with("HTTP/")) {
+    mHead = {};
+    mHead.status = StatusOf(aLine);
+    return;
+  }
+  const std::string_view text = Trimmed(aLine);
+  if (text.empty()) {
+    if (mHead.status >= kFirstFinalStatus && !mSilenced) {
+      mHandlers.onHead(mHead);
+    }
+    return;
+  }
+  const std::size_t colon = text.find(':');
+  if (colon != std::string_view::npos) {
+    mHead.headers.push_back(
+      { std::string(text.substr(0, colon)), std::string(Trimmed(text.substr(colon + 1))) });
+  }
+}
+
+std::size_t
+active_call::OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
+{
+  auto& self = *static_cast<active_call*>(aSelf);
+  if (self.mSilenced) {
+    return 0;
+  }
+  self.mHandlers.onData({ aData, aSize * aCount });
+  return aSize * aCount;
+}
+
+call_outcome
+active_call::OutcomeOf(CURLcode aCode) const
+{
+  if (aCode == CURLE_OK) {
+    return {};
+  }
+  // Counts the bytes of every try, so that a resend over a second connection is seen as well.
+  long sent = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_REQUEST_SIZE, &sent);
+  return { sent > 0 ? call_end::maybe_sent : call_end::not_sent, curl_easy_strerror(aCode) };
+}
+
+void
+active_call::Finish(CURLcode aCode)
+{
+  if (!mSilenced) {
+    mSilenced = true;
+    mHandlers.onDone(OutcomeOf(aCode));
+  }
+}
+
+} // namespace persimmon::upstream
--- /dev/null
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -0,0 +1,123 @@
+#include "upstream/upstreamloop.h"
+
+#include "upstream/internal/activecall.h"
+#include "upstream/internal/curlmulti.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <atomic>
+#include <thread>
+
+namespace persimmon::upstream {
+
+struct upstream_loop::implementation
+{
+  asio::io_context context{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> guard{ context.get_executor() };
+  std::unordered_map<call_id, std::unique_ptr<active_call>> calls;
+  curl_multi multi{ context, [this](CURL* aHandle, CURLcode aCode) { End(aHandle, aCode); } };
+  std::atomic<std::uint64_t> lastId{ 0 };
+  std::thread thread{ [this] { context.run(); } };
+
+  void Begin(std::unique_ptr<active_call> aCall)
+  {
+    CURL* handle = aCall->Handle();
+    calls.emplace(aCall->Id(), std::move(aCall));
+    multi.Add(handle);
+  }
+
+  void End(CURL* aHandle, CURLcode aCode)
+  {
+    active_call* call = nullptr;
+    curl_easy_getinfo(aHandle, CURLINFO_PRIVATE, &call);
+    multi.Remove(aHandle);
+    call->Finish(aCode);
+    calls.erase(call->Id());
+  }
+
+  active_call* Find(call_id aId)
+  {
+    const auto found = calls.find(aId);
+    return found == calls.end() ? nullptr : found->second.get();
+  }
+};
+
+upstream_loop::upstream_loop()
+  : mImplementation(std::make_unique<implementation>())
+{
+}
+
+upstream_loop::~upstream_loop()
+{
+  mImplementation->guard.reset();
+  mImplementation->context.stop();
+  mImplementation->thread.join();
+  for (auto& [id, call] : mImplementation->calls) {
+    call->Silence();
+    mImplementation->multi.Remove(call->Handle());
+  }
+}
+
+call_id
+upstream_loop::Start(upstream_call aCall, call_handlers aHandlers)
+{
+  const call_id id{ ++mImplementation->lastId };
+  auto call = std::make_unique<active_call>(id, std::move(aCall), std::move(aHandlers));
+  Post([state = mImplementation.get(), shared = std::make_shared<decltype(call)>(std::move(call))] {
+    state->Begin(std::move(*shared));
+  });
+  return id;
+}
+
+void
+upstream_loop::Cancel(call_id aCall)
+{
+  // Removal is not allowed within libcurl's callbacks, hence the post.
+  Post([state = mImplementation.get(), aCall] {
+    if (active_call* call = state->Find(aCall)) {
+      call->Silence();
+      state->multi.Remove(call->Handle());
+      state->calls.erase(aCall);
+    }
+  });
+}
+
+void
+upstream_loop::Pause(call_id aCall)
+{
+  Post([state = mImplementation.get(), aCall] {
+    if (const active_call* call = state->Find(aCall)) {
+      state->multi.Pause(call->Handle());
+    }
+  });
+}
+
+void
+upstream_loop::Resume(call_id aCall)
+{
+  Post([state = mImplementation.get(), aCall] {
+    if (const active_call* call = state->Find(aCall)) {
+      state->multi.Resume(call->Handle());
+    }
+  });
+}
+
+void
+upstream_loop::Post(std::function<void()> aFunction)
+{
+  asio::post(mImplementation->context, std::move(aFunction));
+}
+
+void
+upstream_loop::After(duration aDelay, std::function<void()> aFunction)
+{
+  auto timer = std::make_shared<asio::steady_timer>(mImplementation->context,
+                                                    std::chrono::milliseconds(aDelay.ms));
+  timer->async_wait([timer, function = std::move(aFunction)](const asio::error_code& aError) {
+    if (!aError) {
+      function();
+    }
+  });
+}
+
+} // namespace persimmon::upstream
--- /dev/null
+++ b/src/upstream/tests/mocks/rawserver.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <asio.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace persimmon::upstream {
+
+/// What a raw_server does with the connection after its answer.
+enum class raw_end
+{
+  keep,
+  close,
+  /// Stops listening, then closes.
+  stop_listening
+};
+
+struct raw_answer
+{
+  std::string bytes;
+  raw_end end = raw_end::keep;
+};
+
+/// A server on plain sockets that gives prepared answers, one to each request in the order in
+/// which they come; each request must come in one read.
+class raw_server
+{
+public:
+  explicit raw_server(std::vector<raw_answer> aAnswers)
+    : mAnswers(std::move(aAnswers))
+  {
+    Accept();
+    mThread = std::thread([this] { mContext.run(); });
+  }
+
+  ~raw_server()
+  {
+    mContext.stop();
+    mThread.join();
+  }
+
+  [[nodiscard]] const endpoint& Address() const { return mAddress; }
+
+  int RequestCount() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mRequests;
+  }
+
+  void WaitForRequest() const
+  {
+    std::unique_lock lock(mMutex);
+    mChanged.wait(lock, [this] { return mRequests > 0; });
+  }
+
+  void WaitForClosedConnection() const
+  {
+    std::unique_lock lock(mMutex);
+    mChanged.wait(lock, [this] { return mClosed > 0; });
+  }
+
+private:
+  using tcp = asio::ip::tcp;
+
+  struct connection
+  {
+    tcp::socket socket;
+    std::array<char, 65536> buffer{};
+  };
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](const asio::error_code& aError, tcp::socket aSocket) {
+      if (!aError) {
+        Read(std::make_shared<connection>(connection{ std::move(aSocket) }));
+        Accept();
+      }
+    });
+  }
+
+  void Read(const std::shared_ptr<connection>& aConnection)
+  {
+    aConnection->socket.async_read_some(
+      asio::buffer(aConnection->buffer),
+      [this, aConnection](const asio::error_code& aError, std::size_t) {
+        if (aError) {
+          Note(mClosed);
+        } else {
+          Answer(aConnection);
+        }
+      });
+  }
+
+  void Answer(const std::shared_ptr<connection>& aConnection)
+  {
+    const auto index = static_cast<std::size_t>(RequestCount());
+    const raw_answer answer = index < mAnswers.size() ? mAnswers[index] : raw_answer{};
+    Note(mRequests);
+    asio::error_code ignored;
+    asio::write(aConnection->socket, asio::buffer(answer.bytes), ignored);
+    if (answer.end == raw_end::stop_listening) {
+      mAcceptor.close(ignored);
+    }
+    if (answer.end == raw_end::keep) {
+      Read(aConnection);
+    }
+  }
+
+  void Note(int& aCount)
+  {
+    {
+      const std::lock_guard lock(mMutex);
+      ++aCount;
+    }
+    mChanged.notify_all();
+  }
+
+  std::vector<raw_answer> mAnswers;
+  asio::io_context mContext;
+  tcp::acceptor mAcceptor{ mContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+  endpoint mAddress{ "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port()) };
+  mutable std::mutex mMutex;
+  mutable std::condition_variable mChanged;
+  int mRequests = 0;
+  int mClosed = 0;
+  std::thread mThread;
+};
+
+} // namespace persimmon::upstream
--- /dev/null
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -0,0 +1,149 @@
+#include "upstream/upstreamloop.h"
+
+#include "upstream/tests/mocks/rawserver.h"
+
+#include <CppUTest/TestHarness.h>
+#include <future>
+
+using namespace persimmon;
+using namespace persimmon::upstream;
+
+namespace {
+
+struct seen_call
+{
+  response_head head;
+  std::string body;
+  call_outcome outcome;
+};
+
+const std::string kHello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+/// Runs one call to its end.
+seen_call
+Run(upstream_loop& aLoop, upstream_call aCall)
+{
+  seen_call seen;
+  std::promise<void> done;
+  aLoop.Start(std::move(aCall),
+              { [&seen](const response_head& aHead) { seen.head = aHead; },
+                [&seen](std::string_view aData) { seen.body += aData; },
+                [&](const call_outcome& aOutcome) {
+                  seen.outcome = aOutcome;
+                  done.set_value();
+                } });
+  done.get_future().wait();
+  return seen;
+}
+
+upstream_call
+CallTo(const endpoint& aAddress, bool aFresh)
+{
+  upstream_call call;
+  call.address = aAddress;
+  call.method = "POST";
+  call.body = "{}";
+  call.freshConnection = aFresh;
+  return call;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(upstream_loop)
+{
+  upstream_loop loop;
+};
+// clang-format on
+
+TEST(upstream_loop, TellsHeadDataAndEnd)
+{
+  const raw_server server({ { kHello, raw_end::keep } });
+  const seen_call seen = Run(loop, CallTo(server.Address(), false));
+  CHECK_EQUAL(200, seen.head.status);
+  STRCMP_EQUAL("5", seen.head.Header("content-length").c_str());
+  STRCMP_EQUAL("hello", seen.body.c_str());
+  CHECK(seen.outcome.end == call_end::whole);
+}
+
+TEST(upstream_loop, RefusedConnectionWasNotSent)
+{
+  endpoint closed;
+  {
+    const raw_server server({});
+    closed = server.Address();
+  }
+  CHECK(Run(loop, CallTo(closed, true)).outcome.end == call_end::not_sent);
+}
+
+TEST(upstream_loop, CutResponseMayHaveBeenSent)
+{
+  const raw_server server(
+    { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", raw_end::close } });
+  CHECK(Run(loop, CallTo(server.Address(), true)).outcome.end == call_end::maybe_sent);
+}
+
+TEST(upstream_loop, ReusedConnectionThatDiesIsSilentlySentAgain)
+{
+  const raw_server server({ { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
+  Run(loop, CallTo(server.Address(), false));
+  const seen_call second = Run(loop, CallTo(server.Address(), false));
+  CHECK(second.outcome.end == call_end::whole);
+  CHECK_EQUAL(3, server.RequestCount());
+}
+
+TEST(upstream_loop, FreshConnectionThatDiesIsNotSentAgain)
+{
+  const raw_server server({ { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
+  Run(loop, CallTo(server.Address(), false));
+  const seen_call second = Run(loop, CallTo(server.Address(), true));
+  CHECK(second.outcome.end == call_end::maybe_sent);
+  CHECK_EQUAL(2, server.RequestCount());
+}
+
+TEST(upstream_loop, FailedSilentResendIsNotTakenForNotSent)
+{
+  const raw_server server({ { kHello, raw_end::keep }, { "", raw_end::stop_listening } });
+  Run(loop, CallTo(server.Address(), false));
+  CHECK(Run(loop, CallTo(server.Address(), false)).outcome.end == call_end::maybe_sent);
+}
+
+TEST(upstream_loop, CancelClosesTheConnection)
+{
+  const raw_server server({ { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", raw_end::keep } });
+  std::promise<void> started;
+  const call_id call = loop.Start(CallTo(server.Address(), false),
+                                  { [](const response_head&) {},
+                                    [&started](std::string_view) { started.set_value(); },
+                                    [](const call_outcome&) { FAIL("cancelled call told its end"); } });
+  started.get_future().wait();
+  loop.Cancel(call);
+  server.WaitForClosedConnection();
+}
+
+TEST(upstream_loop, PausedCallIsReadOnlyAfterResume)
+{
+  const raw_server server({ { kHello, raw_end::keep } });
+  std::promise<void> done;
+  std::string body;
+  std::atomic<bool> resumed = false;
+  bool early = false;
+  call_id call;
+  loop.Post([&] {
+    call = loop.Start(CallTo(server.Address(), false),
+                      { [&](const response_head&) { loop.Pause(call); },
+                        [&](std::string_view aData) { body += aData; },
+                        [&](const call_outcome&) {
+                          early = !resumed;
+                          done.set_value();
+                        } });
+  });
+  server.WaitForRequest();
+  const raw_server other({ { kHello, raw_end::keep } });
+  Run(loop, CallTo(other.Address(), false));
+  resumed = true;
+  loop.Post([&] { loop.Resume(call); });
+  done.get_future().wait();
+  CHECK_FALSE(early);
+  STRCMP_EQUAL("hello", body.c_str());
+}
--- /dev/null
+++ b/src/upstream/upstreamcall.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "upstream/upstreamheader.h"
+
+#include <string>
+#include <vector>
+
+namespace persimmon::upstream {
+
+/// One HTTP request to an upstream.
+struct upstream_call
+{
+  endpoint address;
+  std::string method = "GET";
+  /// Path with the query.
+  std::string target = "/";
+  std::vector<upstream_header> headers;
+  std::string body;
+  duration connectTimeout{ 1000 };
+  /// Bounds the whole call; zero means no bound.
+  duration timeout;
+  /// Use a connection that no other call has used or will use. The HTTP library resends a request
+  /// silently when a reused connection dies early, so a call that may run only once needs this.
+  bool freshConnection = false;
+};
+
+} // namespace persimmon::upstream
