--- /dev/null
+++ b/src/ctl/internal/statusreport.cpp
@@ -0,0 +1,129 @@
+#include "ctl/statusreport.h"
+
+#include <fmt/format.h>
+#include <iterator>
+#include <map>
+#include <set>
+
+namespace persimmon::ctl {
+namespace {
+
+using text_output = std::back_insert_iterator<std::string>;
+
+std::map<placement::group_state, int>
+CountGroups(const status_input& aInput, const service_name& aService)
+{
+  std::map<placement::group_state, int> counts;
+  for (const placement::domain_table& table : aInput.tables) {
+    for (const placement::group& entry : table.groups) {
+      if (entry.service == aService) {
+        ++counts[entry.state];
+      }
+    }
+  }
+  return counts;
+}
+
+std::string
+Wanted(const service_document& aDocument)
+{
+  if (aDocument.retired) {
+    return "retired";
+  }
+  if (aDocument.kind == service_kind::plain) {
+    return "plain service";
+  }
+  const std::string adapter = aDocument.model.adapter.empty() ? "" : "+" + aDocument.model.adapter;
+  return fmt::format("{}{} {} wants {} x {} instances",
+                     aDocument.model.model,
+                     adapter,
+                     aDocument.model.version,
+                     aDocument.capacity.replicas,
+                     aDocument.capacity.instancesPerReplica);
+}
+
+void
+AppendServices(const status_input& aInput, text_output aOut)
+{
+  fmt::format_to(aOut, "Services\n");
+  for (const versioned_document& entry : aInput.documents) {
+    fmt::format_to(aOut,
+                   "  {} (version {}): {}",
+                   entry.document.service.value,
+                   entry.version.value,
+                   Wanted(entry.document));
+    for (const auto& [state, count] : CountGroups(aInput, entry.document.service)) {
+      fmt::format_to(aOut, ", {} {}", count, placement::StateName(state));
+    }
+    if (!aInput.routers.empty()) {
+      fmt::format_to(
+        aOut,
+        ", {}",
+        RenderInForce(CountInForce(aInput.routers, entry.document.service, entry.version)));
+    }
+    fmt::format_to(aOut, "\n");
+  }
+}
+
+void
+AppendDomains(const status_input& aInput, text_output aOut)
+{
+  std::map<domain_name, int> listed;
+  for (const platform::listed_instance& instance : aInput.instances) {
+    if (!instance.entry && instance.service.Empty()) {
+      ++listed[instance.domain];
+    }
+  }
+  fmt::format_to(aOut, "Fabric domains\n");
+  for (const placement::domain_table& table : aInput.tables) {
+    std::size_t used = 0;
+    for (const placement::group& entry : table.groups) {
+      used += entry.members.size();
+    }
+    fmt::format_to(aOut,
+                   "  {}: owner {}, token {}, {} instances listed, {} in groups\n",
+                   table.domain.value,
+                   table.owner.value,
+                   table.token.value,
+                   listed[table.domain],
+                   used);
+    for (const placement::group& entry : table.groups) {
+      fmt::format_to(aOut,
+                     "    {} {} {} generation {} ({} instances, head {})\n",
+                     entry.id.value,
+                     entry.service.value,
+                     placement::StateName(entry.state),
+                     entry.version.value,
+                     entry.members.size(),
+                     entry.members.empty() ? "none" : entry.members.front().instance.value);
+    }
+  }
+}
+
+void
+AppendInstances(const status_input& aInput, text_output aOut)
+{
+  for (const platform::listed_instance& instance : aInput.instances) {
+    if (instance.leaving) {
+      fmt::format_to(aOut, "Leaving: {} in {}\n", instance.instance.value, instance.zone.value);
+    }
+  }
+}
+
+} // namespace
+
+std::string
+RenderStatus(const status_input& aInput)
+{
+  std::string text;
+  const auto out = std::back_inserter(text);
+  AppendServices(aInput, out);
+  AppendDomains(aInput, out);
+  AppendInstances(aInput, out);
+  for (const placement_note& note : aInput.notes) {
+    fmt::format_to(out, "Note on {}: {}\n", note.name, note.text);
+  }
+  return text;
+}
+
+} // namespace persimmon::ctl
--- /dev/null
+++ b/src/ctl/tests/statustests.cpp
@@ -0,0 +1,39 @@
+#include "ctl/statusreport.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::ctl;
+
+namespace {
+
+asked_router
+Router(const char* aAddress, std::uint64_t aRevision)
+{
+  router_status status;
+  status.documents[{ "verifier-llm" }] = { aRevision };
+  return { aAddress, status };
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(status){};
+// clang-format on
+
+TEST(status, NamesRoutersThatLagOrDoNotAnswer)
+{
+  const auto count = CountInForce(
+    { Router("r1", 7), Router("r2", 6), { "r3", std::nullopt } }, { "verifier-llm" }, { 7 });
+  STRCMP_EQUAL("in force on 1 of 3; lagging: r2, r3 (no answer)", RenderInForce(count).c_str());
+}
+
+TEST(status, ParsesARoutersAnswer)
+{
+  json_problem problem;
+  const auto status = ParseRouterStatus(
+    R"({"router":"r1","ready":true,"documents":[{"service":"a","revision":4,"source":"watch"}],"more":1})",
+    problem);
+  CHECK(status.has_value());
+  CHECK(status->documents.at({ "a" }) == revision{ 4 });
+}
--- /dev/null
+++ b/src/platform/settledwrite.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "platform/objectstore.h"
+
+namespace persimmon::platform {
+
+enum class write_outcome
+{
+  /// The object holds the value, as of `version`.
+  landed,
+  /// Another write won; this one did not and never will take effect.
+  lost,
+  /// The platform refused or could not be reached before acting; nothing was changed.
+  not_written,
+  /// It could not be found out whether the write took effect, or still will.
+  unresolved
+};
+
+struct settled_write
+{
+  write_outcome outcome = write_outcome::unresolved;
+  /// Revision of the value that landed.
+  revision version;
+  store_reason why;
+};
+
+namespace detail {
+
+/// Tells whether the object holds the value now; an empty result means that it could not be read.
+template<object_store Store>
+std::optional<bool>
+HoldsValue(Store& aStore, const object_key& aKey, const std::string& aValue, revision& aVersion)
+{
+  const auto current = aStore.Get(aKey);
+  if (!current) {
+    return aStore.LastReason().code == store_error::not_found ? std::optional(false) : std::nullopt;
+  }
+  aVersion = current->version;
+  return current->value == aValue;
+}
+
+} // namespace detail
+
+/// Writes a value under a condition and finds out what became of it when the reply is lost. The
+/// value must be unlike every other writer's, for example by a write id within it.
+///
+/// An object that still has its old revision is no proof that the write is lost, since it may be
+/// on its way. It is settled by writing again under the same condition: at most one of the two
+/// can be accepted, and whichever is carries the same value. When a third write is found in place
+/// after a lost reply, the outcome stays unresolved: this write may have been accepted before it.
+template<object_store Store>
+settled_write
+PutSettled(Store& aStore,
+           const object_key& aKey,
+           const std::string& aValue,
+           const write_condition& aCondition,
+           int aTries)
+{
+  bool maybeOnItsWay = false;
+  settled_write result;
+  for (int i = 0; i < aTries; ++i) {
+    if (const auto written = aStore.Put(aKey, aValue, aCondition)) {
+      return { write_outcome::landed, *written, {} };
+    }
+    result.why = aStore.LastReason();
+    if (result.why.code == store_error::unknown_outcome) {
+      maybeOnItsWay = true;
+      continue;
+    }
+    if (result.why.code != store_error::conflict) {
+      if (!maybeOnItsWay) {
+        return { write_outcome::not_written, {}, result.why };
+      }
+      continue;
+    }
+    revision version;
+    const auto holds = detail::HoldsValue(aStore, aKey, aValue, version);
+    if (holds && *holds) {
+      return { write_outcome::landed, version, {} };
+    }
+    if (holds && !maybeOnItsWay) {
+      return { write_outcome::lost, version, result.why };
+    }
+    // An earlier try may have taken effect and been replaced since, or the object cannot be read.
+    if (holds) {
+      return result;
+    }
+  }
+  return result;
+}
+
+} // namespace persimmon::platform
