--- /dev/null
+++ b/src/routing/serviceview.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "document/versioneddocument.h"
+#include "routing/candidate.h"
+
+#include <memory>
+#include <vector>
+
+namespace persimmon::routing {
+
+/// What a router knows of one service; immutable, so that threads share it without a lock.
+struct service_view
+{
+  /// The document in force; nothing when only a table or list names the service.
+  std::shared_ptr<const versioned_document> document;
+  /// All upstreams, those that get no requests included, sorted by id.
+  std::vector<candidate> candidates;
+
+  /// True when callers may use the service.
+  [[nodiscard]] bool Active() const { return document && !document->document.retired; }
+  /// Number of upstreams that may get requests at a moment.
+  [[nodiscard]] std::size_t EligibleCount(time_point aNow) const;
+};
+
+} // namespace persimmon::routing
--- /dev/null
+++ b/src/routing/upstreamchooser.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "routing/choicepolicies.h"
+
+#include <utility>
+
+namespace persimmon::routing {
+
+/// Chooses upstreams for one service at one router: a pool and a policy over it. Pure; the caller
+/// holds the service's lock.
+template<choice_policy Policy>
+class basic_upstream_chooser
+{
+public:
+  basic_upstream_chooser(zone_name aOwnZone, std::uint64_t aSeed)
+    : mPool(std::move(aOwnZone))
+    , mRandom(aSeed)
+  {
+  }
+
+  /// Chooses an upstream; nothing is recorded until Start().
+  upstream_choice Choose(const choice_request& aRequest, time_point aNow)
+  {
+    return mPolicy.Choose(mPool, aRequest, aNow, mRandom);
+  }
+  /// Upstreams, load, dispatches and health.
+  upstream_pool& Pool() { return mPool; }
+
+private:
+  upstream_pool mPool;
+  Policy mPolicy;
+  random_source mRandom;
+};
+
+using upstream_chooser = basic_upstream_chooser<balanced_choice>;
+
+} // namespace persimmon::routing
