--- a/src/platform/tests/settledwritetests.cpp
+++ b/src/platform/tests/settledwritetests.cpp
@@ -82,7 +82,7 @@
   store.Put(key, "mine", { mine });
   other.Put(key, "theirs", { content.last });
   memory_object_store retry(content);
-  lost_first_reply replay{ retry };
+  lost_first_reply replay{ .store = retry, .first = true, .why = {} };
   CHECK(PutSettled(replay, key, "mine", { mine }, kTries).outcome == write_outcome::unresolved);
 }
 
