--- a/src/history/event.h
+++ b/src/history/event.h
@@ -48,6 +48,8 @@
   time_point at;
   /// Process that wrote the event.
   std::string process;
+  /// Load tool: one call, from its sending to its end.
+  std::string call;
   std::string request;
   std::string attempt;
   std::string key;
@@ -64,6 +66,8 @@
   int status = 0;
   /// `ran` of a refusal: "no" or "unknown".
   std::string ran;
+  /// `attempt_ran` of a refusal, which speaks of this call alone.
+  std::string attemptRan;
   /// Hash of a request body or of a whole answer, in hexadecimal.
   std::string digest;
   /// True for a call that may not be repeated.
--- a/src/history/internal/event.cpp
+++ b/src/history/internal/event.cpp
@@ -82,6 +82,7 @@
 {
   nlohmann::json line = { { "kind", KindName(aEvent.kind) }, { "at", aEvent.at.ms } };
   PutText(line, "process", aEvent.process);
+  PutText(line, "call", aEvent.call);
   PutText(line, "request", aEvent.request);
   PutText(line, "attempt", aEvent.attempt);
   PutText(line, "key", aEvent.key);
@@ -96,6 +97,7 @@
   PutNumber(line, "revision", aEvent.revision);
   PutNumber(line, "status", static_cast<std::uint64_t>(aEvent.status));
   PutText(line, "ran", aEvent.ran);
+  PutText(line, "attempt_ran", aEvent.attemptRan);
   PutText(line, "digest", aEvent.digest);
   if (aEvent.once) {
     line["once"] = true;
@@ -125,6 +127,7 @@
   parsed.kind = ReadKind(reader);
   parsed.at.ms = reader.Number("at", 0, INT64_MAX);
   parsed.process = reader.TextOr("process", "");
+  parsed.call = reader.TextOr("call", "");
   parsed.request = reader.TextOr("request", "");
   parsed.attempt = reader.TextOr("attempt", "");
   parsed.key = reader.TextOr("key", "");
@@ -139,6 +142,7 @@
   parsed.revision = ReadCount(reader, "revision");
   parsed.status = static_cast<int>(reader.NumberOr("status", 0, 999, 0));
   parsed.ran = reader.TextOr("ran", "");
+  parsed.attemptRan = reader.TextOr("attempt_ran", "");
   parsed.digest = reader.TextOr("digest", "");
   parsed.once = reader.FlagOr("once", false);
   parsed.streamed = reader.FlagOr("streamed", false);
--- a/src/history/tests/eventtests.cpp
+++ b/src/history/tests/eventtests.cpp
@@ -15,7 +15,10 @@
   original.kind = event_kind::completed;
   original.at = { 1234 };
   original.process = "engine";
+  original.call = "c1";
   original.attempt = "a1";
+  original.ran = "unknown";
+  original.attemptRan = "no";
   original.members = { "i1", "i2" };
   original.once = true;
   std::string problem;
