--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -11,10 +11,6 @@
 std::uint64_t
 HashText(std::string_view aText, std::uint64_t aSeed = 0);
 
-/// Returns HashText() in 16 lower-case hexadecimal digits, as histories write digests.
-std::string
-HashHex(std::string_view aText);
-
 /// Returns the weight of a candidate for a key in rendezvous hashing; the highest weight wins.
 std::uint64_t
 RendezvousWeight(std::string_view aKey, std::string_view aCandidate);
--- a/src/base/internal/hash.cpp
+++ b/src/base/internal/hash.cpp
@@ -14,12 +14,6 @@
   return XXH64(aText.data(), aText.size(), aSeed);
 }
 
-std::string
-HashHex(std::string_view aText)
-{
-  return fmt::format("{:016x}", HashText(aText));
-}
-
 std::uint64_t
 RendezvousWeight(std::string_view aKey, std::string_view aCandidate)
 {
