--- /dev/null
+++ b/src/routing/internal/requestflow.cpp
@@ -0,0 +1,382 @@
+#include "routing/requestflow.h"
+
+namespace persimmon::routing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr duration kRetrySoon = 1_s;
+
+/// A refusal that another upstream may well not repeat.
+bool
+IsRefusalStatus(int aStatus)
+{
+  return aStatus == kConflict || aStatus == kTooManyRequests || aStatus == kServiceUnavailable;
+}
+
+bool
+Matches(const std::string& aExpected, const std::string& aFound)
+{
+  return aExpected.empty() || aExpected == aFound;
+}
+
+/// Reason that the caller is given when no retry follows a failure.
+refusal_reason
+ReasonOf(retry_verdict aVerdict, refusal_reason aFailure)
+{
+  return aVerdict == retry_verdict::budget_spent ? refusal_reason::retry_budget_spent : aFailure;
+}
+
+} // namespace
+
+request_flow::request_flow(const flow_call& aCall)
+  : mCall(aCall)
+  , mEarlierRan(aCall.idempotent ? ran_proof::no : ran_proof::unknown)
+{
+}
+
+std::vector<flow_action>
+request_flow::Handle(const flow_event& aEvent, time_point aNow)
+{
+  static_cast<void>(aNow);
+  mActions.clear();
+  if (mPhase != phase::ended) {
+    std::visit([this](const auto& aKind) { On(aKind); }, aEvent);
+  } else if (mIntentAsked && std::holds_alternative<flow_intent_granted>(aEvent)) {
+    // The request ended while its intent was on the way.
+    mIntentAsked = false;
+    mActions.emplace_back(close_intent{ intent_outcome::not_run });
+  }
+  return std::move(mActions);
+}
+
+void
+request_flow::On(const flow_started&)
+{
+  if (mPhase != phase::created) {
+    return;
+  }
+  mPhase = phase::admitting;
+  mActions.emplace_back(set_timer{ mCall.deadline });
+  mActions.emplace_back(ask_admission{});
+}
+
+void
+request_flow::On(const flow_admitted&)
+{
+  if (mPhase != phase::admitting) {
+    return;
+  }
+  if (mCall.idempotent) {
+    ChooseUpstream();
+    return;
+  }
+  mPhase = phase::committing;
+  mIntentAsked = true;
+  mActions.emplace_back(ask_intent{});
+}
+
+void
+request_flow::On(const flow_not_admitted& aEvent)
+{
+  if (mPhase == phase::admitting) {
+    GiveUp(aEvent.why, {}, aEvent.retryAfter);
+  }
+}
+
+void
+request_flow::On(const flow_intent_granted&)
+{
+  if (mPhase != phase::committing) {
+    return;
+  }
+  mIntentAsked = false;
+  mIntentOpen = true;
+  mEarlierRan = ran_proof::no;
+  if (mCallerLeft) {
+    GiveUp(refusal_reason::stream_broken, {}, {});
+    return;
+  }
+  ChooseUpstream();
+}
+
+void
+request_flow::On(const flow_answer_known&)
+{
+  if (mPhase == phase::committing) {
+    mActions.emplace_back(deliver_known_answer{});
+    End();
+  }
+}
+
+void
+request_flow::On(const flow_intent_denied& aEvent)
+{
+  if (mPhase == phase::committing) {
+    mEarlierRan = aEvent.ran;
+    GiveUp(aEvent.why, {}, aEvent.retryAfter);
+  }
+}
+
+void
+request_flow::ChooseUpstream()
+{
+  mPhase = phase::choosing;
+  mActions.emplace_back(ask_upstream{});
+}
+
+void
+request_flow::On(const flow_upstream_chosen& aEvent)
+{
+  if (mPhase != phase::choosing) {
+    return;
+  }
+  if (mStreamOpen && aEvent.expected.version != mStreamVersion) {
+    GiveUp(refusal_reason::stream_broken, "no upstream with the same version", {});
+    return;
+  }
+  mExpected = aEvent.expected;
+  mPhase = phase::waiting;
+  ++mAttempts;
+  mActions.emplace_back(dispatch_attempt{ mAttempts, mTokensDelivered });
+}
+
+void
+request_flow::On(const flow_no_upstream& aEvent)
+{
+  if (mPhase == phase::choosing) {
+    GiveUp(aEvent.why, mLastDetail, aEvent.retryAfter);
+  }
+}
+
+bool
+request_flow::InFlight() const
+{
+  return mPhase == phase::waiting || mPhase == phase::receiving || mPhase == phase::streaming;
+}
+
+bool
+request_flow::IsCurrent(attempt_number aAttempt) const
+{
+  return InFlight() && aAttempt == mAttempts;
+}
+
+bool
+request_flow::Accepts(const flow_head& aHead) const
+{
+  return Matches(mExpected.attempt, aHead.identity.attempt) &&
+         Matches(mExpected.service, aHead.identity.service) &&
+         Matches(mExpected.version, aHead.identity.version) &&
+         Matches(mExpected.generation, aHead.identity.generation);
+}
+
+void
+request_flow::On(const flow_head& aEvent)
+{
+  if (mPhase != phase::waiting || !IsCurrent(aEvent.attempt)) {
+    return;
+  }
+  // A refusal comes from an upstream that may be in another generation than was meant.
+  const bool refused = aEvent.provedNotRun && IsRefusalStatus(aEvent.status) &&
+                       aEvent.identity.attempt == mExpected.attempt;
+  if (refused) {
+    CancelAttempt(attempt_outcome::refused);
+    AttemptFailed(refusal_reason::upstream_refused, {}, true, aEvent.status != kTooManyRequests);
+    return;
+  }
+  if (!Accepts(aEvent) || (mStreamOpen && aEvent.status != kOk) ||
+      (aEvent.status == kOk && aEvent.resumedAfter != mTokensDelivered)) {
+    CancelAttempt(attempt_outcome::failed);
+    AttemptFailed(refusal_reason::upstream_mismatch, {}, false, false);
+    return;
+  }
+  mStreamedAnswer = mCall.streamed && aEvent.status == kOk;
+  if (mStreamOpen) {
+    mPhase = phase::streaming;
+    mActions.emplace_back(continue_stream{ mAttempts });
+    return;
+  }
+  mPhase = phase::receiving;
+}
+
+void
+request_flow::On(const flow_first_bytes& aEvent)
+{
+  if (mPhase != phase::receiving || !IsCurrent(aEvent.attempt) || !mStreamedAnswer) {
+    return;
+  }
+  mPhase = phase::streaming;
+  mStreamOpen = true;
+  mStreamVersion = mExpected.version;
+  mActions.emplace_back(open_stream{ mAttempts });
+}
+
+void
+request_flow::On(const flow_attempt_ended& aEvent)
+{
+  if (!IsCurrent(aEvent.attempt)) {
+    return;
+  }
+  mTokensDelivered = aEvent.tokensDelivered;
+  if (aEvent.whole && mPhase != phase::waiting && !(mStreamedAnswer && !mStreamOpen)) {
+    CompleteAttempt();
+    return;
+  }
+  mActions.emplace_back(report_attempt{ mAttempts, attempt_outcome::failed });
+  AttemptFailed(refusal_reason::upstream_failed, aEvent.detail, aEvent.notSent, false);
+}
+
+void
+request_flow::CompleteAttempt()
+{
+  mActions.emplace_back(report_attempt{ mAttempts, attempt_outcome::completed });
+  if (mStreamOpen) {
+    mActions.emplace_back(finish_stream{});
+  } else {
+    mActions.emplace_back(deliver_answer{ mAttempts });
+  }
+  CloseIntent(intent_outcome::done);
+  End();
+}
+
+void
+request_flow::On(const flow_answer_too_large& aEvent)
+{
+  if (IsCurrent(aEvent.attempt)) {
+    CancelAttempt(attempt_outcome::cancelled);
+    mMayHaveRun = true;
+    GiveUp(refusal_reason::answer_too_large, {}, {});
+  }
+}
+
+void
+request_flow::On(const flow_upstream_lost& aEvent)
+{
+  if (IsCurrent(aEvent.attempt)) {
+    mTokensDelivered = aEvent.tokensDelivered;
+    CancelAttempt(attempt_outcome::failed);
+    AttemptFailed(refusal_reason::upstream_failed, "upstream lost a member", false, false);
+  }
+}
+
+void
+request_flow::AttemptFailed(refusal_reason aWhy,
+                            std::string aDetail,
+                            bool aProvedNotRun,
+                            bool aDraining)
+{
+  mMayHaveRun = mMayHaveRun || !aProvedNotRun;
+  mLastFailure = aWhy;
+  mLastDetail = std::move(aDetail);
+  if (!mCall.idempotent) {
+    GiveUp(aWhy, mLastDetail, aProvedNotRun ? kRetrySoon : duration{});
+    return;
+  }
+  mPhase = phase::deciding_retry;
+  failed_attempt failed;
+  failed.attempts = mAttempts;
+  failed.provedNotRun = aProvedNotRun;
+  failed.draining = aDraining;
+  failed.idempotent = mCall.idempotent;
+  failed.bytesDelivered = mStreamOpen ? 1 : 0;
+  failed.resumable = mCall.resumable;
+  failed.deadline = mCall.deadline;
+  mActions.emplace_back(ask_retry{ failed });
+}
+
+void
+request_flow::On(const flow_retry_decided& aEvent)
+{
+  if (mPhase != phase::deciding_retry) {
+    return;
+  }
+  const bool goesOn =
+    mStreamOpen ? aEvent.verdict == retry_verdict::resume : aEvent.verdict == retry_verdict::repeat;
+  if (goesOn) {
+    ChooseUpstream();
+    return;
+  }
+  GiveUp(ReasonOf(aEvent.verdict, mLastFailure), mLastDetail, kRetrySoon);
+}
+
+void
+request_flow::On(const flow_caller_left&)
+{
+  mCallerLeft = true;
+  const bool runsOn = !mCall.idempotent && (InFlight() || mPhase == phase::committing);
+  if (runsOn) {
+    return;
+  }
+  CancelAttempt(attempt_outcome::cancelled);
+  CloseIntent(intent_outcome::not_run);
+  End();
+}
+
+void
+request_flow::On(const flow_deadline_passed&)
+{
+  mMayHaveRun = mMayHaveRun || InFlight();
+  CancelAttempt(attempt_outcome::cancelled);
+  GiveUp(refusal_reason::deadline_exceeded, {}, {});
+}
+
+void
+request_flow::On(const flow_stop&)
+{
+  mMayHaveRun = mMayHaveRun || InFlight();
+  CancelAttempt(attempt_outcome::cancelled);
+  GiveUp(refusal_reason::stopping, {}, kRetrySoon);
+}
+
+void
+request_flow::CancelAttempt(attempt_outcome aOutcome)
+{
+  if (InFlight()) {
+    mActions.emplace_back(cancel_attempt{ mAttempts });
+    mActions.emplace_back(report_attempt{ mAttempts, aOutcome });
+  }
+}
+
+ran_proof
+request_flow::AttemptRan() const
+{
+  return mMayHaveRun ? ran_proof::unknown : ran_proof::no;
+}
+
+void
+request_flow::GiveUp(refusal_reason aWhy, std::string aDetail, duration aRetryAfter)
+{
+  refusal why;
+  why.reason = aWhy;
+  why.detail = std::move(aDetail);
+  why.attemptRan = AttemptRan();
+  why.ran = mMayHaveRun ? ran_proof::unknown : mEarlierRan;
+  why.retryAfter = aRetryAfter;
+  CloseIntent(mMayHaveRun ? intent_outcome::lost : intent_outcome::not_run);
+  if (mStreamOpen) {
+    mActions.emplace_back(break_stream{ std::move(why) });
+  } else {
+    mActions.emplace_back(send_refusal{ std::move(why) });
+  }
+  End();
+}
+
+void
+request_flow::CloseIntent(intent_outcome aOutcome)
+{
+  if (mIntentOpen) {
+    mIntentOpen = false;
+    mActions.emplace_back(close_intent{ aOutcome });
+  }
+}
+
+void
+request_flow::End()
+{
+  mPhase = phase::ended;
+  mActions.emplace_back(end_request{});
+}
+
+} // namespace persimmon::routing
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -67,8 +67,7 @@
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBufferBytes);
-  curl_easy_setopt(
-    handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(mCall.connectTimeout.ms));
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(mCall.connectTimeout.ms));
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(mCall.timeout.ms));
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &active_call::OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
--- a/src/upstream/internal/curlmulti.cpp
+++ b/src/upstream/internal/curlmulti.cpp
@@ -118,21 +118,19 @@
 {
   if ((aWatched->wanted & CURL_POLL_IN) != 0 && !aWatched->waitsToRead) {
     aWatched->waitsToRead = true;
-    aWatched->descriptor.async_wait(
-      asio::posix::stream_descriptor::wait_read,
-      [this, aSocket, aWatched](const asio::error_code& aError) {
-        aWatched->waitsToRead = false;
-        Ready(aSocket, aWatched, aError ? 0 : CURL_CSELECT_IN);
-      });
+    aWatched->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                    [this, aSocket, aWatched](const asio::error_code& aError) {
+                                      aWatched->waitsToRead = false;
+                                      Ready(aSocket, aWatched, aError ? 0 : CURL_CSELECT_IN);
+                                    });
   }
   if ((aWatched->wanted & CURL_POLL_OUT) != 0 && !aWatched->waitsToWrite) {
     aWatched->waitsToWrite = true;
-    aWatched->descriptor.async_wait(
-      asio::posix::stream_descriptor::wait_write,
-      [this, aSocket, aWatched](const asio::error_code& aError) {
-        aWatched->waitsToWrite = false;
-        Ready(aSocket, aWatched, aError ? 0 : CURL_CSELECT_OUT);
-      });
+    aWatched->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                    [this, aSocket, aWatched](const asio::error_code& aError) {
+                                      aWatched->waitsToWrite = false;
+                                      Ready(aSocket, aWatched, aError ? 0 : CURL_CSELECT_OUT);
+                                    });
   }
 }
 
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -85,7 +85,8 @@
 
 TEST(upstream_loop, ReusedConnectionThatDiesIsSilentlySentAgain)
 {
-  const raw_server server({ { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
+  const raw_server server(
+    { { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
   Run(loop, CallTo(server.Address(), false));
   const seen_call second = Run(loop, CallTo(server.Address(), false));
   CHECK(second.outcome.end == call_end::whole);
@@ -94,7 +95,8 @@
 
 TEST(upstream_loop, FreshConnectionThatDiesIsNotSentAgain)
 {
-  const raw_server server({ { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
+  const raw_server server(
+    { { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
   Run(loop, CallTo(server.Address(), false));
   const seen_call second = Run(loop, CallTo(server.Address(), true));
   CHECK(second.outcome.end == call_end::maybe_sent);
@@ -110,12 +112,14 @@
 
 TEST(upstream_loop, CancelClosesTheConnection)
 {
-  const raw_server server({ { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", raw_end::keep } });
+  const raw_server server(
+    { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", raw_end::keep } });
   std::promise<void> started;
-  const call_id call = loop.Start(CallTo(server.Address(), false),
-                                  { [](const response_head&) {},
-                                    [&started](std::string_view) { started.set_value(); },
-                                    [](const call_outcome&) { FAIL("cancelled call told its end"); } });
+  const call_id call =
+    loop.Start(CallTo(server.Address(), false),
+               { [](const response_head&) {},
+                 [&started](std::string_view) { started.set_value(); },
+                 [](const call_outcome&) { FAIL("cancelled call told its end"); } });
   started.get_future().wait();
   loop.Cancel(call);
   server.WaitForClosedConnection();
