--- a/src/upstream/internal/upstreamloop.cpp
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -15,6 +15,7 @@
   asio::io_context context{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> guard{ context.get_executor() };
   std::unordered_map<call_id, std::unique_ptr<active_call>> calls;
+  std::unordered_map<timer_id, asio::steady_timer> timers;
   curl_multi multi{ context, [this](CURL* aHandle, CURLcode aCode) { End(aHandle, aCode); } };
   std::atomic<std::uint64_t> lastId{ 0 };
   std::thread thread{ [this] { context.run(); } };
@@ -35,6 +36,20 @@
     calls.erase(call->Id());
   }
 
+  void Arm(timer_id aId, duration aDelay, std::function<void()> aFunction)
+  {
+    auto& timer = timers
+                    .emplace(aId,
+                             asio::steady_timer(context, std::chrono::milliseconds(aDelay.ms)))
+                    .first->second;
+    timer.async_wait([this, aId, function = std::move(aFunction)](const asio::error_code& aError) {
+      if (!aError) {
+        timers.erase(aId);
+        function();
+      }
+    });
+  }
+
   active_call* Find(call_id aId)
   {
     const auto found = calls.find(aId);
@@ -108,16 +123,20 @@
   asio::post(mImplementation->context, std::move(aFunction));
 }
 
-void
+timer_id
 upstream_loop::After(duration aDelay, std::function<void()> aFunction)
 {
-  auto timer = std::make_shared<asio::steady_timer>(mImplementation->context,
-                                                    std::chrono::milliseconds(aDelay.ms));
-  timer->async_wait([timer, function = std::move(aFunction)](const asio::error_code& aError) {
-    if (!aError) {
-      function();
-    }
+  const timer_id id{ ++mImplementation->lastId };
+  Post([state = mImplementation.get(), id, aDelay, function = std::move(aFunction)]() mutable {
+    state->Arm(id, aDelay, std::move(function));
   });
+  return id;
+}
+
+void
+upstream_loop::CancelTimer(timer_id aTimer)
+{
+  Post([state = mImplementation.get(), aTimer] { state->timers.erase(aTimer); });
 }
 
 } // namespace persimmon::upstream
--- a/src/upstream/upstreamloop.h
+++ b/src/upstream/upstreamloop.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "upstream/callhandlers.h"
 #include "upstream/callid.h"
+#include "upstream/timerid.h"
 #include "upstream/upstreamcall.h"
 
 #include <functional>
@@ -31,7 +32,9 @@
   /// Runs a function on the loop's thread, never within the call itself.
   void Post(std::function<void()> aFunction);
   /// Runs a function on the loop's thread after a time.
-  void After(duration aDelay, std::function<void()> aFunction);
+  timer_id After(duration aDelay, std::function<void()> aFunction);
+  /// Forgets a timer that has not run yet.
+  void CancelTimer(timer_id aTimer);
 
 private:
   struct implementation;
