--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace persimmon::routing {
@@ -33,6 +34,9 @@
 
   /// Sets the limits and customers of a document. Requests of customers that were removed go on.
   void SetDocument(const service_document& aDocument);
+  /// Sets how many routers are known to live, this one included; more are counted when more have
+  /// sent their shares.
+  void SetRouterCount(std::size_t aCount) { mRouterCount = aCount; }
   /// Sets how many upstreams are eligible.
   std::vector<admission_action> SetUpstreams(std::size_t aCount, time_point aNow);
 
@@ -51,9 +55,9 @@
   [[nodiscard]] std::vector<peers::share_message> Shares() const;
 
   [[nodiscard]] std::size_t Running() const { return mRunning.size(); }
-  [[nodiscard]] std::size_t Waiting() const { return mWaitingCount; }
+  [[nodiscard]] std::size_t Waiting() const { return mWaiting.size(); }
   /// Requests that this router may run at once.
-  [[nodiscard]] std::size_t Limit(time_point aNow) const;
+  [[nodiscard]] std::size_t Limit() const { return mLimit; }
 
 private:
   struct waiting_request
@@ -66,16 +70,25 @@
   {
     bool operator()(const waiting_request& aLeft, const waiting_request& aRight) const;
   };
+  using waiting_queue = std::set<waiting_request, goes_before>;
   struct customer_state
   {
+    /// 0 for a customer that the document no longer names.
     std::int64_t weight = 0;
     std::uint32_t running = 0;
-    std::set<waiting_request, goes_before> queue;
+    /// Use at other routers, as last heard.
+    std::uint32_t runningElsewhere = 0;
+    waiting_queue queue;
+  };
+  using customer_map = std::map<customer_name, customer_state>;
+  struct running_request
+  {
+    customer_name customer;
+    time_point startedAt;
   };
   struct remote_use
   {
     std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
     time_point at;
   };
   struct remote_router
@@ -83,38 +96,45 @@
     time_point heardAt;
     std::map<customer_name, remote_use> customers;
   };
+  using action_list = std::vector<admission_action>;
 
-  void Start(const waiting_request& aRequest, time_point aNow, std::vector<admission_action>& aOut);
+  void Start(const waiting_request& aRequest, time_point aNow, action_list& aActions);
   void Refuse(const waiting_request& aRequest,
               admission_verdict aVerdict,
               time_point aNow,
-              std::vector<admission_action>& aOut);
-  void Enqueue(const waiting_request& aRequest,
-               time_point aNow,
-               std::vector<admission_action>& aOut);
-  void MakeRoom(const customer_name& aFor, time_point aNow, std::vector<admission_action>& aOut);
-  void StartWaiting(time_point aNow, std::vector<admission_action>& aOut);
-  void RefuseExpired(time_point aNow, std::vector<admission_action>& aOut);
-  [[nodiscard]] std::map<customer_name, customer_state>::iterator NextCustomer(time_point aNow);
-  [[nodiscard]] double UseOf(const customer_name& aCustomer, time_point aNow) const;
-  [[nodiscard]] duration EstimateWait(const admission_request& aRequest, time_point aNow) const;
-  void NoteEnd(time_point aNow);
+              action_list& aActions) const;
+  void Enqueue(const waiting_request& aRequest, time_point aNow, action_list& aActions);
+  bool MakeRoom(const waiting_request& aFor, time_point aNow, action_list& aActions);
+  void StartWaiting(time_point aNow, action_list& aActions);
+  void RefuseExpired(time_point aNow, action_list& aActions);
+  void Dequeue(customer_state& aCustomer, waiting_queue::iterator aPosition);
+  void NoteEnd(time_point aStartedAt, time_point aNow);
+  void ReviewRemotes(time_point aNow);
   void ReviewLimit(time_point aNow);
+  [[nodiscard]] std::uint32_t Capacity() const;
+  [[nodiscard]] duration EstimateWait(const waiting_request& aRequest) const;
+  [[nodiscard]] bool CanMeetDeadline(const admission_request& aRequest,
+                                     duration aWait,
+                                     time_point aNow) const;
+  [[nodiscard]] static double UseOf(const customer_state& aCustomer);
+  [[nodiscard]] static double DemandOf(const customer_state& aCustomer);
 
   router_id mSelf;
   service_name mService;
   limits_spec mLimits;
   std::size_t mUpstreams = 0;
-  std::map<customer_name, customer_state> mCustomers;
-  std::unordered_map<request_id, customer_name> mRunning;
-  std::unordered_map<request_id, customer_name> mWaiting;
-  std::size_t mWaitingCount = 0;
+  std::size_t mRouterCount = 1;
+  customer_map mCustomers;
+  std::unordered_map<request_id, running_request> mRunning;
+  /// Where each waiting request stands.
+  std::unordered_map<request_id, std::pair<customer_map::iterator, waiting_queue::iterator>>
+    mWaiting;
   std::map<router_id, remote_router> mRemotes;
   std::uint64_t mNextSerial = 1;
-  /// Requests that end in a second, smoothed.
-  double mEndsPerSecond = 0;
-  time_point mLastEnd{ INT64_MIN };
   std::size_t mLimit = 0;
+  std::uint64_t mEnds = 0;
+  /// Smoothed time that a request runs.
+  double mRunMs = 0;
 };
 
 } // namespace persimmon::routing
--- /dev/null
+++ b/src/routing/internal/admission.cpp
@@ -0,0 +1,356 @@
+#include "routing/admission.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace persimmon::routing {
+namespace {
+
+/// Weight of a new sample in the smoothed time that a request runs.
+constexpr double kRunWeight = 0.1;
+/// Requests that must have ended before waits are estimated.
+constexpr std::uint64_t kMinEnds = 5;
+constexpr duration kMinRetryAfter = 1_s;
+constexpr duration kMaxRetryAfter = 60_s;
+
+std::uint32_t
+DivideUp(std::uint32_t aValue, std::size_t aBy)
+{
+  return static_cast<std::uint32_t>((aValue + aBy - 1) / aBy);
+}
+
+} // namespace
+
+bool
+admission::goes_before::operator()(const waiting_request& aLeft,
+                                   const waiting_request& aRight) const
+{
+  return std::tie(aLeft.request.priority, aLeft.request.deadline, aLeft.serial) <
+         std::tie(aRight.request.priority, aRight.request.deadline, aRight.serial);
+}
+
+admission::admission(router_id aSelf, service_name aService)
+  : mSelf(std::move(aSelf))
+  , mService(std::move(aService))
+{
+}
+
+void
+admission::SetDocument(const service_document& aDocument)
+{
+  mLimits = aDocument.limits;
+  for (auto& [name, customer] : mCustomers) {
+    customer.weight = 0;
+  }
+  for (const customer_spec& customer : aDocument.customers) {
+    mCustomers[customer.name].weight = customer.weight;
+  }
+}
+
+std::vector<admission_action>
+admission::SetUpstreams(std::size_t aCount, time_point aNow)
+{
+  mUpstreams = aCount;
+  return Tick(aNow);
+}
+
+std::uint32_t
+admission::Capacity() const
+{
+  return static_cast<std::uint32_t>(static_cast<std::int64_t>(mUpstreams) *
+                                    mLimits.concurrencyPerUpstream);
+}
+
+double
+admission::UseOf(const customer_state& aCustomer)
+{
+  const std::uint32_t use = aCustomer.running + aCustomer.runningElsewhere;
+  return static_cast<double>(use) /
+         static_cast<double>(std::max<std::int64_t>(1, aCustomer.weight));
+}
+
+double
+admission::DemandOf(const customer_state& aCustomer)
+{
+  return UseOf(aCustomer) + static_cast<double>(aCustomer.queue.size()) /
+                              static_cast<double>(std::max<std::int64_t>(1, aCustomer.weight));
+}
+
+std::vector<admission_action>
+admission::Arrive(const admission_request& aRequest, time_point aNow)
+{
+  action_list actions;
+  const waiting_request arrived{ aRequest, aNow, mNextSerial++ };
+  const auto customer = mCustomers.find(aRequest.customer);
+  if (customer == mCustomers.end() || customer->second.weight == 0) {
+    Refuse(arrived, admission_verdict::unknown_customer, aNow, actions);
+  } else if (!CanMeetDeadline(aRequest, {}, aNow)) {
+    Refuse(arrived, admission_verdict::deadline_passed, aNow, actions);
+  } else if (mWaiting.empty() && mRunning.size() < mLimit) {
+    Start(arrived, aNow, actions);
+  } else {
+    Enqueue(arrived, aNow, actions);
+  }
+  return actions;
+}
+
+void
+admission::Start(const waiting_request& aRequest, time_point aNow, action_list& aActions)
+{
+  ++mCustomers[aRequest.request.customer].running;
+  mRunning[aRequest.request.request] = { aRequest.request.customer, aNow };
+  aActions.push_back(
+    { aRequest.request.request, admission_verdict::start, {}, aNow - aRequest.arrivedAt });
+}
+
+void
+admission::Refuse(const waiting_request& aRequest,
+                  admission_verdict aVerdict,
+                  time_point aNow,
+                  action_list& aActions) const
+{
+  duration retryAfter{};
+  if (aVerdict != admission_verdict::unknown_customer) {
+    retryAfter = std::clamp(EstimateWait(aRequest), kMinRetryAfter, kMaxRetryAfter);
+  }
+  aActions.push_back({ aRequest.request.request, aVerdict, retryAfter, aNow - aRequest.arrivedAt });
+}
+
+bool
+admission::CanMeetDeadline(const admission_request& aRequest, duration aWait, time_point aNow) const
+{
+  const duration run{ static_cast<std::int64_t>(mRunMs) };
+  return aRequest.deadline - aNow > aWait + run;
+}
+
+void
+admission::Enqueue(const waiting_request& aRequest, time_point aNow, action_list& aActions)
+{
+  if (!CanMeetDeadline(aRequest.request, EstimateWait(aRequest), aNow)) {
+    Refuse(aRequest, admission_verdict::wait_exceeds_deadline, aNow, aActions);
+    return;
+  }
+  if (mWaiting.size() >= static_cast<std::size_t>(mLimits.queue) &&
+      !MakeRoom(aRequest, aNow, aActions)) {
+    return;
+  }
+  const auto customer = mCustomers.find(aRequest.request.customer);
+  const auto position = customer->second.queue.insert(aRequest).first;
+  mWaiting[aRequest.request.request] = { customer, position };
+}
+
+bool
+admission::MakeRoom(const waiting_request& aFor, time_point aNow, action_list& aActions)
+{
+  customer_state& own = mCustomers[aFor.request.customer];
+  customer_state* heaviest = &own;
+  for (auto& [name, customer] : mCustomers) {
+    if (!customer.queue.empty() && DemandOf(customer) > DemandOf(*heaviest)) {
+      heaviest = &customer;
+    }
+  }
+  if (heaviest->queue.empty()) {
+    Refuse(aFor, admission_verdict::queue_full, aNow, aActions);
+    return false;
+  }
+  const auto last = std::prev(heaviest->queue.end());
+  if (heaviest == &own && !goes_before{}(aFor, *last)) {
+    Refuse(aFor, admission_verdict::customer_over_share, aNow, aActions);
+    return false;
+  }
+  Refuse(*last, admission_verdict::customer_over_share, aNow, aActions);
+  Dequeue(*heaviest, last);
+  return true;
+}
+
+void
+admission::Dequeue(customer_state& aCustomer, waiting_queue::iterator aPosition)
+{
+  mWaiting.erase(aPosition->request.request);
+  aCustomer.queue.erase(aPosition);
+}
+
+void
+admission::StartWaiting(time_point aNow, action_list& aActions)
+{
+  while (!mWaiting.empty() && mRunning.size() < mLimit) {
+    customer_state* next = nullptr;
+    for (auto& [name, customer] : mCustomers) {
+      if (!customer.queue.empty() && (next == nullptr || UseOf(customer) < UseOf(*next))) {
+        next = &customer;
+      }
+    }
+    const waiting_request request = *next->queue.begin();
+    Dequeue(*next, next->queue.begin());
+    Start(request, aNow, aActions);
+  }
+}
+
+void
+admission::RefuseExpired(time_point aNow, action_list& aActions)
+{
+  for (auto& [name, customer] : mCustomers) {
+    for (auto current = customer.queue.begin(); current != customer.queue.end();) {
+      const auto position = current++;
+      if (!CanMeetDeadline(position->request, {}, aNow)) {
+        Refuse(*position, admission_verdict::deadline_passed, aNow, aActions);
+        Dequeue(customer, position);
+      }
+    }
+  }
+}
+
+std::vector<admission_action>
+admission::Finish(const request_id& aRequest, time_point aNow)
+{
+  action_list actions;
+  const auto found = mRunning.find(aRequest);
+  if (found == mRunning.end()) {
+    return actions;
+  }
+  --mCustomers[found->second.customer].running;
+  NoteEnd(found->second.startedAt, aNow);
+  mRunning.erase(found);
+  RefuseExpired(aNow, actions);
+  StartWaiting(aNow, actions);
+  return actions;
+}
+
+std::vector<admission_action>
+admission::Leave(const request_id& aRequest, time_point aNow)
+{
+  const auto found = mWaiting.find(aRequest);
+  if (found == mWaiting.end()) {
+    return Finish(aRequest, aNow);
+  }
+  const auto [customer, position] = found->second;
+  Dequeue(customer->second, position);
+  return {};
+}
+
+std::vector<admission_action>
+admission::Tick(time_point aNow)
+{
+  action_list actions;
+  ReviewRemotes(aNow);
+  ReviewLimit(aNow);
+  RefuseExpired(aNow, actions);
+  StartWaiting(aNow, actions);
+  std::erase_if(mCustomers, [](const auto& aEntry) {
+    const customer_state& customer = aEntry.second;
+    return customer.weight == 0 && customer.running == 0 && customer.queue.empty();
+  });
+  return actions;
+}
+
+void
+admission::NoteEnd(time_point aStartedAt, time_point aNow)
+{
+  const auto ran = static_cast<double>((aNow - aStartedAt).ms);
+  mRunMs = mEnds == 0 ? ran : mRunMs + kRunWeight * (ran - mRunMs);
+  ++mEnds;
+}
+
+duration
+admission::EstimateWait(const waiting_request& aRequest) const
+{
+  const auto own = mCustomers.find(aRequest.request.customer);
+  if (mEnds < kMinEnds || own == mCustomers.end()) {
+    return {};
+  }
+  std::int64_t contending = std::max<std::int64_t>(1, own->second.weight);
+  bool underShare = true;
+  for (const auto& [name, customer] : mCustomers) {
+    if (&customer == &own->second || customer.queue.empty()) {
+      continue;
+    }
+    contending += customer.weight;
+    underShare = underShare && UseOf(own->second) < UseOf(customer);
+  }
+  const waiting_queue& queue = own->second.queue;
+  const auto ahead = std::distance(queue.begin(), queue.lower_bound(aRequest)) + 1;
+  const double part = underShare
+                        ? 1.0
+                        : static_cast<double>(std::max<std::int64_t>(1, own->second.weight)) /
+                            static_cast<double>(contending);
+  const double running = static_cast<double>(std::max<std::size_t>(1, mRunning.size()));
+  const double waitMs = static_cast<double>(ahead) * mRunMs / (running * part);
+  return { static_cast<std::int64_t>(std::min(waitMs, static_cast<double>(INT32_MAX))) };
+}
+
+void
+admission::Apply(const peers::share_message& aShare, time_point aNow)
+{
+  if (aShare.service != mService || aShare.router == mSelf) {
+    return;
+  }
+  remote_router& router = mRemotes[aShare.router];
+  remote_use& use = router.customers[aShare.customer];
+  const time_point at = aNow - aShare.age;
+  if (at < use.at) {
+    return;
+  }
+  use = { aShare.running, at };
+  router.heardAt = std::max(router.heardAt, at);
+}
+
+void
+admission::ReviewRemotes(time_point aNow)
+{
+  std::erase_if(
+    mRemotes, [&](const auto& aEntry) { return aEntry.second.heardAt + kRouterLifetime <= aNow; });
+  for (auto& [name, customer] : mCustomers) {
+    customer.runningElsewhere = 0;
+  }
+  for (const auto& [id, router] : mRemotes) {
+    if (router.heardAt + kShareLifetime <= aNow) {
+      continue;
+    }
+    for (const auto& [name, use] : router.customers) {
+      const auto customer = mCustomers.find(name);
+      if (customer != mCustomers.end()) {
+        customer->second.runningElsewhere += use.running;
+      }
+    }
+  }
+}
+
+void
+admission::ReviewLimit(time_point aNow)
+{
+  const std::size_t routers = std::max(mRouterCount, mRemotes.size() + 1);
+  const std::uint32_t part = DivideUp(Capacity(), routers);
+  std::int64_t elsewhere = 0;
+  for (const auto& [id, router] : mRemotes) {
+    if (router.heardAt + kShareLifetime <= aNow) {
+      elsewhere += part;
+      continue;
+    }
+    for (const auto& [name, use] : router.customers) {
+      elsewhere += use.running;
+    }
+  }
+  const auto own = static_cast<std::int64_t>(mRunning.size());
+  const std::int64_t idle = static_cast<std::int64_t>(Capacity()) - elsewhere - own;
+  const std::int64_t borrowed = own + idle / static_cast<std::int64_t>(routers);
+  mLimit = static_cast<std::size_t>(std::max<std::int64_t>(part, borrowed));
+}
+
+std::vector<peers::share_message>
+admission::Shares() const
+{
+  std::vector<peers::share_message> shares;
+  for (const auto& [name, customer] : mCustomers) {
+    peers::share_message share;
+    share.router = mSelf;
+    share.service = mService;
+    share.customer = name;
+    share.running = customer.running;
+    share.waiting = static_cast<std::uint32_t>(customer.queue.size());
+    shares.push_back(share);
+  }
+  return shares;
+}
+
+} // namespace persimmon::routing
--- /dev/null
+++ b/src/routing/internal/poisontracker.cpp
@@ -0,0 +1,244 @@
+#include "routing/poisontracker.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace persimmon::routing {
+namespace {
+
+/// Oldest entries looked through for one that is not quarantined, when the memory is full.
+constexpr std::size_t kEvictionScan = 64;
+
+duration
+LifetimeOf(bool aQuarantined)
+{
+  return aQuarantined ? kQuarantineLifetime : kSuspectLifetime;
+}
+
+} // namespace
+
+std::uint64_t
+RequestFingerprint(const service_name& aService,
+                   const customer_name& aCustomer,
+                   std::string_view aBody)
+{
+  return HashText(aBody, HashText(aCustomer.value, HashText(aService.value)));
+}
+
+bool
+poison_tracker::Expired(const entry& aEntry, time_point aNow)
+{
+  return aEntry.at + LifetimeOf(aEntry.quarantined) <= aNow;
+}
+
+poison_check
+poison_tracker::Check(std::uint64_t aFingerprint, time_point aNow) const
+{
+  const auto found = mEntries.find(aFingerprint);
+  if (found == mEntries.end() || Expired(found->second, aNow) || found->second.deaths == 0) {
+    return {};
+  }
+  if (found->second.quarantined) {
+    return { poison_verdict::quarantined, found->second.at + kQuarantineLifetime - aNow };
+  }
+  return { poison_verdict::isolate, {} };
+}
+
+std::vector<upstream_id>
+poison_tracker::UpstreamsWithSuspects() const
+{
+  std::vector<upstream_id> result;
+  for (const auto& [attempt, running] : mRunning) {
+    if (running.isolated) {
+      result.push_back(running.upstream);
+    }
+  }
+  return result;
+}
+
+void
+poison_tracker::Started(const attempt_id& aAttempt,
+                        std::uint64_t aFingerprint,
+                        const upstream_id& aUpstream,
+                        time_point aNow)
+{
+  const bool isolated = Check(aFingerprint, aNow).verdict == poison_verdict::isolate;
+  mRunning[aAttempt] = { aFingerprint, aUpstream, isolated };
+  mRunningOn[aUpstream].push_back(aAttempt);
+}
+
+void
+poison_tracker::Ended(const attempt_id& aAttempt)
+{
+  const auto found = mRunning.find(aAttempt);
+  if (found == mRunning.end()) {
+    return;
+  }
+  const auto neighbours = mRunningOn.find(found->second.upstream);
+  std::erase(neighbours->second, aAttempt);
+  if (neighbours->second.empty()) {
+    mRunningOn.erase(neighbours);
+  }
+  mRunning.erase(found);
+}
+
+std::vector<peers::suspect_message>
+poison_tracker::Completed(const attempt_id& aAttempt, time_point aNow)
+{
+  const auto found = mRunning.find(aAttempt);
+  if (found == mRunning.end()) {
+    return {};
+  }
+  const std::uint64_t fingerprint = found->second.fingerprint;
+  Ended(aAttempt);
+  if (Check(fingerprint, aNow).verdict != poison_verdict::isolate) {
+    return {};
+  }
+  Touch(fingerprint, aNow).deaths = 0;
+  return { { fingerprint, 0, false, {} } };
+}
+
+std::vector<peers::suspect_message>
+poison_tracker::Died(const upstream_id& aUpstream, time_point aNow)
+{
+  const auto found = mRunningOn.find(aUpstream);
+  if (found == mRunningOn.end()) {
+    return {};
+  }
+  const std::vector<attempt_id> attempts = std::move(found->second);
+  mRunningOn.erase(found);
+  std::vector<std::uint64_t> all;
+  std::vector<std::uint64_t> suspects;
+  for (const attempt_id& attempt : attempts) {
+    const std::uint64_t fingerprint = mRunning.at(attempt).fingerprint;
+    mRunning.erase(attempt);
+    all.push_back(fingerprint);
+    if (Check(fingerprint, aNow).verdict == poison_verdict::isolate) {
+      suspects.push_back(fingerprint);
+    }
+  }
+  std::sort(suspects.begin(), suspects.end());
+  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
+  // A single known suspect is blamed alone; the others on board were only near it.
+  if (suspects.size() == 1) {
+    return { Blame(suspects.front(), aNow) };
+  }
+  std::sort(all.begin(), all.end());
+  all.erase(std::unique(all.begin(), all.end()), all.end());
+  std::vector<peers::suspect_message> news;
+  for (const std::uint64_t fingerprint : all) {
+    if (Check(fingerprint, aNow).verdict != poison_verdict::clear) {
+      continue;
+    }
+    Touch(fingerprint, aNow).deaths = 1;
+    news.push_back({ fingerprint, 1, false, {} });
+  }
+  return news;
+}
+
+peers::suspect_message
+poison_tracker::Blame(std::uint64_t aFingerprint, time_point aNow)
+{
+  entry& blamed = Touch(aFingerprint, aNow);
+  ++blamed.deaths;
+  blamed.quarantined = true;
+  return { aFingerprint, blamed.deaths, true, {} };
+}
+
+bool
+poison_tracker::Apply(const peers::suspect_message& aMessage, time_point aNow)
+{
+  const time_point at = aNow - aMessage.age;
+  if (at + LifetimeOf(aMessage.quarantined) <= aNow) {
+    return false;
+  }
+  const auto found = mEntries.find(aMessage.fingerprint);
+  const bool known = found != mEntries.end() && !Expired(found->second, aNow);
+  if (known) {
+    const entry& present = found->second;
+    const bool same =
+      present.quarantined == aMessage.quarantined && present.deaths >= aMessage.deaths;
+    const bool clears = aMessage.deaths == 0 && present.deaths > 0;
+    if (present.quarantined || (same && !clears)) {
+      return false;
+    }
+    if (!aMessage.quarantined && at <= present.at) {
+      return false;
+    }
+  }
+  entry& changed = Touch(aMessage.fingerprint, at);
+  changed.deaths = aMessage.deaths;
+  changed.quarantined = aMessage.quarantined;
+  return true;
+}
+
+std::vector<peers::suspect_message>
+poison_tracker::All(time_point aNow) const
+{
+  std::vector<peers::suspect_message> result;
+  for (const std::uint64_t fingerprint : mByAge) {
+    const entry& present = mEntries.at(fingerprint);
+    if (!Expired(present, aNow)) {
+      result.push_back({ fingerprint, present.deaths, present.quarantined, aNow - present.at });
+    }
+  }
+  return result;
+}
+
+void
+poison_tracker::Prune(time_point aNow)
+{
+  for (auto current = mByAge.begin(); current != mByAge.end();) {
+    const std::uint64_t fingerprint = *current++;
+    if (Expired(mEntries.at(fingerprint), aNow)) {
+      Forget(fingerprint);
+    }
+  }
+}
+
+poison_tracker::entry&
+poison_tracker::Touch(std::uint64_t aFingerprint, time_point aNow)
+{
+  const auto found = mEntries.find(aFingerprint);
+  if (found != mEntries.end()) {
+    if (Expired(found->second, aNow)) {
+      found->second.deaths = 0;
+      found->second.quarantined = false;
+    }
+    mByAge.splice(mByAge.end(), mByAge, found->second.age);
+    found->second.at = aNow;
+    return found->second;
+  }
+  if (mEntries.size() >= kMaxSuspects) {
+    Evict();
+  }
+  const auto position = mByAge.insert(mByAge.end(), aFingerprint);
+  return mEntries.emplace(aFingerprint, entry{ 0, false, aNow, position }).first->second;
+}
+
+void
+poison_tracker::Evict()
+{
+  std::size_t looked = 0;
+  for (const std::uint64_t fingerprint : mByAge) {
+    if (!mEntries.at(fingerprint).quarantined) {
+      Forget(fingerprint);
+      return;
+    }
+    if (++looked == kEvictionScan) {
+      break;
+    }
+  }
+  Forget(mByAge.front());
+}
+
+void
+poison_tracker::Forget(std::uint64_t aFingerprint)
+{
+  const auto found = mEntries.find(aFingerprint);
+  mByAge.erase(found->second.age);
+  mEntries.erase(found);
+}
+
+} // namespace persimmon::routing
--- /dev/null
+++ b/src/routing/internal/upstreampool.cpp
@@ -0,0 +1,411 @@
+#include "routing/upstreampool.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmon::routing {
+namespace {
+
+/// Weight of a new sample in the smoothed latency.
+constexpr double kSampleWeight = 0.2;
+/// The same for an upstream on probation, whose samples are rare.
+constexpr double kTestSampleWeight = 0.5;
+/// Samples that an upstream needs before it is compared with the median.
+constexpr std::uint32_t kMinSamples = 3;
+/// An upstream goes on probation above this multiple of the service's median latency per token.
+constexpr double kProbationRatio = 2.0;
+/// It comes back below this multiple.
+constexpr double kReleaseRatio = 1.5;
+/// One in so many listed upstreams may be on probation, and at least one.
+constexpr std::size_t kProbationCap = 5;
+/// Time between two tests of one upstream on probation.
+constexpr duration kTestInterval = 1_s;
+/// A dispatch without any sign of life counts as stalled after this time at the earliest.
+constexpr duration kStallFloor = 1_s;
+constexpr double kStallRatio = 2.0;
+constexpr double kStallDeviations = 4.0;
+/// Weight of a new sample in the smoothed time to the first sign of life.
+constexpr double kSignWeight = 0.05;
+constexpr duration kFirstBackoff = 500_ms;
+constexpr duration kLongestBackoff = 8_s;
+/// Back-off after a refusal, lest an upstream that refuses at once attracts all requests.
+constexpr duration kRefusalBackoff = 200_ms;
+
+} // namespace
+
+upstream_pool::upstream_pool(zone_name aOwnZone)
+  : mOwnZone(std::move(aOwnZone))
+{
+}
+
+void
+upstream_pool::Update(const std::vector<candidate>& aCandidates, time_point /*aNow*/)
+{
+  std::vector<bool> seen(mSlots.size(), false);
+  for (const candidate& current : aCandidates) {
+    const std::size_t slot = SlotFor(current);
+    seen.resize(mSlots.size(), false);
+    seen[slot] = true;
+    mSlots[slot].listed = current.why == ineligibility::none;
+    mSlots[slot].freshUntil = current.freshUntil;
+    Report(slot, current.load);
+  }
+  ReleaseUnused(seen);
+  Relist();
+}
+
+std::size_t
+upstream_pool::SlotFor(const candidate& aCandidate)
+{
+  const auto known = mSlotOf.find(aCandidate.target->id);
+  if (known != mSlotOf.end()) {
+    const upstream& present = *mRecords[known->second].target;
+    const bool same = present.version == aCandidate.target->version &&
+                      present.life == aCandidate.target->life &&
+                      present.address == aCandidate.target->address;
+    if (!same) {
+      Reset(known->second, aCandidate);
+    }
+    return known->second;
+  }
+  std::size_t slot = mSlots.size();
+  if (mFreeSlots.empty()) {
+    mSlots.emplace_back();
+    mRecords.emplace_back();
+  } else {
+    slot = mFreeSlots.back();
+    mFreeSlots.pop_back();
+  }
+  Reset(slot, aCandidate);
+  mSlotOf[aCandidate.target->id] = slot;
+  return slot;
+}
+
+void
+upstream_pool::Reset(std::size_t aSlot, const candidate& aCandidate)
+{
+  mSlots[aSlot] = pool_slot{};
+  mSlots[aSlot].hash = HashText(aCandidate.target->id.value);
+  mSlots[aSlot].ownZone = aCandidate.target->zone == mOwnZone;
+  mRecords[aSlot] = record{};
+  mRecords[aSlot].target = aCandidate.target;
+}
+
+void
+upstream_pool::ReleaseUnused(const std::vector<bool>& aSeen)
+{
+  for (std::size_t slot = 0; slot < aSeen.size(); ++slot) {
+    if (aSeen[slot] || !mRecords[slot].target) {
+      continue;
+    }
+    mSlots[slot].listed = false;
+    if (mRecords[slot].running.empty()) {
+      mSlotOf.erase(mRecords[slot].target->id);
+      mRecords[slot] = record{};
+      mSlots[slot] = pool_slot{};
+      mFreeSlots.push_back(slot);
+    }
+  }
+}
+
+void
+upstream_pool::Relist()
+{
+  mOwnZoneSlots.clear();
+  mListedSlots.clear();
+  mProbationSlots.clear();
+  mTotalLoad = 0;
+  for (std::size_t slot = 0; slot < mSlots.size(); ++slot) {
+    const pool_slot& current = mSlots[slot];
+    if (!current.listed) {
+      continue;
+    }
+    const auto number = static_cast<std::uint32_t>(slot);
+    mListedSlots.push_back(number);
+    mTotalLoad += current.load;
+    if (current.ownZone) {
+      mOwnZoneSlots.push_back(number);
+    }
+    if (current.probation) {
+      mProbationSlots.push_back(number);
+    }
+  }
+  mListedCount = mListedSlots.size();
+}
+
+void
+upstream_pool::Report(std::size_t aSlot, const load_report& aReport)
+{
+  record& present = mRecords[aSlot];
+  if (aReport.at <= present.reportedAt) {
+    return;
+  }
+  present.reportedAt = aReport.at;
+  mSlots[aSlot].reported = aReport.running + aReport.queued;
+  std::erase_if(present.ended,
+                [&](const ended_dispatch& aEnded) { return aEnded.endedAt <= aReport.at; });
+  RefreshLoad(aSlot);
+}
+
+void
+upstream_pool::RefreshLoad(std::size_t aSlot)
+{
+  const record& present = mRecords[aSlot];
+  std::uint32_t load = mSlots[aSlot].reported;
+  for (const running_dispatch& running : present.running) {
+    load += running.ticket.startedAt >= present.reportedAt ? 1 : 0;
+  }
+  const auto ended = static_cast<std::uint32_t>(present.ended.size());
+  load -= std::min(load, ended);
+  if (mSlots[aSlot].listed) {
+    mTotalLoad += load;
+    mTotalLoad -= mSlots[aSlot].load;
+  }
+  mSlots[aSlot].load = load;
+}
+
+dispatch_ticket
+upstream_pool::Start(std::size_t aSlot, time_point aNow)
+{
+  const dispatch_ticket ticket{ aSlot, mNextSerial++, aNow };
+  mRecords[aSlot].running.push_back({ ticket, false });
+  if (mSlots[aSlot].probation) {
+    mRecords[aSlot].lastTest = aNow;
+  }
+  RefreshLoad(aSlot);
+  return ticket;
+}
+
+upstream_pool::running_dispatch*
+upstream_pool::Find(const dispatch_ticket& aTicket)
+{
+  if (aTicket.slot >= mRecords.size()) {
+    return nullptr;
+  }
+  std::vector<running_dispatch>& running = mRecords[aTicket.slot].running;
+  const auto found = std::find_if(running.begin(), running.end(), [&](const auto& aOther) {
+    return aOther.ticket.serial == aTicket.serial;
+  });
+  return found == running.end() ? nullptr : &*found;
+}
+
+void
+upstream_pool::NoteSign(running_dispatch& aRunning, time_point aNow)
+{
+  if (aRunning.heard) {
+    return;
+  }
+  aRunning.heard = true;
+  const auto span = static_cast<double>((aNow - aRunning.ticket.startedAt).ms);
+  mSignDeviationMs += kSignWeight * (std::abs(span - mSignMs) - mSignDeviationMs);
+  mSignMs += kSignWeight * (span - mSignMs);
+}
+
+void
+upstream_pool::Sample(std::size_t aSlot,
+                      const dispatch_ticket& aTicket,
+                      std::uint32_t aTokens,
+                      time_point aNow)
+{
+  record& present = mRecords[aSlot];
+  const double value =
+    static_cast<double>((aNow - aTicket.startedAt).ms) / std::max<std::uint32_t>(1, aTokens);
+  const double weight = mSlots[aSlot].probation ? kTestSampleWeight : kSampleWeight;
+  present.msPerToken =
+    present.samples == 0 ? value : present.msPerToken + weight * (value - present.msPerToken);
+  ++present.samples;
+}
+
+void
+upstream_pool::Progress(const dispatch_ticket& aTicket, std::uint32_t aTokens, time_point aNow)
+{
+  running_dispatch* running = Find(aTicket);
+  if (running == nullptr) {
+    return;
+  }
+  NoteSign(*running, aNow);
+  if (aTokens > 0) {
+    Sample(aTicket.slot, aTicket, aTokens, aNow);
+  }
+}
+
+void
+upstream_pool::Finish(const dispatch_ticket& aTicket,
+                      const attempt_result& aResult,
+                      time_point aNow)
+{
+  running_dispatch* running = Find(aTicket);
+  if (running == nullptr) {
+    return;
+  }
+  record& present = mRecords[aTicket.slot];
+  if (aResult.outcome == attempt_outcome::completed) {
+    NoteSign(*running, aNow);
+    Sample(aTicket.slot, aTicket, aResult.tokens, aNow);
+  }
+  if (aTicket.startedAt < present.reportedAt) {
+    present.ended.push_back({ aTicket.startedAt, aNow });
+  }
+  present.running.erase(present.running.begin() + (running - present.running.data()));
+  NoteOutcome(aTicket.slot, aResult.outcome, aNow);
+  RefreshLoad(aTicket.slot);
+}
+
+void
+upstream_pool::NoteOutcome(std::size_t aSlot, attempt_outcome aOutcome, time_point aNow)
+{
+  record& present = mRecords[aSlot];
+  pool_slot& slot = mSlots[aSlot];
+  switch (aOutcome) {
+    case attempt_outcome::completed:
+      present.failures = 0;
+      slot.ejectedUntil = {};
+      break;
+    case attempt_outcome::refused:
+      slot.ejectedUntil = std::max(slot.ejectedUntil, aNow + kRefusalBackoff);
+      break;
+    case attempt_outcome::failed: {
+      // A burst of failures of requests that ran together counts once.
+      if (aNow >= slot.ejectedUntil) {
+        ++present.failures;
+      }
+      const std::int64_t factor = std::int64_t{ 1 } << std::min<std::uint32_t>(present.failures, 5);
+      const duration backoff = std::min(kLongestBackoff, kFirstBackoff * factor / 2);
+      slot.ejectedUntil = std::max(slot.ejectedUntil, aNow + backoff);
+      break;
+    }
+    case attempt_outcome::cancelled:
+      break;
+  }
+}
+
+void
+upstream_pool::FindStalled(time_point aNow)
+{
+  const double bound = std::max(static_cast<double>(kStallFloor.ms),
+                                kStallRatio * mSignMs + kStallDeviations * mSignDeviationMs);
+  for (const std::uint32_t slot : mListedSlots) {
+    const std::vector<running_dispatch>& running = mRecords[slot].running;
+    mRecords[slot].stalled = std::any_of(running.begin(), running.end(), [&](const auto& aOther) {
+      return !aOther.heard && static_cast<double>((aNow - aOther.ticket.startedAt).ms) > bound;
+    });
+  }
+}
+
+double
+upstream_pool::MedianMsPerToken() const
+{
+  std::vector<double> values;
+  for (const std::uint32_t slot : mListedSlots) {
+    if (mRecords[slot].samples >= kMinSamples) {
+      values.push_back(mRecords[slot].msPerToken);
+    }
+  }
+  if (values.size() < 2) {
+    return 0;
+  }
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+void
+upstream_pool::DecideProbation()
+{
+  struct straggler
+  {
+    double severity = 0;
+    std::uint32_t slot = 0;
+  };
+  const double median = MedianMsPerToken();
+  std::vector<straggler> stragglers;
+  for (const std::uint32_t slot : mListedSlots) {
+    const record& present = mRecords[slot];
+    const double ratio =
+      median > 0 && present.samples >= kMinSamples ? present.msPerToken / median : 0;
+    const bool slow = ratio > (mSlots[slot].probation ? kReleaseRatio : kProbationRatio);
+    if (present.stalled || slow) {
+      stragglers.push_back({ present.stalled ? HUGE_VAL : ratio, slot });
+    }
+    mSlots[slot].probation = false;
+  }
+  std::stable_sort(stragglers.begin(), stragglers.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.severity > aRight.severity;
+  });
+  const std::size_t cap =
+    mListedCount < 2 ? 0 : std::max<std::size_t>(1, mListedCount / kProbationCap);
+  stragglers.resize(std::min(stragglers.size(), cap));
+  mProbationSlots.clear();
+  for (const straggler& current : stragglers) {
+    mSlots[current.slot].probation = true;
+    mProbationSlots.push_back(current.slot);
+  }
+}
+
+std::vector<health_change>
+upstream_pool::Announce(time_point aNow)
+{
+  std::vector<health_change> changes;
+  for (const std::uint32_t slot : mListedSlots) {
+    const pool_health health = Health(slot, aNow);
+    if (health != mRecords[slot].announced) {
+      changes.push_back({ mRecords[slot].target->id, mRecords[slot].announced, health });
+      mRecords[slot].announced = health;
+    }
+  }
+  return changes;
+}
+
+std::vector<health_change>
+upstream_pool::Maintain(time_point aNow)
+{
+  FindStalled(aNow);
+  DecideProbation();
+  return Announce(aNow);
+}
+
+const std::shared_ptr<const upstream>&
+upstream_pool::Target(std::size_t aSlot) const
+{
+  return mRecords[aSlot].target;
+}
+
+bool
+upstream_pool::IsExcluded(std::size_t aSlot, const choice_request& aRequest) const
+{
+  if (aRequest.excluded.empty()) {
+    return false;
+  }
+  const upstream_id& id = mRecords[aSlot].target->id;
+  return std::find(aRequest.excluded.begin(), aRequest.excluded.end(), id) !=
+         aRequest.excluded.end();
+}
+
+std::optional<std::size_t>
+upstream_pool::DueForTest(time_point aNow) const
+{
+  std::optional<std::size_t> due;
+  for (const std::uint32_t slot : mProbationSlots) {
+    const time_point last = mRecords[slot].lastTest;
+    const bool rested = last.ms == INT64_MIN || last + kTestInterval <= aNow;
+    const bool usable = mSlots[slot].Eligible(aNow) && aNow >= mSlots[slot].ejectedUntil &&
+                        mSlots[slot].load < mLimit;
+    if (rested && usable && (!due || last < mRecords[*due].lastTest)) {
+      due = slot;
+    }
+  }
+  return due;
+}
+
+pool_health
+upstream_pool::Health(std::size_t aSlot, time_point aNow) const
+{
+  if (aNow < mSlots[aSlot].ejectedUntil) {
+    return pool_health::ejected;
+  }
+  return mSlots[aSlot].probation ? pool_health::probation : pool_health::good;
+}
+
+} // namespace persimmon::routing
--- /dev/null
+++ b/src/routing/tests/poisontrackertests.cpp
@@ -0,0 +1,148 @@
+#include "routing/poisontracker.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace persimmon;
+using namespace persimmon::routing;
+
+namespace {
+
+constexpr time_point kStart{ 1000000 };
+constexpr std::uint64_t kPoison = 666;
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(poison_tracker)
+{
+  poison_tracker tracker;
+  int attempts = 0;
+
+  attempt_id Run(std::uint64_t aFingerprint, const char* aUpstream, time_point aNow)
+  {
+    attempt_id attempt{ fmt::format("a{}", attempts++) };
+    tracker.Started(attempt, aFingerprint, { aUpstream }, aNow);
+    return attempt;
+  }
+  poison_verdict Verdict(std::uint64_t aFingerprint, time_point aNow)
+  {
+    return tracker.Check(aFingerprint, aNow).verdict;
+  }
+  void Quarantine(time_point aNow)
+  {
+    Run(kPoison, "u1", aNow);
+    tracker.Died({ "u1" }, aNow);
+    Run(kPoison, "u2", aNow);
+    tracker.Died({ "u2" }, aNow);
+  }
+};
+// clang-format on
+
+TEST(poison_tracker, SecondDeathQuarantinesTheCulpritAndNoneOfItsNeighbours)
+{
+  Run(kPoison, "u1", kStart);
+  for (std::uint64_t innocent = 1; innocent <= 30; ++innocent) {
+    Run(innocent, "u1", kStart);
+  }
+  CHECK_EQUAL(31, tracker.Died({ "u1" }, kStart).size());
+  for (std::uint64_t innocent = 1; innocent <= 30; ++innocent) {
+    CHECK(Verdict(innocent, kStart) == poison_verdict::isolate);
+    const attempt_id attempt = Run(innocent, fmt::format("v{}", innocent).c_str(), kStart + 1_s);
+    const auto news = tracker.Completed(attempt, kStart + 2_s);
+    CHECK_EQUAL(1, news.size());
+    CHECK_EQUAL(0, news[0].deaths);
+    CHECK(Verdict(innocent, kStart + 2_s) == poison_verdict::clear);
+  }
+  Run(kPoison, "u2", kStart + 1_s);
+  Run(99, "u2", kStart + 1_s);
+  const auto news = tracker.Died({ "u2" }, kStart + 2_s);
+  CHECK_EQUAL(1, news.size());
+  CHECK(news[0].quarantined);
+  CHECK(Verdict(kPoison, kStart + 2_s) == poison_verdict::quarantined);
+  CHECK(Verdict(99, kStart + 2_s) == poison_verdict::clear);
+}
+
+TEST(poison_tracker, UpstreamThatRunsASuspectIsNamedUntilItEnds)
+{
+  Run(kPoison, "u1", kStart);
+  tracker.Died({ "u1" }, kStart);
+  CHECK_EQUAL(0, tracker.UpstreamsWithSuspects().size());
+  const attempt_id attempt = Run(kPoison, "u2", kStart);
+  CHECK_EQUAL(1, tracker.UpstreamsWithSuspects().size());
+  tracker.Ended(attempt);
+  CHECK_EQUAL(0, tracker.UpstreamsWithSuspects().size());
+  CHECK(Verdict(kPoison, kStart) == poison_verdict::isolate);
+}
+
+TEST(poison_tracker, DeathWithTwoSuspectsAboardQuarantinesNeither)
+{
+  for (const std::uint64_t suspect : { 1, 2 }) {
+    Run(suspect, "u1", kStart);
+  }
+  tracker.Died({ "u1" }, kStart);
+  for (const std::uint64_t suspect : { 1, 2 }) {
+    Run(suspect, "u2", kStart);
+  }
+  tracker.Died({ "u2" }, kStart);
+  CHECK(Verdict(1, kStart) == poison_verdict::isolate);
+  CHECK(Verdict(2, kStart) == poison_verdict::isolate);
+}
+
+TEST(poison_tracker, QuarantineExpires)
+{
+  Quarantine(kStart);
+  const poison_check check = tracker.Check(kPoison, kStart + 100_s);
+  CHECK(check.verdict == poison_verdict::quarantined);
+  CHECK(check.remaining == kQuarantineLifetime - 100_s);
+  CHECK(Verdict(kPoison, kStart + kQuarantineLifetime) == poison_verdict::clear);
+}
+
+TEST(poison_tracker, CallerThatComesBackThroughAnotherRouterIsKnownThere)
+{
+  poison_tracker other;
+  Run(kPoison, "u1", kStart);
+  for (const auto& message : tracker.Died({ "u1" }, kStart)) {
+    CHECK(other.Apply(message, kStart));
+    CHECK_FALSE(other.Apply(message, kStart + 50_ms));
+  }
+  other.Started({ "b1" }, kPoison, { "u2" }, kStart + 1_s);
+  for (const auto& message : other.Died({ "u2" }, kStart + 2_s)) {
+    CHECK(tracker.Apply(message, kStart + 2_s));
+  }
+  CHECK(Verdict(kPoison, kStart + 3_s) == poison_verdict::quarantined);
+  CHECK_FALSE(tracker.Apply({ kPoison, 0, false, {} }, kStart + 4_s));
+  CHECK(Verdict(kPoison, kStart + 4_s) == poison_verdict::quarantined);
+}
+
+TEST(poison_tracker, OldNewsDoesNotAccuseAnewWhoWasCleared)
+{
+  Run(1, "u1", kStart);
+  tracker.Died({ "u1" }, kStart);
+  tracker.Completed(Run(1, "u2", kStart + 1_s), kStart + 2_s);
+  CHECK_FALSE(tracker.Apply({ 1, 1, false, 3_s }, kStart + 3_s));
+  CHECK(Verdict(1, kStart + 3_s) == poison_verdict::clear);
+  CHECK(tracker.Apply({ 1, 1, false, {} }, kStart + 4_s));
+  CHECK_FALSE(tracker.Apply({ 2, 1, false, kSuspectLifetime }, kStart + 4_s));
+}
+
+TEST(poison_tracker, MemoryIsBoundedAndQuarantineOutlastsSuspicion)
+{
+  Quarantine(kStart);
+  for (std::uint64_t suspect = 1000; suspect < 1000 + 2 * kMaxSuspects; ++suspect) {
+    tracker.Apply({ suspect, 1, false, {} }, kStart + 1_s);
+  }
+  CHECK_EQUAL(kMaxSuspects, tracker.All(kStart + 1_s).size());
+  CHECK(Verdict(kPoison, kStart + 1_s) == poison_verdict::quarantined);
+  tracker.Prune(kStart + kQuarantineLifetime + 2_s);
+  CHECK_EQUAL(0, tracker.All(kStart + 1_s).size());
+}
+
+TEST(poison_tracker, FingerprintTellsServicesCustomersAndBodiesApart)
+{
+  const std::uint64_t one = RequestFingerprint({ "a" }, { "b" }, "c");
+  CHECK(one == RequestFingerprint({ "a" }, { "b" }, "c"));
+  CHECK(one != RequestFingerprint({ "a" }, { "b" }, "d"));
+  CHECK(one != RequestFingerprint({ "a" }, { "x" }, "c"));
+  CHECK(one != RequestFingerprint({ "ab" }, { "" }, "c"));
+}
--- /dev/null
+++ b/src/routing/tests/retrytests.cpp
@@ -0,0 +1,91 @@
+#include "routing/retrydecision.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::routing;
+
+namespace {
+
+constexpr time_point kStart{ 100000 };
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(retry)
+{
+  retry_budget budget{ 10 };
+};
+// clang-format on
+
+TEST(retry, RetriesStayUnderTheirShareOfFirstAttempts)
+{
+  int taken = 0;
+  for (std::int64_t number = 0; number < 10000; ++number) {
+    const time_point now = kStart + 10_ms * number;
+    budget.OnFirstAttempt(now);
+    taken += budget.TryTake(now) ? 1 : 0;
+  }
+  CHECK(taken >= 990);
+  CHECK(taken <= 1010);
+}
+
+TEST(retry, UnusedTokensDecayAndAQuietServiceKeepsOne)
+{
+  for (int number = 0; number < 500; ++number) {
+    budget.OnFirstAttempt(kStart);
+  }
+  CHECK(budget.Left(kStart) > 50);
+  CHECK(budget.Left(kStart + 100_s) < 1.1);
+  CHECK(budget.TryTake(kStart + 100_s));
+  CHECK_FALSE(budget.TryTake(kStart + 100_s));
+}
+
+TEST(retry, CallThatMayHaveRunIsNeverRepeated)
+{
+  failed_attempt failed;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::may_have_run);
+  failed.resumable = true;
+  failed.bytesDelivered = 9;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::may_have_run);
+  failed = {};
+  failed.provedNotRun = true;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::repeat);
+}
+
+TEST(retry, DeliveredBytesAllowAResumeOnly)
+{
+  failed_attempt failed;
+  failed.idempotent = true;
+  failed.bytesDelivered = 1;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::partly_delivered);
+  failed.resumable = true;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::resume);
+}
+
+TEST(retry, DeadlineAttemptsAndBudgetEachEndTheRetries)
+{
+  failed_attempt failed;
+  failed.idempotent = true;
+  failed.deadline = kStart + 500_ms;
+  failed.expected = 500_ms;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::deadline_too_near);
+  failed.expected = 100_ms;
+  failed.attempts = kMaxAttempts;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::attempts_spent);
+  failed.attempts = 1;
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::repeat);
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::budget_spent);
+}
+
+TEST(retry, DrainingUpstreamsAreReroutedWithoutTouchingTheBudget)
+{
+  failed_attempt failed;
+  failed.draining = true;
+  const double before = budget.Left(kStart);
+  for (failed.attempts = 1; failed.attempts < kMaxReroutes; ++failed.attempts) {
+    CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::repeat);
+  }
+  CHECK(DecideRetry(failed, budget, kStart) == retry_verdict::attempts_spent);
+  DOUBLES_EQUAL(before, budget.Left(kStart), 0.001);
+}
--- /dev/null
+++ b/src/routing/tests/upstreamchoosertests.cpp
@@ -0,0 +1,235 @@
+#include "routing/upstreamchooser.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+#include <map>
+
+using namespace persimmon;
+using namespace persimmon::routing;
+
+namespace {
+
+constexpr time_point kStart{ 100000 };
+constexpr std::uint64_t kSeed = 7;
+
+candidate
+Candidate(int aNumber, const char* aZone = "sud-a", std::uint64_t aGeneration = 1)
+{
+  auto target = std::make_shared<upstream>();
+  target->id.value = fmt::format("g{:02}", aNumber);
+  target->zone.value = aZone;
+  target->version.value = aGeneration;
+  candidate result;
+  result.target = std::move(target);
+  return result;
+}
+
+std::vector<candidate>
+Candidates(int aCount)
+{
+  std::vector<candidate> result;
+  result.reserve(static_cast<std::size_t>(aCount));
+  for (int number = 0; number < aCount; ++number) {
+    result.push_back(Candidate(number));
+  }
+  return result;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(upstream_chooser)
+{
+  upstream_chooser chooser{ { "sud-a" }, kSeed };
+
+  std::map<std::string, int> Spread(int aCount, const choice_request& aRequest, time_point aNow)
+  {
+    std::map<std::string, int> result;
+    for (int number = 0; number < aCount; ++number) {
+      const upstream_choice choice = chooser.Choose(aRequest, aNow);
+      ++result[choice.target ? choice.target->id.value : ChoiceReasonName(choice.why)];
+    }
+    return result;
+  }
+  void Serve(std::size_t aSlot, duration aSpan, std::uint32_t aTokens, time_point aNow)
+  {
+    const dispatch_ticket ticket = chooser.Pool().Start(aSlot, aNow);
+    chooser.Pool().Finish(ticket, { attempt_outcome::completed, aTokens }, aNow + aSpan);
+  }
+  void MakeStraggler(std::size_t aSlot, std::size_t aCount)
+  {
+    for (std::size_t slot = 0; slot < aCount; ++slot) {
+      for (int round = 0; round < 5; ++round) {
+        Serve(slot, slot == aSlot ? 900_ms : 300_ms, 10, kStart);
+      }
+    }
+    chooser.Pool().Maintain(kStart + 900_ms);
+  }
+};
+// clang-format on
+
+TEST(upstream_chooser, SamePrefixMeetsOnOneUpstreamWhateverTheRouter)
+{
+  chooser.Pool().Update(Candidates(20), kStart);
+  upstream_chooser other({ "sud-b" }, kSeed + 1);
+  auto reversed = Candidates(20);
+  std::reverse(reversed.begin(), reversed.end());
+  other.Pool().Update(reversed, kStart);
+  const choice_request request{ PrefixHash({ "vakt-model" }, "You are a clerk."), {}, true };
+  const upstream_choice first = chooser.Choose(request, kStart);
+  CHECK(first.why == choice_reason::affinity);
+  CHECK(first.target->id == other.Choose(request, kStart).target->id);
+}
+
+TEST(upstream_chooser, OverloadedOwnerOfAPrefixSpillsToTheSameNextOne)
+{
+  chooser.Pool().Update(Candidates(4), kStart);
+  const choice_request request{ 77, {}, true };
+  const upstream_choice owner = chooser.Choose(request, kStart);
+  chooser.Pool().Start(owner.slot, kStart);
+  const upstream_choice next = chooser.Choose(request, kStart);
+  CHECK(next.why == choice_reason::affinity_spill);
+  CHECK(next.slot != owner.slot);
+  CHECK_EQUAL(1, Spread(10, request, kStart).size());
+}
+
+TEST(upstream_chooser, NoUpstreamCarriesMuchMoreThanTheMeanUnderOnePrefix)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (int number = 0; number < 200; ++number) {
+    chooser.Pool().Start(chooser.Choose({ 77, {}, true }, kStart).slot, kStart);
+  }
+  for (const pool_slot& slot : chooser.Pool().Slots()) {
+    CHECK(slot.load <= 26);
+  }
+}
+
+TEST(upstream_chooser, LoadCountsOwnDispatchesAndEndsSinceTheReportOnly)
+{
+  chooser.Pool().Update(Candidates(1), kStart);
+  upstream_pool& pool = chooser.Pool();
+  const dispatch_ticket before = pool.Start(0, kStart);
+  const dispatch_ticket after = pool.Start(0, kStart + 200_ms);
+  pool.Report(0, { 5, 1, kStart + 100_ms });
+  CHECK_EQUAL(7, pool.Slots()[0].load);
+  pool.Finish(before, { attempt_outcome::completed, 1 }, kStart + 300_ms);
+  CHECK_EQUAL(6, pool.Slots()[0].load);
+  pool.Finish(after, { attempt_outcome::completed, 1 }, kStart + 400_ms);
+  CHECK_EQUAL(5, pool.Slots()[0].load);
+  pool.Report(0, { 2, 0, kStart + 350_ms });
+  CHECK_EQUAL(2, pool.Slots()[0].load);
+  pool.Report(0, { 9, 9, kStart + 50_ms });
+  CHECK_EQUAL(2, pool.Slots()[0].load);
+}
+
+TEST(upstream_chooser, OwnZoneGoesFirstAndSpillsWhenOverloaded)
+{
+  chooser.Pool().Update({ Candidate(0, "sud-a"), Candidate(1, "sud-b"), Candidate(2, "sud-c") },
+                        kStart);
+  const upstream_choice own = chooser.Choose({}, kStart);
+  CHECK(own.why == choice_reason::own_zone);
+  for (int number = 0; number < 5; ++number) {
+    chooser.Pool().Start(own.slot, kStart);
+  }
+  const upstream_choice other = chooser.Choose({}, kStart);
+  CHECK(other.why == choice_reason::other_zone);
+  CHECK(other.slot != own.slot);
+}
+
+TEST(upstream_chooser, StragglerGetsOnlyATrickleOfTestsAndComesBackOnceFast)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  MakeStraggler(3, 10);
+  CHECK(chooser.Pool().Health(3, kStart) == pool_health::probation);
+  const int tests = Spread(1000, {}, kStart + 5_s)["g03"];
+  CHECK(tests > 0);
+  CHECK(tests <= 5);
+  CHECK_EQUAL(0, Spread(1000, { 0, {}, false }, kStart + 5_s)["g03"]);
+  for (int round = 0; round < 4; ++round) {
+    Serve(3, 300_ms, 10, kStart + 5_s);
+  }
+  chooser.Pool().Maintain(kStart + 6_s);
+  CHECK(chooser.Pool().Health(3, kStart + 6_s) == pool_health::good);
+}
+
+TEST(upstream_chooser, AtMostAFifthIsOnProbation)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (std::size_t slot = 0; slot < 10; ++slot) {
+    for (int round = 0; round < 5; ++round) {
+      Serve(slot, slot < 4 ? 2000_ms : 300_ms, 10, kStart);
+    }
+  }
+  chooser.Pool().Maintain(kStart + 2_s);
+  int probation = 0;
+  for (const pool_slot& slot : chooser.Pool().Slots()) {
+    probation += slot.probation ? 1 : 0;
+  }
+  CHECK_EQUAL(2, probation);
+}
+
+TEST(upstream_chooser, UpstreamThatGivesNoSignOfLifeGoesOnProbation)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (std::size_t slot = 0; slot < 10; ++slot) {
+    Serve(slot, 200_ms, 10, kStart);
+  }
+  const dispatch_ticket silent = chooser.Pool().Start(4, kStart);
+  chooser.Pool().Maintain(kStart + 3_s);
+  CHECK(chooser.Pool().Health(4, kStart + 3_s) == pool_health::probation);
+  chooser.Pool().Progress(silent, 0, kStart + 3_s);
+  chooser.Pool().Maintain(kStart + 3100_ms);
+  CHECK(chooser.Pool().Health(4, kStart + 3100_ms) == pool_health::good);
+}
+
+TEST(upstream_chooser, FailedUpstreamIsLeftOutUntilItsBackoffIsOver)
+{
+  chooser.Pool().Update(Candidates(2), kStart);
+  const dispatch_ticket ticket = chooser.Pool().Start(0, kStart);
+  chooser.Pool().Finish(ticket, { attempt_outcome::failed, 0 }, kStart);
+  CHECK_EQUAL(50, Spread(50, {}, kStart + 400_ms)["g01"]);
+  CHECK(Spread(50, {}, kStart + 600_ms)["g00"] > 0);
+}
+
+TEST(upstream_chooser, EvenAFailedUpstreamIsBetterThanNone)
+{
+  chooser.Pool().Update(Candidates(2), kStart);
+  const dispatch_ticket ticket = chooser.Pool().Start(0, kStart);
+  chooser.Pool().Finish(ticket, { attempt_outcome::failed, 0 }, kStart);
+  const upstream_choice choice = chooser.Choose({ 5, { { "g01" } }, true }, kStart);
+  CHECK(choice.why == choice_reason::last_resort);
+  STRCMP_EQUAL("g00", choice.target->id.value.c_str());
+}
+
+TEST(upstream_chooser, NoChoiceNamesItsReason)
+{
+  CHECK(chooser.Choose({}, kStart).why == choice_reason::none_eligible);
+  chooser.Pool().Update(Candidates(2), kStart);
+  CHECK(chooser.Choose({ 5, { { "g00" }, { "g01" } }, true }, kStart).why ==
+        choice_reason::all_excluded);
+  chooser.Pool().SetLimit(1);
+  chooser.Pool().Start(0, kStart);
+  chooser.Pool().Start(1, kStart);
+  CHECK(chooser.Choose({ 5, {}, true }, kStart).why == choice_reason::all_full);
+}
+
+TEST(upstream_chooser, ExpiredEvidenceTakesAnUpstreamOutWithoutAnUpdate)
+{
+  auto candidates = Candidates(2);
+  candidates[0].freshUntil = kStart + 2_s;
+  chooser.Pool().Update(candidates, kStart);
+  CHECK(Spread(50, {}, kStart)["g00"] > 0);
+  CHECK_EQUAL(50, Spread(50, {}, kStart + 2_s)["g01"]);
+}
+
+TEST(upstream_chooser, NewGenerationStartsWithoutItsPredecessorsRecord)
+{
+  chooser.Pool().Update(Candidates(2), kStart);
+  const dispatch_ticket old = chooser.Pool().Start(0, kStart);
+  auto candidates = Candidates(2);
+  candidates[0] = Candidate(0, "sud-a", 2);
+  chooser.Pool().Update(candidates, kStart);
+  CHECK_EQUAL(0, chooser.Pool().Slots()[0].load);
+  chooser.Pool().Finish(old, { attempt_outcome::failed, 0 }, kStart);
+  CHECK(chooser.Pool().Health(0, kStart) == pool_health::good);
+}
--- a/src/routing/upstreampool.h
+++ b/src/routing/upstreampool.h
@@ -7,7 +7,6 @@
 #include "routing/upstreamchoice.h"
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -103,17 +102,28 @@
   [[nodiscard]] pool_health Health(std::size_t aSlot, time_point aNow) const;
 
 private:
+  struct running_dispatch
+  {
+    dispatch_ticket ticket;
+    /// The upstream has shown a sign of life for it.
+    bool heard = false;
+  };
+  struct ended_dispatch
+  {
+    time_point startedAt;
+    time_point endedAt;
+  };
   struct record
   {
     std::shared_ptr<const upstream> target;
     time_point reportedAt{ INT64_MIN };
-    std::vector<dispatch_ticket> running;
-    /// Ended since the report although they had started before it: start and end.
-    std::deque<std::pair<time_point, time_point>> ended;
+    /// By start, oldest first.
+    std::vector<running_dispatch> running;
+    /// Ended since the report although they had started before it.
+    std::vector<ended_dispatch> ended;
     double msPerToken = 0;
     std::uint32_t samples = 0;
     std::uint32_t failures = 0;
-    time_point lastSign{ INT64_MIN };
     time_point lastTest{ INT64_MIN };
     bool stalled = false;
     pool_health announced = pool_health::good;
@@ -121,15 +131,20 @@
 
   std::size_t SlotFor(const candidate& aCandidate);
   void Reset(std::size_t aSlot, const candidate& aCandidate);
-  void Unlist(std::size_t aSlot);
+  void ReleaseUnused(const std::vector<bool>& aSeen);
   void Relist();
   void RefreshLoad(std::size_t aSlot);
-  void SetLoad(std::size_t aSlot, std::uint32_t aLoad);
-  void Sample(std::size_t aSlot, double aMsPerToken);
-  void NoteOutcome(std::size_t aSlot, const attempt_result& aResult, time_point aNow);
+  running_dispatch* Find(const dispatch_ticket& aTicket);
+  void NoteSign(running_dispatch& aRunning, time_point aNow);
+  void Sample(std::size_t aSlot,
+              const dispatch_ticket& aTicket,
+              std::uint32_t aTokens,
+              time_point aNow);
+  void NoteOutcome(std::size_t aSlot, attempt_outcome aOutcome, time_point aNow);
   void FindStalled(time_point aNow);
   [[nodiscard]] double MedianMsPerToken() const;
   void DecideProbation();
+  std::vector<health_change> Announce(time_point aNow);
 
   zone_name mOwnZone;
   std::uint32_t mLimit = UINT32_MAX;
@@ -141,8 +156,11 @@
   std::vector<std::uint32_t> mProbationSlots;
   std::uint64_t mTotalLoad = 0;
   std::size_t mListedCount = 0;
+  std::vector<std::size_t> mFreeSlots;
   std::uint64_t mNextSerial = 1;
-  double mTypicalMs = 0;
+  /// Smoothed time to the first sign of life, and its mean deviation.
+  double mSignMs = 0;
+  double mSignDeviationMs = 0;
 };
 
 } // namespace persimmon::routing
