--- a/src/app/router/callparser.h
+++ b/src/app/router/callparser.h
@@ -43,6 +43,10 @@
 std::string
 BearerKey(const entry::server_request& aRequest);
 
+/// Tells whether a request names a key under which a call may have run.
+bool
+HasUsableKey(const entry::server_request& aRequest);
+
 /// Returns the document's customer whose key this is, or nullptr.
 const customer_spec*
 FindCustomer(const service_document& aDocument, const std::string& aBearerKey);
--- a/src/app/router/internal/callparser.cpp
+++ b/src/app/router/internal/callparser.cpp
@@ -51,10 +51,10 @@
   }
   const auto value = ParseNumber(text);
   if (!value || *value < 1 || *value > kMaxDeadlineMs) {
-    return Fail(aProblem,
-                refusal_reason::bad_deadline,
-                fmt::format("Persimmon-Deadline-Ms: expected a whole number from 1 to {}",
-                            kMaxDeadlineMs));
+    return Fail(
+      aProblem,
+      refusal_reason::bad_deadline,
+      fmt::format("Persimmon-Deadline-Ms: expected a whole number from 1 to {}", kMaxDeadlineMs));
   }
   aCall.deadline.ms = *value;
   return true;
@@ -107,13 +107,21 @@
          std::string_view("89abAB").find(aKey[kKeyVariantAt]) != std::string_view::npos;
 }
 
-bool
-ReadKey(const entry::server_request& aRequest, parsed_call& aCall, call_problem& aProblem)
+/// Returns the key without the quotes of a structured field.
+std::string
+KeyText(const entry::server_request& aRequest)
 {
   std::string text = aRequest.Header("Idempotency-Key");
   if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
     text = text.substr(1, text.size() - 2);
   }
+  return text;
+}
+
+bool
+ReadKey(const entry::server_request& aRequest, parsed_call& aCall, call_problem& aProblem)
+{
+  const std::string text = KeyText(aRequest);
   aCall.key.value = text;
   if (aCall.idempotent) {
     return true;
@@ -135,11 +143,13 @@
 {
   const std::string key = BearerKey(aRequest);
   if (key.empty()) {
-    return Fail(aProblem, refusal_reason::missing_credentials, "Authorization: expected a bearer key");
+    return Fail(
+      aProblem, refusal_reason::missing_credentials, "Authorization: expected a bearer key");
   }
   const customer_spec* customer = FindCustomer(aCall.document->document, key);
   if (customer == nullptr) {
-    return Fail(aProblem, refusal_reason::unknown_customer, "no customer of this service has this key");
+    return Fail(
+      aProblem, refusal_reason::unknown_customer, "no customer of this service has this key");
   }
   aCall.customer = customer->name;
   return true;
@@ -190,8 +200,8 @@
     }
     const auto letter =
       static_cast<unsigned char>(HexValue(aPath[at + 1]) * 16 + HexValue(aPath[at + 2]));
-    if (std::isalnum(letter) != 0 || std::string_view("-._~/\\").find(static_cast<char>(letter)) !=
-                                       std::string_view::npos) {
+    if (std::isalnum(letter) != 0 ||
+        std::string_view("-._~/\\").find(static_cast<char>(letter)) != std::string_view::npos) {
       return true;
     }
   }
@@ -207,14 +217,20 @@
   return value.starts_with(kBearerPrefix) ? value.substr(kBearerPrefix.size()) : std::string();
 }
 
+bool
+HasUsableKey(const entry::server_request& aRequest)
+{
+  return aRequest.path.starts_with(kServicesPrefix) && IsUuid7(KeyText(aRequest));
+}
+
 const customer_spec*
 FindCustomer(const service_document& aDocument, const std::string& aBearerKey)
 {
   const std::string digest = Sha256Hex(aBearerKey);
-  const auto found =
-    std::find_if(aDocument.customers.begin(),
-                 aDocument.customers.end(),
-                 [&digest](const customer_spec& aCustomer) { return aCustomer.keySha256 == digest; });
+  const auto found = std::find_if(
+    aDocument.customers.begin(),
+    aDocument.customers.end(),
+    [&digest](const customer_spec& aCustomer) { return aCustomer.keySha256 == digest; });
   return found == aDocument.customers.end() ? nullptr : &*found;
 }
 
@@ -232,7 +248,8 @@
   if (aRequest.body.size() > mMaxBodyBytes) {
     Fail(aProblem,
          refusal_reason::body_too_large,
-         fmt::format("the body has {} bytes, at most {} are taken", aRequest.body.size(), mMaxBodyBytes));
+         fmt::format(
+           "the body has {} bytes, at most {} are taken", aRequest.body.size(), mMaxBodyBytes));
     return std::nullopt;
   }
   bool good = false;
@@ -252,8 +269,8 @@
                          parsed_call& aCall,
                          call_problem& aProblem) const
 {
-  const refusal_reason unknown = aKind == service_kind::model ? refusal_reason::unknown_model
-                                                              : refusal_reason::unknown_service;
+  const refusal_reason unknown =
+    aKind == service_kind::model ? refusal_reason::unknown_model : refusal_reason::unknown_service;
   aCall.service = mLookup(aName);
   const auto view = aCall.service ? aCall.service->View() : nullptr;
   if (!view || !view->document || view->document->document.kind != aKind) {
--- a/src/app/router/internal/completionbody.cpp
+++ b/src/app/router/internal/completionbody.cpp
@@ -9,8 +9,8 @@
 namespace persimmon::router {
 namespace {
 
-using routing::refusal_reason;
 using nlohmann::json;
+using routing::refusal_reason;
 
 constexpr unsigned char kContinuationMask = 0xC0;
 constexpr unsigned char kContinuation = 0x80;
--- /dev/null
+++ b/src/app/router/internal/routerprocess.cpp
@@ -0,0 +1,192 @@
+#include "app/router/routerprocess.h"
+
+#include "app/router/callerfront.h"
+#include "app/router/clusterboard.h"
+#include "app/router/exchange.h"
+#include "app/router/exchangecontext.h"
+#include "app/router/platformwatcher.h"
+#include "app/router/presenceobserver.h"
+#include "app/router/readiness.h"
+#include "app/router/routerevents.h"
+#include "entry/httpserver.h"
+#include "upstream/upstreamclient.h"
+
+#include <thread>
+
+namespace persimmon::router {
+namespace {
+
+constexpr std::size_t kRememberedRequests = 4096;
+constexpr duration kTickInterval{ 100 };
+constexpr duration kDrainPoll{ 20 };
+constexpr duration kLastAnswers{ 500 };
+/// A body up to this many times the limit is read to be refused with a reason; beyond it the
+/// connection is closed.
+constexpr std::size_t kReadableBodies = 2;
+
+void
+Sleep(duration aSpan)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(aSpan.ms));
+}
+
+entry::server_options
+ServerOptions(const router_settings& aSettings)
+{
+  entry::server_options options;
+  options.threads = aSettings.entryThreads;
+  options.maxBodyBytes = aSettings.maxBodyBytes * kReadableBodies;
+  return options;
+}
+
+} // namespace
+
+// The order of members is the order of construction; what others use comes first.
+struct router_process::implementation
+{
+  explicit implementation(router_settings aSettings)
+    : settings(std::move(aSettings))
+  {
+  }
+
+  router_settings settings;
+  std::string reason;
+  endpoint address;
+  readiness ready;
+  history::history_writer history{ settings.historyPath, settings.id.value };
+  metrics_registry metrics;
+  decision_log decisions{ kRememberedRequests };
+  request_registry registry;
+  exchange_context context{ settings.id, history, metrics, decisions, registry };
+  cluster_board board{ settings.id,
+                       settings.zone,
+                       history,
+                       [this](const std::vector<routing::admission_action>& aActions) {
+                         registry.CarryOut(aActions);
+                       } };
+  upstream::upstream_client upstreams{ settings.upstreamThreads };
+  caller_front front{ settings.zone, settings.maxBodyBytes, board, ready, upstreams, context };
+  presence_observer observer{ settings.id,
+                              board,
+                              [](const placement::group&) { return true; },
+                              [](const peers::presence_message&) {} };
+  upstream::upstream_loop ticker;
+  std::unique_ptr<platform_watcher> watcher;
+  entry::http_server server{ ServerOptions(settings) };
+
+  void Tick()
+  {
+    board.Tick(steady_clock().Now());
+    ticker.After(kTickInterval, [this] { Tick(); });
+  }
+
+  void StartWatching();
+  bool Listen();
+  bool WaitForRequests(duration aLimit) const;
+};
+
+void
+router_process::implementation::StartWatching()
+{
+  watcher_handlers handlers;
+  handlers.onObject = [this](const peers::mesh_message& aMessage) {
+    board.Apply(aMessage, steady_clock().Now());
+  };
+  handlers.onInstances = [this](const std::vector<platform::listed_instance>& aList) {
+    board.Apply(aList, steady_clock().Now());
+  };
+  handlers.onListed = [this] { ready.informed = true; };
+  watcher = std::make_unique<platform_watcher>(settings.storeUrl, std::move(handlers));
+}
+
+bool
+router_process::implementation::Listen()
+{
+  const auto bound = server.Listen(
+    settings.listen,
+    [this](entry::server_request aRequest, std::shared_ptr<entry::responder> aResponder) {
+      front.Handle(std::move(aRequest), std::move(aResponder));
+    });
+  if (!bound) {
+    reason = server.LastReason();
+    return false;
+  }
+  address = *bound;
+  return true;
+}
+
+bool
+router_process::implementation::WaitForRequests(duration aLimit) const
+{
+  const steady_clock clock;
+  const time_point until = clock.Now() + aLimit;
+  while (registry.Count() > 0 && clock.Now() < until) {
+    Sleep(kDrainPoll);
+  }
+  return registry.Count() == 0;
+}
+
+router_process::router_process(router_settings aSettings)
+  : mImplementation(std::make_unique<implementation>(std::move(aSettings)))
+{
+}
+
+router_process::~router_process() = default;
+
+bool
+router_process::Start()
+{
+  implementation& self = *mImplementation;
+  if (!self.history.IsReady()) {
+    self.reason = "cannot open " + self.settings.historyPath;
+    return false;
+  }
+  if (!self.Listen()) {
+    return false;
+  }
+  self.StartWatching();
+  self.observer.Start();
+  self.ticker.Post([&self] { self.Tick(); });
+  WriteLog(kRouterStarted,
+           { { "router", self.settings.id.value },
+             { "zone", self.settings.zone.value },
+             { "listen", self.address.value } });
+  return true;
+}
+
+void
+router_process::Stop()
+{
+  implementation& self = *mImplementation;
+  self.ready.leaving = true;
+  WriteLog(kRouterStopping, { { "in_flight", std::to_string(self.registry.Count()) } });
+  Sleep(self.settings.noticeTime);
+  self.ready.closed = true;
+  if (self.watcher) {
+    self.watcher->Stop();
+  }
+  if (!self.WaitForRequests(self.settings.drainTime)) {
+    for (const auto& left : self.registry.All()) {
+      left->Post(routing::flow_stop{});
+    }
+  }
+  const bool finished = self.WaitForRequests(kLastAnswers);
+  // Answers that were handed to the connections still have to leave.
+  Sleep(kLastAnswers);
+  self.server.Stop();
+  WriteLog(kRouterStopped, { { "finished", finished ? "true" : "false" } });
+}
+
+const endpoint&
+router_process::Address() const
+{
+  return mImplementation->address;
+}
+
+const std::string&
+router_process::LastReason() const
+{
+  return mImplementation->reason;
+}
+
+} // namespace persimmon::router
--- a/src/app/router/routerevents.h
+++ b/src/app/router/routerevents.h
@@ -18,9 +18,9 @@
 constexpr log_event kStateNotUnderstood{ 7014, "state_not_understood", log_level::warning };
 
 /// All log events of the router's shells.
-constexpr std::array kRouterEvents{ kRouterStarted,  kRouterNotStarted, kRouterStopping,
-                                    kRouterStopped,  kWatchFailed,      kRequestRefused,
-                                    kRequestAnswered, kStreamBroken,    kAttemptFailed,
-                                    kStateNotUnderstood };
+inline constexpr std::array kRouterEvents{ kRouterStarted,     kRouterNotStarted, kRouterStopping,
+                                           kRouterStopped,     kWatchFailed,      kRequestRefused,
+                                           kRequestAnswered,   kStreamBroken,     kAttemptFailed,
+                                           kStateNotUnderstood };
 
 } // namespace persimmon::router
--- a/src/routing/routingevents.h
+++ b/src/routing/routingevents.h
@@ -25,11 +25,13 @@
 constexpr log_event kGroupWithdrawn{ 4025, "group_withdrawn", log_level::warning };
 
 /// All log events of routing decisions.
-constexpr std::array kRoutingEvents{ kUpstreamChosen, kNoUpstream,         kRetryDecided,
-                                     kRequestQueued,  kRequestNotAdmitted, kUpstreamHealthChanged,
-                                     kUpstreamDied,   kRequestSuspected,   kRequestQuarantined,
-                                     kSuspectCleared, kQuarantinedRefused, kDocumentApplied,
-                                     kTableApplied,   kObjectMalformed,    kLeavingMarked,
-                                     kGroupEligible,  kGroupWithdrawn };
+inline constexpr std::array kRoutingEvents{
+  kUpstreamChosen, kNoUpstream,         kRetryDecided,
+  kRequestQueued,  kRequestNotAdmitted, kUpstreamHealthChanged,
+  kUpstreamDied,   kRequestSuspected,   kRequestQuarantined,
+  kSuspectCleared, kQuarantinedRefused, kDocumentApplied,
+  kTableApplied,   kObjectMalformed,    kLeavingMarked,
+  kGroupEligible,  kGroupWithdrawn
+};
 
 } // namespace persimmon::routing
--- a/src/routing/routingmetrics.h
+++ b/src/routing/routingmetrics.h
@@ -35,7 +35,7 @@
                                         "Retries that the budget still allows, by service." };
 
 /// All metrics of routing decisions.
-constexpr std::array kRoutingMetrics{
+inline constexpr std::array kRoutingMetrics{
   kChoicesTotal,    kRetriesTotal,    kAdmissionsTotal,     kAdmissionWaitSeconds,
   kRequestsRunning, kRequestsWaiting, kUpstreamsEligible,   kUpstreamsOnProbation,
   kSuspects,        kQuarantined,     kUpstreamDeathsTotal, kRetryBudgetLeft
--- a/src/upstream/internal/upstreamloop.cpp
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -38,10 +38,9 @@
 
   void Arm(timer_id aId, duration aDelay, std::function<void()> aFunction)
   {
-    auto& timer = timers
-                    .emplace(aId,
-                             asio::steady_timer(context, std::chrono::milliseconds(aDelay.ms)))
-                    .first->second;
+    auto& timer =
+      timers.emplace(aId, asio::steady_timer(context, std::chrono::milliseconds(aDelay.ms)))
+        .first->second;
     timer.async_wait([this, aId, function = std::move(aFunction)](const asio::error_code& aError) {
       if (!aError) {
         timers.erase(aId);
