--- /dev/null
+++ b/standins/common/stopsignal.cpp
@@ -0,0 +1,35 @@
+#include "standins/common/stopsignal.h"
+
+#include <csignal>
+
+namespace persimmon::standins {
+namespace {
+
+sigset_t
+StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+} // namespace
+
+void
+BlockStopSignals()
+{
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void
+WaitForStopSignal()
+{
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+} // namespace persimmon::standins
