Add the stand-in engine

Many instances a process: orders with fencing obeyed or ignored, loading, batching by priority, prefix cache, resumption, lagging load reports, presence of all members as a condition to run, and faults as data.

--- /dev/null
+++ b/standins/engine/enginehost.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "entry/responder.h"
+#include "entry/serverrequest.h"
+#include "history/historywriter.h"
+#include "standins/engine/enginefaults.h"
+#include "standins/engine/engineinstance.h"
+#include "standins/engine/sharedboard.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace persimmon::standins {
+
+/// What a host tells its process.
+struct host_callbacks
+{
+  /// The instance died (false) or returned (true). Not called on a thread that handles a call.
+  std::function<void(bool)> onAlive;
+  /// Weights of that fetch number are needed for a model and version.
+  std::function<void(std::uint64_t, const std::string&, const std::string&)> onFetch;
+};
+
+/// One engine instance with its callers' connections.
+class engine_host
+{
+public:
+  engine_host(const engine_options& aOptions,
+              const instance_id& aInstance,
+              shared_board& aBoard,
+              history::history_writer& aHistory,
+              host_callbacks aCallbacks);
+  ~engine_host();
+
+  /// Sets the address under which other members know the instance; call before all else.
+  void SetAddress(const endpoint& aAddress);
+  /// Handles one call; does not block.
+  void Handle(entry::server_request aRequest, std::shared_ptr<entry::responder> aResponder);
+  /// Lets time pass.
+  void Tick();
+  /// Puts faults in force.
+  void Apply(const instance_faults& aFaults);
+  /// Begins a new life after a crash.
+  void ReturnFromCrash();
+  void WeightsFetched(std::uint64_t aFetch);
+  /// Addresses of the members that the instance hears as a head.
+  [[nodiscard]] std::set<endpoint> HeardAddresses() const;
+  [[nodiscard]] incarnation Life() const;
+
+private:
+  struct implementation;
+  std::unique_ptr<implementation> mImplementation;
+};
+
+} // namespace persimmon::standins
--- /dev/null
+++ b/standins/engine/main.cpp
@@ -0,0 +1,111 @@
+#include "settings/settings.h"
+#include "standins/common/standinevents.h"
+#include "standins/common/stopsignal.h"
+#include "standins/engine/enginefleet.h"
+
+using namespace persimmon;
+
+namespace {
+
+constexpr std::int64_t kMostMs = 600000;
+constexpr std::int64_t kMostInstances = 4096;
+constexpr std::int64_t kMostPort = 65535;
+constexpr std::int64_t kMostThreads = 64;
+constexpr std::int64_t kMostRequests = 100000;
+
+struct program_options
+{
+  standins::fleet_options fleet;
+  std::string history;
+};
+
+void
+Declare(settings& aSettings)
+{
+  aSettings.AddRequired("domain", "fabric domain; instances are named DOMAIN-0, DOMAIN-1, ...");
+  aSettings.AddRequired("zone", "availability zone");
+  aSettings.Add("instances", "1", "number of instances");
+  aSettings.Add("ip", "127.0.0.1", "address of all instances");
+  aSettings.Add("base-port", "0", "port of the first instance, the others follow; 0 for free ones");
+  aSettings.AddRequired("platform-url", "platform as http://ip:port");
+  aSettings.AddRequired("control-listen", "address ip:port of /control");
+  aSettings.Add("fencing", "true", "refuse orders with an old fencing token");
+  aSettings.Add("load-ms", "500", "time to load weights");
+  aSettings.Add("weight-bytes", "0", "weights an instance fetches from the platform for a load");
+  aSettings.Add("token-ms", "20", "time between two tokens of a request");
+  aSettings.Add("block-ms", "2", "time to compute 256 bytes of prompt that are not cached");
+  aSettings.Add("cache-blocks", "4096", "blocks of 256 bytes in the prefix cache");
+  aSettings.Add("max-running", "8", "requests that run at once in a group");
+  aSettings.Add("max-queued", "64", "requests that wait in a group");
+  aSettings.Add("report-ms", "200", "time between two load reports");
+  aSettings.Add("threads", "2", "threads that serve calls");
+  aSettings.Add("history", "", "file to append the history to");
+}
+
+standins::engine_options
+ReadEngine(settings& aSettings)
+{
+  standins::engine_options engine;
+  engine.fencing = aSettings.Flag("fencing");
+  engine.loadTime.ms = aSettings.Number("load-ms", 0, kMostMs);
+  engine.tokenInterval.ms = aSettings.Number("token-ms", 0, kMostMs);
+  engine.blockTime.ms = aSettings.Number("block-ms", 0, kMostMs);
+  engine.cacheBlocks = static_cast<std::size_t>(aSettings.Number("cache-blocks", 1, INT32_MAX));
+  engine.maxRunning = static_cast<std::size_t>(aSettings.Number("max-running", 1, kMostRequests));
+  engine.maxQueued = static_cast<std::size_t>(aSettings.Number("max-queued", 1, kMostRequests));
+  engine.reportInterval.ms = aSettings.Number("report-ms", 0, kMostMs);
+  return engine;
+}
+
+program_options
+Read(settings& aSettings)
+{
+  program_options options;
+  options.fleet.engine = ReadEngine(aSettings);
+  options.fleet.domain.value = aSettings.Text("domain");
+  options.fleet.zone.value = aSettings.Text("zone");
+  options.fleet.instances =
+    static_cast<std::size_t>(aSettings.Number("instances", 1, kMostInstances));
+  options.fleet.ip = aSettings.Text("ip");
+  options.fleet.basePort = static_cast<std::uint16_t>(aSettings.Number("base-port", 0, kMostPort));
+  options.fleet.platformUrl = aSettings.Text("platform-url");
+  options.fleet.control.value = aSettings.Text("control-listen");
+  options.fleet.weightBytes =
+    static_cast<std::uint64_t>(aSettings.Number("weight-bytes", 0, INT64_MAX));
+  options.fleet.threads = static_cast<std::size_t>(aSettings.Number("threads", 1, kMostThreads));
+  options.history = aSettings.Text("history");
+  return options;
+}
+
+int
+Run(const program_options& aOptions)
+{
+  const std::string process = "standin-engine-" + aOptions.fleet.domain.value;
+  history::history_writer history(aOptions.history, process);
+  standins::engine_fleet fleet(aOptions.fleet, history);
+  if (!history.IsReady() || !fleet.Start()) {
+    return exit_failure;
+  }
+  standins::WaitForStopSignal();
+  WriteLog(standins::kStandinStopped, {});
+  return exit_success;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  settings settings("standin-engine", "stand-in for model engines", PERSIMMON_VERSION);
+  Declare(settings);
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  const program_options options = Read(settings);
+  if (const auto code = settings.Finish()) {
+    return *code;
+  }
+  StartLog("standin-engine", log_level::info);
+  standins::BlockStopSignals();
+  return Run(options);
+}
