--- a/standins/common/faultcontrol.h
+++ b/standins/common/faultcontrol.h
@@ -68,7 +68,7 @@
     } else {
       merged = *change;
     }
-    const std::optional<Plan> next = Plan::Parse(merged, aProblem);
+    std::optional<Plan> next = Plan::Parse(merged, aProblem);
     if (next) {
       {
         const std::lock_guard lock(mMutex);
--- a/standins/common/timerloop.cpp
+++ b/standins/common/timerloop.cpp
@@ -82,7 +82,7 @@
 }
 
 void
-timer_loop::Every(duration aPeriod, std::function<void()> aFunction)
+timer_loop::Every(duration aPeriod, const std::function<void()>& aFunction)
 {
   mImplementation->AddPeriodic(std::chrono::steady_clock::now(), aPeriod, aFunction);
 }
--- a/standins/common/timerloop.h
+++ b/standins/common/timerloop.h
@@ -18,7 +18,7 @@
   /// Runs a function once, after a span.
   void After(duration aSpan, std::function<void()> aFunction);
   /// Runs a function again and again, with at least this span between two starts.
-  void Every(duration aPeriod, std::function<void()> aFunction);
+  void Every(duration aPeriod, const std::function<void()>& aFunction);
   /// Waits for the running function and drops all others.
   void Stop();
 
--- a/standins/engine/enginefleet.cpp
+++ b/standins/engine/enginefleet.cpp
@@ -144,8 +144,8 @@
 {
   engine_host* host = aMember.host.get();
   const auto bound =
-    server.Listen(aAddress, [host](entry::server_request aRequest, auto aResponder) {
-      host->Handle(std::move(aRequest), std::move(aResponder));
+    server.Listen(aAddress, [host](const entry::server_request& aRequest, const auto& aResponder) {
+      host->Handle(aRequest, aResponder);
     });
   if (!bound) {
     reason = server.LastReason();
--- a/standins/engine/enginehost.cpp
+++ b/standins/engine/enginehost.cpp
@@ -151,7 +151,8 @@
 }
 
 void
-engine_host::Handle(entry::server_request aRequest, std::shared_ptr<entry::responder> aResponder)
+engine_host::Handle(const entry::server_request& aRequest,
+                    const std::shared_ptr<entry::responder>& aResponder)
 {
   {
     const std::lock_guard lock(mImplementation->mutex);
@@ -160,7 +161,7 @@
       return;
     }
     if (mImplementation->faults.paused) {
-      mImplementation->held.push_back({ std::move(aRequest), std::move(aResponder) });
+      mImplementation->held.push_back({ aRequest, aResponder });
       return;
     }
   }
--- a/standins/engine/enginehost.h
+++ b/standins/engine/enginehost.h
@@ -36,7 +36,8 @@
   /// Sets the address under which other members know the instance; call before all else.
   void SetAddress(const endpoint& aAddress);
   /// Handles one call; does not block.
-  void Handle(entry::server_request aRequest, std::shared_ptr<entry::responder> aResponder);
+  void Handle(const entry::server_request& aRequest,
+              const std::shared_ptr<entry::responder>& aResponder);
   /// Lets time pass.
   void Tick();
   /// Puts faults in force.
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -55,9 +55,9 @@
   // Outlives the platform, which holds answers that are still to be given.
   entry::http_server server({ .threads = aOptions.threads });
   standins::platform_server platform(aOptions.platform, history);
-  const auto address =
-    server.Listen(aOptions.listen, [&platform](entry::server_request aRequest, auto aResponder) {
-      platform.Handle(std::move(aRequest), std::move(aResponder));
+  const auto address = server.Listen(
+    aOptions.listen, [&platform](const entry::server_request& aRequest, const auto& aResponder) {
+      platform.Handle(aRequest, aResponder);
     });
   if (!address || !history.IsReady()) {
     WriteLog(standins::kListenFailed,
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -138,8 +138,8 @@
 }
 
 void
-platform_server::Handle(entry::server_request aRequest,
-                        std::shared_ptr<entry::responder> aResponder)
+platform_server::Handle(const entry::server_request& aRequest,
+                        const std::shared_ptr<entry::responder>& aResponder)
 {
   if (aRequest.path == "/control/faults") {
     mImplementation->faults.Handle(aRequest, *aResponder);
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -28,7 +28,8 @@
   ~platform_server();
 
   /// Handles one call; does not block.
-  void Handle(entry::server_request aRequest, std::shared_ptr<entry::responder> aResponder);
+  void Handle(const entry::server_request& aRequest,
+              const std::shared_ptr<entry::responder>& aResponder);
 
 private:
   struct implementation;
