--- a/src/load/tests/loadrunnertests.cpp
+++ b/src/load/tests/loadrunnertests.cpp
@@ -89,16 +89,17 @@
 
 TEST(load_runner, EveryCallIsAnsweredOnceAndRecorded)
 {
-  Listen([](const entry::server_request& aRequest, std::shared_ptr<entry::responder> aResponder) {
-    if (aRequest.body.find("\"stream\":true") == std::string::npos) {
-      aResponder->Send({ 200, { { "Content-Type", "application/json" } }, kAnswer });
-      return;
-    }
-    aResponder->StartStream(200, { { "Content-Type", "text/event-stream" } });
-    aResponder->Write(kToken);
-    aResponder->Write(kEnd);
-    aResponder->FinishStream();
-  });
+  Listen(
+    [](const entry::server_request& aRequest, const std::shared_ptr<entry::responder>& aResponder) {
+      if (aRequest.body.find("\"stream\":true") == std::string::npos) {
+        aResponder->Send({ 200, { { "Content-Type", "application/json" } }, kAnswer });
+        return;
+      }
+      aResponder->StartStream(200, { { "Content-Type", "text/event-stream" } });
+      aResponder->Write(kToken);
+      aResponder->Write(kEnd);
+      aResponder->FinishStream();
+    });
   const load_statistics seen = RunLoad();
   CHECK(seen.sent > 0);
   CHECK_EQUAL(seen.sent, seen.answered);
@@ -109,7 +110,7 @@
 TEST(load_runner, StreamThatEndsWithoutDoneIsRefusedAsUnfinished)
 {
   options.mix.streamedShare = 1;
-  Listen([](const entry::server_request&, std::shared_ptr<entry::responder> aResponder) {
+  Listen([](const entry::server_request&, const std::shared_ptr<entry::responder>& aResponder) {
     aResponder->StartStream(200, { { "Content-Type", "text/event-stream" } });
     aResponder->Write(kToken);
     aResponder->FinishStream();
@@ -127,7 +128,7 @@
   options.mix.duplicateShare = 0;
   seen_keys seenKeys;
   const auto handler = [&seenKeys](const entry::server_request& aRequest,
-                                   std::shared_ptr<entry::responder> aResponder) {
+                                   const std::shared_ptr<entry::responder>& aResponder) {
     if (seenKeys.Add(aRequest.Header("Idempotency-Key")) == 1) {
       aResponder->Abort();
     } else {
@@ -155,7 +156,7 @@
   options.mix.streamedShare = 0;
   options.threads = 1;
   std::atomic<bool> first{ true };
-  Listen([&](const entry::server_request&, std::shared_ptr<entry::responder> aResponder) {
+  Listen([&](const entry::server_request&, const std::shared_ptr<entry::responder>& aResponder) {
     if (first.exchange(false)) {
       // Blocks the server thread, so that other calls wait as well.
       usleep(100000);
@@ -172,9 +173,9 @@
   options.mix.leaveShare = 1;
   std::vector<std::shared_ptr<entry::responder>> held;
   std::mutex mutex;
-  Listen([&](const entry::server_request&, std::shared_ptr<entry::responder> aResponder) {
+  Listen([&](const entry::server_request&, const std::shared_ptr<entry::responder>& aResponder) {
     const std::lock_guard lock(mutex);
-    held.push_back(std::move(aResponder));
+    held.push_back(aResponder);
   });
   const load_statistics seen = RunLoad();
   CHECK_EQUAL(seen.sent, seen.refusals.at(kLeft));
