--- a/standins/engine/enginefaults.cpp
+++ b/standins/engine/enginefaults.cpp
@@ -54,9 +54,9 @@
 {
   json_reader reader(aValue, "$", aProblem);
   engine_faults plan;
-  plan.dead = ReadInstances(reader, "dead");
-  plan.paused = ReadInstances(reader, "paused");
-  plan.leaving = ReadInstances(reader, "leaving");
+  plan.dead = ReadInstances(reader, "die");
+  plan.paused = ReadInstances(reader, "pause");
+  plan.leaving = ReadInstances(reader, "leave");
   plan.straggle = ReadFactors(reader, aProblem);
   plan.dark = reader.FlagOr("dark", false);
   plan.crashMarker = reader.TextOr("crash_marker", "");
@@ -71,9 +71,9 @@
   for (const auto& [instance, factor] : straggle) {
     factors[instance.value] = factor;
   }
-  return { { "dead", RenderInstances(dead) },
-           { "paused", RenderInstances(paused) },
-           { "leaving", RenderInstances(leaving) },
+  return { { "die", RenderInstances(dead) },
+           { "pause", RenderInstances(paused) },
+           { "leave", RenderInstances(leaving) },
            { "straggle", factors },
            { "dark", dark },
            { "crash_marker", crashMarker },
