--- a/src/app/router/clusterboard.h
+++ b/src/app/router/clusterboard.h
@@ -47,7 +47,7 @@
 
   /// Puts new views in force; nothing when no view is new.
   void Publish(time_point aNow);
-  std::shared_ptr<service_shard> ShardFor(const service_name& aName);
+  std::shared_ptr<service_shard> ShardFor(const service_name& aName, time_point aNow);
   void RecordApplied(const peers::mesh_message& aMessage);
   void LogMalformed(const peers::mesh_message& aMessage);
 
--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -32,6 +32,7 @@
   void Start();
   /// Brings an event to the flow; from any thread, never within the call itself.
   void Post(routing::flow_event aEvent);
+  [[nodiscard]] const service_name& Service() const { return mCall.service->Name(); }
 
 private:
   /// The attempt under way, or the last one.
--- a/src/app/router/internal/clusterboard.cpp
+++ b/src/app/router/internal/clusterboard.cpp
@@ -96,7 +96,7 @@
 cluster_board::Publish(time_point aNow)
 {
   for (const service_name& name : mView.Services()) {
-    const auto shard = ShardFor(name);
+    const auto shard = ShardFor(name, aNow);
     auto view = mView.Service(name);
     if (view != shard->View()) {
       mSink(shard->Update(std::move(view), aNow));
@@ -105,12 +105,12 @@
 }
 
 std::shared_ptr<service_shard>
-cluster_board::ShardFor(const service_name& aName)
+cluster_board::ShardFor(const service_name& aName, time_point aNow)
 {
   const std::lock_guard lock(mServicesMutex);
   auto& shard = mServices[aName];
   if (!shard) {
-    shard = std::make_shared<service_shard>(aName, mSelf, mZone, EntropySeed());
+    shard = std::make_shared<service_shard>(aName, mSelf, mZone, EntropySeed(), aNow);
   }
   return shard;
 }
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -16,6 +16,7 @@
 /// Bytes that a slow caller may leave untaken before the upstream is made to wait.
 constexpr std::size_t kMaxPendingBytes = 256U << 10U;
 constexpr duration kCallGrace = 1_s;
+constexpr duration kOutageRetry = 2_s;
 constexpr double kMsPerSecond = 1000;
 constexpr int kOk = 200;
 const std::string kEndOfStream = "data: [DONE]\n\n";
@@ -111,6 +112,10 @@
 void
 exchange::Do(const routing::ask_admission&)
 {
+  if (mCall.service->IsOut(Now())) {
+    Handle(routing::flow_not_admitted{ routing::refusal_reason::no_upstream, kOutageRetry });
+    return;
+  }
   const routing::admission_request request{ mId, mCall.customer, mCall.priority, mDeadline };
   mContext.registry.CarryOut(mCall.service->Arrive(request, Now()));
 }
--- a/src/app/router/internal/requestregistry.cpp
+++ b/src/app/router/internal/requestregistry.cpp
@@ -101,4 +101,14 @@
   }
 }
 
+void
+request_registry::RefuseWaiting(const service_name& aService) const
+{
+  for (const auto& found : All()) {
+    if (found->Service() == aService) {
+      found->Post(routing::flow_not_admitted{ routing::refusal_reason::no_upstream, 1_s });
+    }
+  }
+}
+
 } // namespace persimmon::router
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -76,7 +76,13 @@
 
   void Tick()
   {
-    board.Tick(steady_clock().Now());
+    const time_point now = steady_clock().Now();
+    board.Tick(now);
+    for (const auto& service : board.Services()) {
+      if (service->IsOut(now) && service->Waiting() > 0) {
+        registry.RefuseWaiting(service->Name());
+      }
+    }
     ticker.After(kTickInterval, [this] { Tick(); });
   }
 
--- a/src/app/router/internal/serviceshard.cpp
+++ b/src/app/router/internal/serviceshard.cpp
@@ -1,15 +1,23 @@
 #include "app/router/serviceshard.h"
 
 namespace persimmon::router {
+namespace {
+
+/// Requests wait this long for a first or new upstream; afterwards they are refused at once.
+constexpr duration kOutageGrace = 5_s;
+
+} // namespace
 
 service_shard::service_shard(const service_name& aService,
                              const router_id& aSelf,
                              const zone_name& aZone,
-                             std::uint64_t aSeed)
+                             std::uint64_t aSeed,
+                             time_point aNow)
   : mName(aService)
   , mView(std::make_shared<const routing::service_view>())
   , mAdmission(aSelf, aService)
   , mChooser(aZone, aSeed)
+  , mEligibleAt(aNow)
 {
 }
 
@@ -32,7 +40,24 @@
   }
   mView = std::move(aView);
   mChooser.Pool().Update(mView->candidates, aNow);
-  return mAdmission.SetUpstreams(mView->EligibleCount(aNow), aNow);
+  return CountUpstreams(aNow);
+}
+
+std::vector<routing::admission_action>
+service_shard::CountUpstreams(time_point aNow)
+{
+  const std::size_t count = mView->EligibleCount(aNow);
+  if (count > 0) {
+    mEligibleAt = aNow;
+  }
+  return mAdmission.SetUpstreams(count, aNow);
+}
+
+bool
+service_shard::IsOut(time_point aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  return aNow - mEligibleAt > kOutageGrace;
 }
 
 std::vector<routing::admission_action>
@@ -60,8 +85,7 @@
 service_shard::Tick(time_point aNow)
 {
   const std::lock_guard lock(mMutex);
-  std::vector<routing::admission_action> actions =
-    mAdmission.SetUpstreams(mView->EligibleCount(aNow), aNow);
+  std::vector<routing::admission_action> actions = CountUpstreams(aNow);
   for (routing::admission_action& action : mAdmission.Tick(aNow)) {
     actions.push_back(std::move(action));
   }
--- a/src/app/router/requestregistry.h
+++ b/src/app/router/requestregistry.h
@@ -24,6 +24,8 @@
   [[nodiscard]] std::size_t Count() const;
   /// Tells requests what their admission decided.
   void CarryOut(const std::vector<routing::admission_action>& aActions) const;
+  /// Tells a service's requests that wait for admission that no upstream is there.
+  void RefuseWaiting(const service_name& aService) const;
 
 private:
   static constexpr std::size_t kShards = 16;
--- a/src/app/router/serviceshard.h
+++ b/src/app/router/serviceshard.h
@@ -31,7 +31,8 @@
   service_shard(const service_name& aService,
                 const router_id& aSelf,
                 const zone_name& aZone,
-                std::uint64_t aSeed);
+                std::uint64_t aSeed,
+                time_point aNow);
 
   [[nodiscard]] const service_name& Name() const { return mName; }
   [[nodiscard]] std::shared_ptr<const routing::service_view> View() const;
@@ -45,6 +46,9 @@
   std::vector<routing::admission_action> Leave(const request_id& aRequest, time_point aNow);
   std::vector<routing::admission_action> Tick(time_point aNow);
 
+  /// True when no upstream could take requests for longer than a repair of a group takes.
+  [[nodiscard]] bool IsOut(time_point aNow) const;
+
   /// Chooses an upstream and records the dispatch. Without one, `choice.target` is null.
   chosen_upstream Choose(const routing::choice_request& aRequest, time_point aNow);
   /// Takes a load that came with a response.
@@ -64,12 +68,17 @@
   [[nodiscard]] std::size_t Waiting() const;
 
 private:
+  /// Takes the number of upstreams that can take requests to the admission.
+  std::vector<routing::admission_action> CountUpstreams(time_point aNow);
+
   service_name mName;
   mutable std::mutex mMutex;
   std::shared_ptr<const routing::service_view> mView;
   routing::admission mAdmission;
   routing::upstream_chooser mChooser;
   routing::retry_budget mBudget{ 0 };
+  /// When an upstream was last seen that could take requests.
+  time_point mEligibleAt;
 };
 
 } // namespace persimmon::router
--- a/src/entry/internal/responder.cpp
+++ b/src/entry/internal/responder.cpp
@@ -42,6 +42,20 @@
 
 constexpr const char* kLastChunk = "0\r\n\r\n";
 
+/// Returns the head of a chunked response. A stream that is cut off can only be told from a
+/// finished one by its closed connection.
+std::string
+HeadOf(int aStatus, const std::vector<server_header>& aHeaders)
+{
+  const auto line = StatusLine(aStatus);
+  std::string head =
+    fmt::format("HTTP/1.1 {} {}\r\n", line.status_code().raw_code(), line.reason_phrase());
+  for (const server_header& header : aHeaders) {
+    head += header.name + ": " + header.value + "\r\n";
+  }
+  return head + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
+}
+
 } // namespace
 
 responder::implementation::implementation(restinio::request_handle_t aRequest)
@@ -69,7 +83,7 @@
 responder::implementation::Send(server_response aResponse)
 {
   const std::lock_guard writing(mWriteMutex);
-  if (mStream || !End()) {
+  if (mStreaming || !End()) {
     return;
   }
   auto response = mRequest->create_response(StatusLine(aResponse.status));
@@ -84,25 +98,42 @@
 responder::implementation::StartStream(int aStatus, const std::vector<server_header>& aHeaders)
 {
   const std::lock_guard writing(mWriteMutex);
-  if (mStream || HasEnded()) {
+  if (mStreaming || HasEnded()) {
     return;
   }
-  mStream.emplace(
-    mRequest->create_response<restinio::user_controlled_output_t>(StatusLine(aStatus)));
-  for (const server_header& header : aHeaders) {
-    mStream->append_header(header.name, header.value);
+  mStreaming = true;
+  SendPart(HeadOf(aStatus, aHeaders), false);
+}
+
+void
+responder::implementation::SendPart(std::string aBytes, bool aLast, write_callback aCallback)
+{
+  // RESTinio's builder for such output would add a Content-Length.
+  const auto connection = restinio::impl::access_req_connection(*mRequest);
+  if (!connection) {
+    return;
   }
-  mStream->append_header("Transfer-Encoding", "chunked");
-  // A stream that is cut off can only be told from a finished one by its closed connection.
-  mStream->connection_close();
-  mStream->flush();
+  const restinio::response_output_flags_t flags{
+    aLast ? restinio::response_parts_attr_t::final_parts
+          : restinio::response_parts_attr_t::not_final_parts,
+    restinio::response_connection_attr_t::connection_close
+  };
+  restinio::writable_items_container_t items;
+  if (!aBytes.empty()) {
+    items.emplace_back(std::move(aBytes));
+  }
+  restinio::write_group_t group(std::move(items));
+  if (aCallback) {
+    group.after_write_notificator(std::move(aCallback));
+  }
+  connection->write_response_parts(mRequest->request_id(), flags, std::move(group));
 }
 
 void
 responder::implementation::Write(const std::string& aBytes)
 {
   const std::lock_guard writing(mWriteMutex);
-  if (!mStream || aBytes.empty() || HasEnded()) {
+  if (!mStreaming || aBytes.empty() || HasEnded()) {
     return;
   }
   std::string chunk = ChunkOf(aBytes);
@@ -111,12 +142,12 @@
     const std::lock_guard lock(mMutex);
     mPending += size;
   }
-  mStream->append_body(std::move(chunk));
-  mStream->flush([weak = weak_from_this(), size](const asio::error_code& aError) {
-    if (const auto self = weak.lock()) {
-      self->WriteDone(size, static_cast<bool>(aError));
-    }
-  });
+  SendPart(
+    std::move(chunk), false, [weak = weak_from_this(), size](const asio::error_code& aError) {
+      if (const auto self = weak.lock()) {
+        self->WriteDone(size, static_cast<bool>(aError));
+      }
+    });
 }
 
 void
@@ -141,24 +172,8 @@
 responder::implementation::FinishStream()
 {
   const std::lock_guard writing(mWriteMutex);
-  if (!mStream || !End()) {
-    return;
-  }
-  mStream->append_body(kLastChunk);
-  mStream->done();
-}
-
-void
-responder::implementation::CloseConnection()
-{
-  // A last part without bytes makes RESTinio close the connection.
-  const restinio::response_output_flags_t flags{
-    restinio::response_parts_attr_t::final_parts,
-    restinio::response_connection_attr_t::connection_close
-  };
-  const auto connection = restinio::impl::access_req_connection(*mRequest);
-  if (connection) {
-    connection->write_response_parts(mRequest->request_id(), flags, restinio::write_group_t{ {} });
+  if (mStreaming && End()) {
+    SendPart(kLastChunk, true);
   }
 }
 
@@ -166,13 +181,9 @@
 responder::implementation::Abort()
 {
   const std::lock_guard writing(mWriteMutex);
-  if (!End()) {
-    return;
-  }
-  if (mStream) {
-    mStream->done();
-  } else {
-    CloseConnection();
+  if (End()) {
+    // A last part makes the connection close after what was written before.
+    SendPart({}, true);
   }
 }
 
--- a/src/entry/internal/responderimplementation.h
+++ b/src/entry/internal/responderimplementation.h
@@ -3,7 +3,6 @@
 #include "entry/responder.h"
 
 #include <mutex>
-#include <optional>
 #include <restinio/all.hpp>
 
 namespace persimmon::entry {
@@ -27,19 +26,20 @@
   void ConnectionClosed();
 
 private:
-  using stream_builder = restinio::response_builder_t<restinio::user_controlled_output_t>;
+  using write_callback = restinio::write_status_cb_t;
 
   /// Marks the answer as ended; returns false when it had ended before.
   bool End();
   [[nodiscard]] bool HasEnded() const;
   void WriteDone(std::size_t aBytes, bool aFailed);
-  void CloseConnection();
+  /// Hands a part of a streamed response to the connection, which closes after the last part.
+  void SendPart(std::string aBytes, bool aLast, write_callback aCallback = {});
 
   /// Held while RESTinio is called, which may call WriteDone() and ConnectionClosed() from within;
   /// these two take only mMutex.
   std::mutex mWriteMutex;
   restinio::request_handle_t mRequest;
-  std::optional<stream_builder> mStream;
+  bool mStreaming = false;
 
   mutable std::mutex mMutex;
   std::size_t mPending = 0;
--- a/src/entry/tests/httpservertests.cpp
+++ b/src/entry/tests/httpservertests.cpp
@@ -55,6 +55,8 @@
   const auto response = Fetch(*address, 5_s, client);
   CHECK(response.has_value());
   STRCMP_EQUAL("one two", response->body.c_str());
+  STRCMP_EQUAL("chunked", response->Header("transfer-encoding").c_str());
+  STRCMP_EQUAL("", response->Header("content-length").c_str());
 }
 
 TEST(http_server, AbortedStreamIsSeenAsCutOff)
