--- a/src/check/internal/documentsinforce.cpp
+++ b/src/check/internal/documentsinforce.cpp
@@ -32,6 +32,7 @@
     }
   }
   std::vector<router_presence> routers;
+  routers.reserve(first.size());
   for (const auto& [name, from] : first) {
     routers.push_back({ name, from });
   }
--- a/src/check/tests/completehistorytests.cpp
+++ b/src/check/tests/completehistorytests.cpp
@@ -10,12 +10,11 @@
 
 TEST(complete_history, RecordedDispatchAndEndHold)
 {
-  const verdict found = CheckCompleteHistory(MadeHistory(R"(
-{"kind":"invoked","at":1,"call":"1.1"}
+  const verdict found = CheckCompleteHistory(MadeHistory(R"({"kind":"invoked","at":1,"call":"1.1"}
 {"kind":"attempted","at":2,"request":"r","attempt":"a"}
 {"kind":"started","at":3,"attempt":"a"}
 {"kind":"answered","at":4,"call":"1.1","request":"r"}
-)" + 1));
+)"));
   CHECK_EQUAL(2, found.checked);
   CHECK(found.violations.empty());
 }
@@ -29,20 +28,19 @@
 
 TEST(complete_history, CallThatEndsTwiceOrNeverBeganIsFound)
 {
-  const verdict found = CheckCompleteHistory(MadeHistory(R"(
-{"kind":"invoked","at":1,"call":"1.1"}
+  const verdict found = CheckCompleteHistory(MadeHistory(R"({"kind":"invoked","at":1,"call":"1.1"}
 {"kind":"answered","at":4,"call":"1.1"}
 {"kind":"refused","at":5,"call":"1.1"}
 {"kind":"answered","at":6,"call":"2.1"}
-)" + 1));
+)"));
   CHECK_EQUAL(2, found.violations.size());
 }
 
 TEST(complete_history, TwoDispatchesUnderOneAttemptIdAreFound)
 {
-  const verdict found = CheckCompleteHistory(MadeHistory(R"(
-{"kind":"attempted","at":2,"request":"r","attempt":"a"}
+  const verdict found =
+    CheckCompleteHistory(MadeHistory(R"({"kind":"attempted","at":2,"request":"r","attempt":"a"}
 {"kind":"attempted","at":3,"request":"s","attempt":"a"}
-)" + 1));
+)"));
   CHECK_EQUAL(1, found.violations.size());
 }
--- a/src/check/tests/madehistory.h
+++ b/src/check/tests/madehistory.h
@@ -23,7 +23,7 @@
 
 /// Returns a serving group in its first generation.
 inline placement::group
-MadeGroup(const std::string& aId, std::vector<instance_life> aMembers)
+MadeGroup(const std::string& aId, const std::vector<instance_life>& aMembers)
 {
   placement::group group;
   group.id.value = aId;
