Ledger: at most one run per idempotency key, over conditional updates

Calls that may not be repeated need proof, over all routers, that nobody else dispatches them. A pure core per shard object (ledger_shard) commits an intent before the dispatch: one read or write under way, all that waits joins the next write, lost replies are settled by re-read and by another conditional update from the same version, conflicts are re-read. Only the attempt that wrote an intent may close it. ledger_service runs the cores on a few threads.

--- /dev/null
+++ b/src/ledger/internal/ledgerserviceimpl.h
@@ -0,0 +1,317 @@
+#pragma once
+
+#include "ledger/ledgerservice.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <utility>
+
+namespace persimmon::ledger {
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+ledger_service<Store, Clock, Wall>::ledger_service(ledger_settings aSettings,
+                                                   const store_factory& aMakeStore,
+                                                   metrics_registry& aMetrics,
+                                                   Clock aClock,
+                                                   Wall aWall)
+  : mSettings(std::move(aSettings))
+  , mMetrics(aMetrics)
+  , mClock(std::move(aClock))
+  , mWall(std::move(aWall))
+{
+  mTimers.emplace([this](const shard_id& aShard) { Feed(aShard, tick_event{}); });
+  for (std::size_t i = 0; i < mSettings.storeThreads; ++i) {
+    mThreads.emplace_back(
+      [this, store = aMakeStore()]() mutable { RunStoreThread(std::move(store)); });
+  }
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+ledger_service<Store, Clock, Wall>::~ledger_service()
+{
+  mCalls.Close();
+  for (std::thread& thread : mThreads) {
+    thread.join();
+  }
+  mTimers.reset();
+  for (stripe& each : mStripes) {
+    for (const auto& [attempt, caller] : each.callers) {
+      Report(caller, {});
+    }
+  }
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Begin(const begin_request& aRequest, begin_callback aDone)
+{
+  begin_result refusal;
+  const auto key = Check(aRequest, refusal);
+  if (!key) {
+    Refuse(refusal, aDone);
+    return;
+  }
+  waiting_caller caller;
+  caller.pass.attempt = { mSettings.self, mNextAttempt++ };
+  caller.pass.record = RecordOf(key->key, aRequest.service, aRequest.customer);
+  caller.pass.shard = ShardOf(*key, caller.pass.record);
+  caller.began = mClock.Now();
+  caller.keyAge = mWall.Now() - key->madeAt;
+  caller.done = std::move(aDone);
+  const ticket pass = caller.pass;
+  const begin_event event{
+    pass.attempt, pass.record, aRequest.digest, caller.began + aRequest.patience
+  };
+  stripe& home = StripeOf(pass.shard);
+  {
+    const std::lock_guard lock(home.mutex);
+    home.callers.emplace(pass.attempt, std::move(caller));
+  }
+  Feed(pass.shard, event);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Close(const ticket& aTicket, close_outcome aOutcome)
+{
+  if (mOpenCloses >= mSettings.maxWaitingCloses) {
+    Perform(aTicket.shard, dropped_close_action{ aTicket.attempt });
+    return;
+  }
+  Feed(aTicket.shard,
+       close_event{ aTicket.attempt, aTicket.record, aOutcome.state, std::move(aOutcome.answer) });
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+bool
+ledger_service<Store, Clock, Wall>::Flush(duration aLongest)
+{
+  const time_point end = boot_clock().Now() + aLongest;
+  while (mOpenCloses > 0 && boot_clock().Now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(kFlushPoll.ms));
+  }
+  return mOpenCloses == 0;
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+typename ledger_service<Store, Clock, Wall>::stripe&
+ledger_service<Store, Clock, Wall>::StripeOf(const shard_id& aShard)
+{
+  const auto number = static_cast<std::uint64_t>(aShard.slice) * kShards + aShard.shard;
+  return mStripes[number % kStripes];
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+ledger_shard&
+ledger_service<Store, Clock, Wall>::ShardIn(stripe& aStripe, const shard_id& aShard)
+{
+  const auto found = aStripe.shards.find(aShard);
+  if (found != aStripe.shards.end()) {
+    return found->second;
+  }
+  const auto number = static_cast<std::uint64_t>(aShard.slice) * kShards + aShard.shard;
+  const random_source random(mSettings.seed ^ number);
+  return aStripe.shards.emplace(aShard, ledger_shard(mSettings.rules, random)).first->second;
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::CleanUp(stripe& aStripe, time_point aNow)
+{
+  std::erase_if(aStripe.shards, [&](const auto& aEntry) {
+    const ledger_shard& shard = aEntry.second;
+    return shard.Idle() && aNow - shard.LastUse() > kKeepIdle;
+  });
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+std::optional<parsed_key>
+ledger_service<Store, Clock, Wall>::Check(const begin_request& aRequest,
+                                          begin_result& aRefusal) const
+{
+  key_reason why;
+  auto key = ParseKey(aRequest.key, why);
+  if (!key) {
+    // No router accepts such a key, so no call under it was ever run.
+    aRefusal = { begin_verdict::bad_key, ran_state::no, {}, {} };
+    return std::nullopt;
+  }
+  const key_error age = CheckAge(*key, mWall.Now());
+  if (age == key_error::none) {
+    return key;
+  }
+  const bool old = age == key_error::too_old;
+  aRefusal.verdict = old ? begin_verdict::key_too_old : begin_verdict::key_in_future;
+  aRefusal.ran = ran_state::unknown;
+  return std::nullopt;
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Refuse(const begin_result& aResult, const begin_callback& aDone)
+{
+  waiting_caller caller;
+  caller.began = mClock.Now();
+  caller.done = aDone;
+  Report(caller, { aResult, {} });
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Feed(const shard_id& aShard, const shard_event& aEvent)
+{
+  stripe& home = StripeOf(aShard);
+  std::vector<shard_action> actions;
+  {
+    const std::lock_guard lock(home.mutex);
+    const time_point now = mClock.Now();
+    ledger_shard& shard = ShardIn(home, aShard);
+    const std::size_t before = shard.WaitingCloses();
+    actions = shard.Handle(aEvent, now);
+    mOpenCloses += shard.WaitingCloses() - before;
+    if (++home.uses % kUsesPerCleanUp == 0) {
+      CleanUp(home, now);
+    }
+  }
+  Perform(aShard, std::move(actions));
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Perform(const shard_id& aShard,
+                                            std::vector<shard_action> aActions)
+{
+  for (shard_action& action : aActions) {
+    if (std::holds_alternative<read_action>(action)) {
+      mCalls.Push({ aShard, std::nullopt });
+    } else if (auto* write = std::get_if<write_action>(&action)) {
+      mMetrics.Count(kIntentsWrittenTotal, {}, static_cast<double>(write->intents));
+      mCalls.Push({ aShard, std::move(*write) });
+    } else if (const auto* verdict = std::get_if<verdict_action>(&action)) {
+      Perform(aShard, *verdict);
+    } else if (const auto* wake = std::get_if<wake_action>(&action)) {
+      mTimers->Add(wake->at, aShard);
+    } else if (const auto* unreadable = std::get_if<unreadable_action>(&action)) {
+      WriteLog(kObjectUnreadable,
+               { { "object", ObjectOf(aShard).name }, { "detail", unreadable->why.detail } });
+    } else if (const auto* dropped = std::get_if<dropped_close_action>(&action)) {
+      Perform(aShard, *dropped);
+    }
+  }
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Perform(const shard_id& aShard, const verdict_action& aAction)
+{
+  stripe& home = StripeOf(aShard);
+  std::optional<waiting_caller> caller;
+  {
+    const std::lock_guard lock(home.mutex);
+    auto entry = home.callers.extract(aAction.attempt);
+    if (!entry.empty()) {
+      caller = std::move(entry.mapped());
+    }
+  }
+  if (!caller) {
+    return;
+  }
+  begin_reply reply{ aAction.result, {} };
+  if (reply.result.verdict == begin_verdict::granted) {
+    reply.pass = caller->pass;
+  }
+  if (reply.result.verdict == begin_verdict::in_progress && caller->keyAge > kLongestCall) {
+    reply.result = { begin_verdict::unknown, ran_state::unknown, {}, {} };
+  }
+  Report(*caller, reply);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Perform(const shard_id& aShard,
+                                            const dropped_close_action& aAction)
+{
+  WriteLog(kCloseDropped,
+           { { "object", ObjectOf(aShard).name },
+             { "attempt", fmt::format("{}", aAction.attempt.number) } });
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Report(const waiting_caller& aCaller, const begin_reply& aReply)
+{
+  const char* verdict = VerdictName(aReply.result.verdict);
+  const duration took = mClock.Now() - aCaller.began;
+  constexpr double kMsPerSecond = 1000;
+  mMetrics.Count(kBeginsTotal, { { "verdict", verdict } });
+  mMetrics.Observe(kBeginSeconds, static_cast<double>(took.ms) / kMsPerSecond);
+  WriteLog(aReply.pass ? kIntentCommitted : kBeginRefused,
+           { { "verdict", verdict },
+             { "record", aCaller.pass.record.value },
+             { "attempt", fmt::format("{}", aCaller.pass.attempt.number) },
+             { "ms", fmt::format("{}", took.ms) } });
+  aCaller.done(aReply);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::RunStoreThread(Store aStore)
+{
+  while (const auto call = mCalls.Pop()) {
+    const shard_event event = Call(aStore, *call);
+    Feed(call->shard, event);
+  }
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+shard_event
+ledger_service<Store, Clock, Wall>::Call(Store& aStore, const store_call& aCall)
+{
+  return aCall.write ? CallWrite(aStore, aCall) : CallRead(aStore, aCall);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+shard_event
+ledger_service<Store, Clock, Wall>::CallRead(Store& aStore, const store_call& aCall)
+{
+  read_event result;
+  result.object = aStore.Get(ObjectOf(aCall.shard));
+  if (!result.object) {
+    result.error = aStore.LastReason().code;
+  }
+  CountCall("read", result.error, aCall.shard);
+  return result;
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+shard_event
+ledger_service<Store, Clock, Wall>::CallWrite(Store& aStore, const store_call& aCall)
+{
+  write_event result;
+  result.version = aStore.Put(ObjectOf(aCall.shard), aCall.write->value, aCall.write->condition);
+  if (!result.version) {
+    result.error = aStore.LastReason().code;
+  }
+  CountCall("write", result.error, aCall.shard);
+  return result;
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::CountCall(const char* aKind,
+                                              platform::store_error aError,
+                                              const shard_id& aShard)
+{
+  const char* name = platform::StoreErrorName(aError);
+  mMetrics.Count(kStoreCallsTotal, { { "kind", aKind }, { "result", name } });
+  mMetrics.Set(kWaitingCloses, static_cast<double>(mOpenCloses));
+  const bool usual = aError == platform::store_error::none ||
+                     aError == platform::store_error::not_found ||
+                     aError == platform::store_error::conflict;
+  if (!usual) {
+    WriteLog(kStoreCallFailed,
+             { { "object", ObjectOf(aShard).name }, { "call", aKind }, { "error", name } });
+  }
+}
+
+} // namespace persimmon::ledger
--- /dev/null
+++ b/src/ledger/internal/ledgertable.cpp
@@ -0,0 +1,190 @@
+#include "ledger/ledgertable.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace persimmon::ledger {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kFormat = 1;
+constexpr std::size_t kOpenFields = 5;
+constexpr std::size_t kAnswerFields = 8;
+constexpr int kStates = 4;
+
+/// Returns the length of a text in JSON, or nothing when it is not UTF-8.
+std::optional<std::size_t>
+EncodedLength(const std::string& aText)
+{
+  try {
+    return json(aText).dump().size();
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<std::size_t>
+EncodedLength(const stored_answer& aAnswer)
+{
+  if (aAnswer.body.size() > kMaxKeptAnswer || aAnswer.contentType.size() > kMaxContentType) {
+    return std::nullopt;
+  }
+  const auto type = EncodedLength(aAnswer.contentType);
+  const auto body = EncodedLength(aAnswer.body);
+  return type && body ? std::optional(*type + *body) : std::nullopt;
+}
+
+/// Numbers the writers of a table, so that a record names its writer by a small number.
+class writer_index
+{
+public:
+  std::size_t NumberOf(const writer_identity& aWriter)
+  {
+    const auto [entry, added] = mNumbers.try_emplace(aWriter, mNumbers.size());
+    if (added) {
+      mList.push_back({ aWriter.router.value, aWriter.start });
+    }
+    return entry->second;
+  }
+
+  [[nodiscard]] const json& List() const { return mList; }
+
+private:
+  std::map<writer_identity, std::size_t> mNumbers;
+  json mList = json::array();
+};
+
+json
+ToJson(const record_id& aId, const ledger_record& aRecord, writer_index& aWriters)
+{
+  json value = json::array({ aId.value,
+                             aRecord.digest,
+                             aWriters.NumberOf(aRecord.attempt.writer),
+                             aRecord.attempt.number,
+                             static_cast<int>(aRecord.state) });
+  if (aRecord.answer) {
+    value.push_back(aRecord.answer->status);
+    value.push_back(aRecord.answer->contentType);
+    value.push_back(aRecord.answer->body);
+  }
+  return value;
+}
+
+std::vector<writer_identity>
+ReadWriters(const json& aList)
+{
+  std::vector<writer_identity> writers;
+  for (const json& entry : aList) {
+    writers.push_back({ { entry.at(0).get<std::string>() }, entry.at(1).get<std::uint64_t>() });
+  }
+  return writers;
+}
+
+record_state
+ReadState(const json& aValue)
+{
+  const int state = aValue.get<int>();
+  if (state < 0 || state >= kStates) {
+    throw std::out_of_range(fmt::format("record state {}", state));
+  }
+  return static_cast<record_state>(state);
+}
+
+ledger_record
+ReadRecord(const json& aValue, const std::vector<writer_identity>& aWriters)
+{
+  if (aValue.size() != kOpenFields && aValue.size() != kAnswerFields) {
+    throw std::out_of_range(fmt::format("record of {} fields", aValue.size()));
+  }
+  ledger_record record;
+  record.digest = aValue.at(1).get<std::string>();
+  record.attempt.writer = aWriters.at(aValue.at(2).get<std::size_t>());
+  record.attempt.number = aValue.at(3).get<std::uint64_t>();
+  record.state = ReadState(aValue.at(4));
+  if (aValue.size() == kAnswerFields) {
+    record.answer = stored_answer{ aValue.at(5).get<int>(),
+                                   aValue.at(6).get<std::string>(),
+                                   aValue.at(7).get<std::string>() };
+  }
+  return record;
+}
+
+void
+Insert(ledger_table& aTable, record_id aId, ledger_record aRecord)
+{
+  if (aRecord.answer) {
+    aTable.answerBytes += EncodedLength(*aRecord.answer).value_or(0);
+  }
+  const bool added = aTable.records.emplace(std::move(aId), std::move(aRecord)).second;
+  if (!added) {
+    throw std::out_of_range("a record that stands twice");
+  }
+}
+
+} // namespace
+
+const ledger_record*
+ledger_table::Find(const record_id& aRecord) const
+{
+  const auto found = records.find(aRecord);
+  return found == records.end() ? nullptr : &found->second;
+}
+
+void
+ledger_table::Close(const record_id& aRecord,
+                    record_state aOutcome,
+                    const std::optional<stored_answer>& aAnswer)
+{
+  ledger_record& record = records.at(aRecord);
+  record.state = aOutcome;
+  if (aOutcome != record_state::done || !aAnswer) {
+    return;
+  }
+  const auto length = EncodedLength(*aAnswer);
+  if (length && answerBytes + *length <= kAnswerBudget) {
+    record.answer = aAnswer;
+    answerBytes += *length;
+  }
+}
+
+std::optional<ledger_table>
+ParseLedgerTable(std::string_view aText, table_reason& aReason)
+{
+  const json value = json::parse(aText, nullptr, false);
+  if (value.is_discarded()) {
+    aReason = { table_error::not_json, "the value is not JSON" };
+    return std::nullopt;
+  }
+  try {
+    if (value.at("format").get<int>() != kFormat) {
+      aReason = { table_error::unknown_format, "format " + value.at("format").dump() };
+      return std::nullopt;
+    }
+    const auto writers = ReadWriters(value.at("writers"));
+    ledger_table table;
+    for (const json& entry : value.at("records")) {
+      Insert(table, { entry.at(0).get<std::string>() }, ReadRecord(entry, writers));
+    }
+    return table;
+  } catch (const std::exception& failure) {
+    aReason = { table_error::bad_member, failure.what() };
+    return std::nullopt;
+  }
+}
+
+std::string
+RenderLedgerTable(const ledger_table& aTable)
+{
+  writer_index writers;
+  json records = json::array();
+  for (const auto& [id, record] : aTable.records) {
+    records.push_back(ToJson(id, record, writers));
+  }
+  const json value = { { "format", kFormat },
+                       { "writers", writers.List() },
+                       { "records", std::move(records) } };
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace persimmon::ledger
--- /dev/null
+++ b/src/ledger/tests/ledgerservicetests.cpp
@@ -0,0 +1,152 @@
+#include "ledger/ledgerservice.h"
+
+#include "ledger/tests/mocks/sharedstore.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+#include <future>
+#include <memory>
+
+using namespace persimmon;
+using namespace persimmon::ledger;
+
+namespace {
+
+using service = ledger_service<shared_store, boot_clock, manual_clock>;
+
+const time_point kWallNow{ 1700000000000 };
+
+std::string
+KeyAt(time_point aTime, int aNumber)
+{
+  return fmt::format("{:08x}-{:04x}-7000-8000-{:012x}", aTime.ms >> 16, aTime.ms & 0xffff, aNumber);
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(ledger_service)
+{
+  shared_content shared;
+  metrics_registry metrics;
+  manual_clock wall;
+  std::vector<std::unique_ptr<service>> routers;
+
+  void setup() override
+  {
+    wall.Set(kWallNow);
+    Add();
+    Add();
+  }
+  void teardown() override { routers.clear(); }
+
+  void Add()
+  {
+    ledger_settings settings;
+    settings.self = { { fmt::format("r{}", routers.size()) }, 1 };
+    settings.seed = routers.size();
+    settings.rules.closeLinger = 5_ms;
+    routers.push_back(std::make_unique<service>(
+      settings, [this] { return shared_store(shared); }, metrics, boot_clock{}, wall));
+  }
+  std::future<begin_reply> Ask(std::size_t aRouter, const std::string& aKey, duration aPatience = 10_s)
+  {
+    const auto promise = std::make_shared<std::promise<begin_reply>>();
+    routers[aRouter]->Begin({ aKey, { "s" }, { "c" }, "d", aPatience },
+                            [promise](const begin_reply& aReply) { promise->set_value(aReply); });
+    return promise->get_future();
+  }
+  begin_verdict Verdict(const std::string& aKey) { return Ask(0, aKey).get().result.verdict; }
+  void SetDown(bool aDown)
+  {
+    const std::lock_guard lock(shared.mutex);
+    shared.store.down = aDown;
+  }
+};
+// clang-format on
+
+TEST(ledger_service, EachKeyIsGrantedOnceOverSeveralRouters)
+{
+  constexpr int kKeys = 50;
+  for (int i = 0; i < 3; ++i) {
+    Add();
+  }
+  std::vector<std::future<begin_reply>> replies;
+  for (int key = 0; key < kKeys; ++key) {
+    for (std::size_t router = 0; router < routers.size(); ++router) {
+      replies.push_back(Ask(router, KeyAt(kWallNow, key)));
+    }
+  }
+  std::map<record_id, int> grants;
+  for (auto& reply : replies) {
+    const begin_reply got = reply.get();
+    if (got.pass) {
+      ++grants[got.pass->record];
+    }
+  }
+  LONGS_EQUAL(kKeys, grants.size());
+  for (const auto& [record, count] : grants) {
+    LONGS_EQUAL(1, count);
+  }
+}
+
+TEST(ledger_service, ClosedAnswerReachesARepeatAtAnotherRouter)
+{
+  const std::string key = KeyAt(kWallNow, 1);
+  const begin_reply first = Ask(0, key).get();
+  routers[0]->Close(*first.pass, { record_state::done, stored_answer{ 201, "", "slot 4" } });
+  CHECK(routers[0]->Flush(10_s));
+  const begin_reply repeat = Ask(1, key).get();
+  CHECK(repeat.result.verdict == begin_verdict::done);
+  STRCMP_EQUAL("slot 4", repeat.result.answer->body.c_str());
+}
+
+TEST(ledger_service, KeysOutsideTheAcceptedTimeAreRefusedWithoutTheStore)
+{
+  const auto ran = [&](const std::string& aKey) { return Ask(0, aKey).get().result.ran; };
+  const std::string old = KeyAt(kWallNow - kKeyHorizon - 1_ms, 1);
+  const std::string future = KeyAt(kWallNow + kKeySkew + 1_ms, 1);
+  CHECK(Verdict(old) == begin_verdict::key_too_old);
+  CHECK(ran(old) == ran_state::unknown);
+  CHECK(Verdict(future) == begin_verdict::key_in_future);
+  CHECK(ran(future) == ran_state::unknown);
+  CHECK(Verdict("correction-17") == begin_verdict::bad_key);
+  CHECK(ran("correction-17") == ran_state::no);
+  LONGS_EQUAL(0, shared.content.reads);
+}
+
+TEST(ledger_service, StoreDownIsAnsweredWhenThePatienceEnds)
+{
+  SetDown(true);
+  const begin_reply reply = Ask(0, KeyAt(kWallNow, 1), 50_ms).get();
+  CHECK(reply.result.verdict == begin_verdict::store_unavailable);
+  CHECK(reply.result.ran == ran_state::unknown);
+  CHECK_FALSE(reply.pass.has_value());
+}
+
+TEST(ledger_service, NotRunIsRecordedOnceTheStoreIsBack)
+{
+  const std::string key = KeyAt(kWallNow, 1);
+  const begin_reply first = Ask(0, key).get();
+  SetDown(true);
+  routers[0]->Close(*first.pass, { record_state::not_run, {} });
+  CHECK_FALSE(routers[0]->Flush(30_ms));
+  SetDown(false);
+  CHECK(routers[0]->Flush(60_s));
+  CHECK(Ask(1, key).get().pass.has_value());
+}
+
+TEST(ledger_service, CallersStillWaitingAtTheEndAreAnswered)
+{
+  SetDown(true);
+  auto reply = Ask(0, KeyAt(kWallNow, 1), 60_s);
+  routers.clear();
+  CHECK(reply.get().result.verdict == begin_verdict::store_unavailable);
+}
+
+TEST(ledger_service, OpenIntentOfAnOldKeyIsUnknown)
+{
+  const std::string key = KeyAt(kWallNow - 3600_s, 1);
+  CHECK(Ask(0, key).get().pass.has_value());
+  CHECK(Ask(1, key).get().result.verdict == begin_verdict::unknown);
+}
--- /dev/null
+++ b/src/ledger/tests/mocks/sharedstore.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "platform/tests/mocks/memoryobjectstore.h"
+
+#include <mutex>
+
+namespace persimmon::ledger {
+
+/// One store in memory behind a lock, for the connections of several threads.
+struct shared_content
+{
+  std::mutex mutex;
+  platform::memory_object_store::content content;
+  platform::memory_object_store store{ content };
+};
+
+/// A connection to a shared_content.
+class shared_store
+{
+private:
+  template<typename Action>
+  auto Call(const Action& aAction)
+  {
+    const std::lock_guard lock(mShared->mutex);
+    auto result = aAction(mShared->store);
+    mReason = mShared->store.LastReason();
+    return result;
+  }
+
+public:
+  explicit shared_store(shared_content& aShared)
+    : mShared(&aShared)
+  {
+  }
+
+  std::optional<platform::stored_object> Get(const platform::object_key& aKey)
+  {
+    return Call([&](auto& aStore) { return aStore.Get(aKey); });
+  }
+  std::optional<platform::object_list> List(const std::string& aKind)
+  {
+    return Call([&](auto& aStore) { return aStore.List(aKind); });
+  }
+  std::optional<revision> Put(const platform::object_key& aKey,
+                              const std::string& aValue,
+                              const platform::write_condition& aCondition)
+  {
+    return Call([&](auto& aStore) { return aStore.Put(aKey, aValue, aCondition); });
+  }
+  std::optional<revision> Delete(const platform::object_key& aKey, revision aExpected)
+  {
+    return Call([&](auto& aStore) { return aStore.Delete(aKey, aExpected); });
+  }
+  std::optional<platform::object_changes> Watch(const std::vector<std::string>& aKinds,
+                                                revision aFrom,
+                                                duration aWait)
+  {
+    return Call([&](auto& aStore) { return aStore.Watch(aKinds, aFrom, aWait); });
+  }
+  [[nodiscard]] const platform::store_reason& LastReason() const { return mReason; }
+
+private:
+  shared_content* mShared;
+  platform::store_reason mReason;
+};
+
+static_assert(platform::object_store<shared_store>);
+
+} // namespace persimmon::ledger
