Placement: leases, domain owners, planner and persimmon-placer

Pure cores (lease_keeper, domain_owner, planner) joined in placer_core, with a shell that calls the platform and the engines.

--- a/src/placement/domaintable.h
+++ b/src/placement/domaintable.h
@@ -4,6 +4,7 @@
 #include "base/reason.h"
 #include "document/modelspec.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
   generation version;
   zone_name zone;
   std::vector<group_member> members;
+  /// Members that had to fetch the weights when the group was formed; orders the load slots.
+  std::uint64_t loads = 0;
 
   bool operator==(const group&) const = default;
 };
@@ -57,6 +60,8 @@
   /// Names the write that brought this version, to tell a lost reply from a lost write.
   write_id lastWrite;
   std::vector<group> groups;
+  /// Instances of the domain that no group may be given: unreachable, or kept out for a while.
+  std::vector<instance_id> absent;
 
   bool operator==(const domain_table&) const = default;
 };
--- a/src/placement/internal/domaintable.cpp
+++ b/src/placement/internal/domaintable.cpp
@@ -54,6 +54,7 @@
   result.state = ReadState(reader);
   result.version.value = static_cast<std::uint64_t>(reader.Number("generation", 0, kMaxCounter));
   result.zone.value = reader.TextOr("zone", "");
+  result.loads = static_cast<std::uint64_t>(reader.NumberOr("loads", 0, kMaxCounter, 0));
   std::size_t index = 0;
   for (const nlohmann::json& value : reader.List("members")) {
     result.members.push_back(
@@ -73,6 +74,9 @@
                            { "state", StateName(aGroup.state) },
                            { "generation", aGroup.version.value },
                            { "zone", aGroup.zone.value } };
+  if (aGroup.loads != 0) {
+    value["loads"] = aGroup.loads;
+  }
   value["members"] = nlohmann::json::array();
   for (const group_member& member : aGroup.members) {
     value["members"].push_back({ { "instance", member.instance.value },
@@ -134,6 +138,13 @@
   for (const nlohmann::json& entry : reader.List("groups")) {
     table.groups.push_back(ReadGroup(entry, fmt::format("$.groups[{}]", index++), problem));
   }
+  for (const nlohmann::json& entry : reader.List("absent")) {
+    if (entry.is_string()) {
+      table.absent.push_back({ entry.get<std::string>() });
+    } else {
+      reader.Fail("$.absent", entry.dump(), "a list of texts");
+    }
+  }
   if (!reader.Finish()) {
     aReason = { table_error::bad_member, problem.Text() };
     return std::nullopt;
@@ -157,6 +168,9 @@
   for (const group& entry : aTable.groups) {
     value["groups"].push_back(ToJson(entry));
   }
+  for (const instance_id& instance : aTable.absent) {
+    value["absent"].push_back(instance.value);
+  }
   return value.dump();
 }
 
--- /dev/null
+++ b/src/placement/internal/placercore.cpp
@@ -0,0 +1,248 @@
+#include "placement/placercore.h"
+
+#include "placement/ownership.h"
+#include "placement/placementevents.h"
+
+#include <algorithm>
+
+namespace persimmon::placement {
+namespace {
+
+constexpr std::string_view kPlannerSubject = "planner";
+
+} // namespace
+
+placer_core::placer_core(placer_options aOptions, std::uint64_t aSeed)
+  : mOptions(std::move(aOptions))
+  , mRandom(aSeed)
+  , mLease(mOptions.self, mOptions.lease)
+  , mPlanner({ mOptions.self, mOptions.weights, mOptions.loadSlots })
+{
+}
+
+placement_actions
+placer_core::Release()
+{
+  return mLease.Release();
+}
+
+domain_owner&
+placer_core::Owner(const domain_name& aDomain)
+{
+  const auto found = mDomains.find(aDomain);
+  if (found != mDomains.end()) {
+    return found->second;
+  }
+  owner_options options{ mOptions.self, mOptions.weights, mOptions.longestOrder };
+  return mDomains.emplace(aDomain, domain_owner(aDomain, std::move(options), mRandom.Next()))
+    .first->second;
+}
+
+placement_actions
+placer_core::Handle(const placement_event& aEvent, time_point aNow)
+{
+  placement_actions actions = mLease.Handle(aEvent, aNow);
+  if (const auto* listed = std::get_if<objects_listed>(&aEvent)) {
+    OnList(*listed, aNow, actions);
+  } else if (const auto* changed = std::get_if<objects_changed>(&aEvent)) {
+    for (const platform::object_change& change : changed->changes) {
+      OnChange(change, aNow, actions);
+    }
+  } else if (const auto* instances = std::get_if<instances_listed>(&aEvent)) {
+    TakeInstances(*instances);
+  }
+  const bool holds = mLease.Holds(aNow);
+  if (holds != mHeldLease) {
+    mHeldLease = holds;
+    actions.emplace_back(log_decision{ holds ? kLeaseGained : kLeaseLost, {}, {}, {}, {} });
+  }
+  if (mDocumentsKnown && mTablesKnown && mInstancesKnown && mPlanKnown) {
+    RunOwners(aEvent, aNow, actions);
+    RunPlanner(aEvent, aNow, actions);
+  }
+  return actions;
+}
+
+void
+placer_core::OnList(const objects_listed& aEvent, time_point aNow, placement_actions& aActions)
+{
+  if (!aEvent.list) {
+    return;
+  }
+  for (const platform::stored_object& object : aEvent.list->objects) {
+    OnChange({ object.key, object.version, false, object.value }, aNow, aActions);
+  }
+  mDocumentsKnown = mDocumentsKnown || aEvent.kind == kServiceKind;
+  mTablesKnown = mTablesKnown || aEvent.kind == kDomainKind;
+  mPlanKnown = mPlanKnown || aEvent.kind == kPlanKind;
+}
+
+void
+placer_core::OnChange(const platform::object_change& aChange,
+                      time_point aNow,
+                      placement_actions& aActions)
+{
+  if (aChange.key.kind == kServiceKind) {
+    TakeDocument(aChange, aActions);
+  } else if (aChange.key.kind == kDomainKind) {
+    TakeTable(aChange, aNow, aActions);
+  } else if (aChange.key.kind == kPlanKind && !aChange.deleted) {
+    std::string problem;
+    mPlanner.SetPlan(aChange.version, ParsePlan(aChange.value, problem));
+  }
+}
+
+void
+placer_core::TakeDocument(const platform::object_change& aChange, placement_actions& aActions)
+{
+  const service_name service{ aChange.key.name };
+  versioned_document& known = mDocuments[service];
+  if (known.version >= aChange.version) {
+    return;
+  }
+  if (aChange.deleted) {
+    known.version = aChange.version;
+    known.document.service = service;
+    known.document.retired = true;
+    mPlanner.MarkDirty();
+    return;
+  }
+  document_reason why;
+  auto document = ParseServiceDocument(aChange.value, why);
+  if (!document) {
+    aActions.emplace_back(log_decision{ kDocumentRefused, {}, {}, service.value, why.detail });
+    if (known.version == revision{}) {
+      mDocuments.erase(service);
+    }
+    return;
+  }
+  known = { aChange.version, std::move(*document) };
+  mPlanner.MarkDirty();
+}
+
+void
+placer_core::TakeTable(const platform::object_change& aChange,
+                       time_point aNow,
+                       placement_actions& aActions)
+{
+  if (aChange.deleted) {
+    return;
+  }
+  const domain_name domain{ aChange.key.name };
+  table_reason why;
+  auto table = ParseDomainTable(aChange.value, why);
+  if (!table) {
+    aActions.emplace_back(log_decision{ kTableRefused, domain.value, {}, {}, why.detail });
+    return;
+  }
+  Owner(domain).SetTable(aChange.version, std::move(table), aNow);
+}
+
+void
+placer_core::TakeInstances(const instances_listed& aEvent)
+{
+  const bool changed = mInstances != aEvent.instances;
+  mInstancesKnown = true;
+  if (!changed) {
+    return;
+  }
+  mInstances = aEvent.instances;
+  for (const platform::listed_instance& instance : mInstances) {
+    const bool placeable = !instance.entry && instance.service.Empty() && !instance.domain.Empty();
+    if (placeable) {
+      Owner(instance.domain);
+    }
+  }
+  SpreadInstances();
+  mPlanner.MarkDirty();
+}
+
+void
+placer_core::SpreadInstances()
+{
+  mPlaces.clear();
+  std::map<instance_id, domain_name> held;
+  for (const auto& [domain, owner] : mDomains) {
+    for (const group& entry : owner.Table().groups) {
+      for (const group_member& member : entry.members) {
+        held[member.instance] = domain;
+      }
+    }
+  }
+  std::map<domain_name, std::set<instance_id>> foreign;
+  std::map<domain_name, std::vector<platform::listed_instance>> listed;
+  for (const platform::listed_instance& instance : mInstances) {
+    listed[instance.domain].push_back(instance);
+    mPlaces[instance.instance] = instance.domain;
+    const auto holder = held.find(instance.instance);
+    if (holder != held.end() && holder->second != instance.domain) {
+      foreign[instance.domain].insert(instance.instance);
+    }
+  }
+  for (auto& [domain, owner] : mDomains) {
+    owner.SetInstances(listed[domain], std::move(foreign[domain]));
+  }
+}
+
+void
+placer_core::FollowTables()
+{
+  bool changed = false;
+  for (const auto& [domain, owner] : mDomains) {
+    revision& seen = mTableVersions[domain];
+    if (seen != owner.Version()) {
+      seen = owner.Version();
+      mTables[domain] = owner.Table();
+      changed = true;
+    }
+  }
+  if (changed) {
+    SpreadInstances();
+    mPlanner.MarkDirty();
+  }
+}
+
+bool
+placer_core::Concerns(const placement_event& aEvent, const domain_owner& aOwner) const
+{
+  if (const auto* read = std::get_if<member_read>(&aEvent)) {
+    return aOwner.Members().Find(read->instance) != nullptr;
+  }
+  if (const auto* order = std::get_if<order_done>(&aEvent)) {
+    return aOwner.Members().Find(order->instance) != nullptr;
+  }
+  return true;
+}
+
+void
+placer_core::RunOwners(const placement_event& aEvent, time_point aNow, placement_actions& aActions)
+{
+  FollowTables();
+  const std::vector<placer_id> live = mLease.Live(aNow);
+  const bool holds = mLease.Holds(aNow);
+  mOwned = 0;
+  for (auto& [domain, owner] : mDomains) {
+    const bool owned = holds && RendezvousOwner(domain.value, live) == mOptions.self;
+    mOwned += owned ? 1 : 0;
+    if (!Concerns(aEvent, owner)) {
+      continue;
+    }
+    const owner_view view{ owned,           mLease.OrderUntil(), mLease.Epoch(),
+                           mLease.Length(), mDocuments,          mPlanner.Plan() };
+    const placement_actions actions = owner.Handle(aEvent, view, aNow);
+    aActions.insert(aActions.end(), actions.begin(), actions.end());
+  }
+  FollowTables();
+}
+
+void
+placer_core::RunPlanner(const placement_event& aEvent, time_point aNow, placement_actions& aActions)
+{
+  const bool elected =
+    mLease.Holds(aNow) && RendezvousOwner(kPlannerSubject, mLease.Live(aNow)) == mOptions.self;
+  const planner_view view{ elected, { mDocuments, mTables, mInstances, nullptr } };
+  const placement_actions actions = mPlanner.Handle(aEvent, view, aNow);
+  aActions.insert(aActions.end(), actions.begin(), actions.end());
+}
+
+} // namespace persimmon::placement
--- /dev/null
+++ b/src/placement/servicecatalogue.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "document/versioneddocument.h"
+
+#include <map>
+
+namespace persimmon::placement {
+
+/// The newest accepted document of each service.
+using service_catalogue = std::map<service_name, versioned_document>;
+
+} // namespace persimmon::placement
--- a/src/placement/tests/domaintabletests.cpp
+++ b/src/placement/tests/domaintabletests.cpp
@@ -19,7 +19,8 @@
   entry.zone = { "gasabo" };
   entry.members = { { { "i1" }, { "127.0.0.1:9001" }, { 3 } },
                     { { "i2" }, { "127.0.0.1:9002" }, { 1 } } };
-  return { { "fabric-1" }, { "p1" }, { 4 }, { "w9" }, { entry } };
+  entry.loads = 1;
+  return { { "fabric-1" }, { "p1" }, { 4 }, { "w9" }, { entry }, { { "i3" } } };
 }
 
 } // namespace
