--- a/src/placement/internal/groupdecider.cpp
+++ b/src/placement/internal/groupdecider.cpp
@@ -450,8 +450,8 @@
 group_decider::IsAnyoneWaiting(const group& aHeld) const
 {
   for (const service_document* document : ByPriority()) {
-    const bool short_ = CountActive(document->service) < ShareHere(document->service);
-    if (document->service != aHeld.service && short_) {
+    const bool tooFew = CountActive(document->service) < ShareHere(document->service);
+    if (document->service != aHeld.service && tooFew) {
       return true;
     }
   }
--- a/src/placement/internal/planbuilder.cpp
+++ b/src/placement/internal/planbuilder.cpp
@@ -291,15 +291,15 @@
              std::pair(aRight.IsServing(), !aRight.ending);
     });
   for (planned_group& outdated : aService.outdated) {
-    const bool serving_ = outdated.IsServing();
-    if (serving_ && allowed <= 0) {
+    const bool stopsServing = outdated.IsServing();
+    if (stopsServing && allowed <= 0) {
       continue;
     }
     const bool fits = outdated.room->Later() + outdated.usableMembers >= aService.Size();
-    if (serving_ && outdated.ending && !surges && !fits) {
+    if (stopsServing && outdated.ending && !surges && !fits) {
       continue;
     }
-    allowed -= serving_ ? 1 : 0;
+    allowed -= stopsServing ? 1 : 0;
     Stop(aService, outdated);
     outdated.entry = nullptr;
   }
--- a/src/placement/tests/mocks/placementharness.h
+++ b/src/placement/tests/mocks/placementharness.h
@@ -232,7 +232,7 @@
   };
 
   /// Runs a step of a placer's life; one that is paused runs it when it wakes.
-  void RunIn(one_placer& aPlacer, std::uint64_t aLife, std::function<void()> aStep)
+  void RunIn(one_placer& aPlacer, std::uint64_t aLife, const std::function<void()>& aStep)
   {
     if (!aPlacer.alive || aPlacer.life != aLife) {
       return;
@@ -244,7 +244,7 @@
     aStep();
   }
 
-  void Tell(one_placer& aPlacer, std::uint64_t aLife, placement_event aEvent)
+  void Tell(one_placer& aPlacer, std::uint64_t aLife, const placement_event& aEvent)
   {
     RunIn(aPlacer, aLife, [this, &aPlacer, aEvent] {
       for (placement_action& action : aPlacer.core->Handle(aEvent, mNow)) {
@@ -253,7 +253,10 @@
     });
   }
 
-  void Reply(one_placer& aPlacer, std::uint64_t aLife, duration aDelay, placement_event aEvent)
+  void Reply(one_placer& aPlacer,
+             std::uint64_t aLife,
+             duration aDelay,
+             const placement_event& aEvent)
   {
     After(aDelay, [this, &aPlacer, aLife, aEvent] { Tell(aPlacer, aLife, aEvent); });
   }
