--- a/standins/engine/enginefaults.cpp
+++ b/standins/common/fleetfaults.cpp
@@ -1,4 +1,4 @@
-#include "standins/engine/enginefaults.h"
+#include "standins/common/fleetfaults.h"
 
 namespace persimmon::standins {
 namespace {
@@ -49,23 +49,30 @@
 
 } // namespace
 
-std::optional<engine_faults>
-engine_faults::Parse(const nlohmann::json& aValue, json_problem& aProblem)
+fleet_faults
+fleet_faults::Read(json_reader& aReader, json_problem& aProblem)
+{
+  fleet_faults plan;
+  plan.dead = ReadInstances(aReader, "die");
+  plan.paused = ReadInstances(aReader, "pause");
+  plan.leaving = ReadInstances(aReader, "leave");
+  plan.straggle = ReadFactors(aReader, aProblem);
+  plan.dark = aReader.FlagOr("dark", false);
+  plan.crashMarker = aReader.TextOr("crash_marker", "");
+  plan.crashReturn.ms = aReader.NumberOr("crash_return_ms", 0, kLongestReturnMs, 0);
+  return plan;
+}
+
+std::optional<fleet_faults>
+fleet_faults::Parse(const nlohmann::json& aValue, json_problem& aProblem)
 {
   json_reader reader(aValue, "$", aProblem);
-  engine_faults plan;
-  plan.dead = ReadInstances(reader, "die");
-  plan.paused = ReadInstances(reader, "pause");
-  plan.leaving = ReadInstances(reader, "leave");
-  plan.straggle = ReadFactors(reader, aProblem);
-  plan.dark = reader.FlagOr("dark", false);
-  plan.crashMarker = reader.TextOr("crash_marker", "");
-  plan.crashReturn.ms = reader.NumberOr("crash_return_ms", 0, kLongestReturnMs, 0);
+  const fleet_faults plan = Read(reader, aProblem);
   return reader.Finish() ? std::optional(plan) : std::nullopt;
 }
 
 nlohmann::json
-engine_faults::Render() const
+fleet_faults::Render() const
 {
   nlohmann::json factors = nlohmann::json::object();
   for (const auto& [instance, factor] : straggle) {
@@ -81,7 +88,7 @@
 }
 
 instance_faults
-engine_faults::Of(const instance_id& aInstance) const
+fleet_faults::Of(const instance_id& aInstance) const
 {
   const auto factor = straggle.find(aInstance);
   return { dark || dead.contains(aInstance),
--- a/standins/engine/enginefaults.h
+++ b/standins/common/fleetfaults.h
@@ -26,8 +26,8 @@
   bool operator==(const instance_faults&) const = default;
 };
 
-/// The faults of a stand-in engine's process that are in force.
-struct engine_faults
+/// The faults in force that a process with many instances has, of whatever kind they are.
+struct fleet_faults
 {
   /// Instances that refuse connections; one that is taken out returns in a new life.
   std::set<instance_id> dead;
@@ -43,7 +43,9 @@
   std::string crashMarker;
   duration crashReturn;
 
-  static std::optional<engine_faults> Parse(const nlohmann::json& aValue, json_problem& aProblem);
+  /// Reads the members of a plan that are common to all kinds of instances.
+  static fleet_faults Read(json_reader& aReader, json_problem& aProblem);
+  static std::optional<fleet_faults> Parse(const nlohmann::json& aValue, json_problem& aProblem);
   [[nodiscard]] nlohmann::json Render() const;
   [[nodiscard]] instance_faults Of(const instance_id& aInstance) const;
 };
--- a/standins/engine/enginehost.cpp
+++ b/standins/engine/enginehost.cpp
@@ -20,6 +20,9 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
+// Detail of a membership event of an instance that is dead or paused.
+constexpr const char* kDead = "dead";
+
 struct pending_answer
 {
   shared_responder responder;
@@ -76,6 +79,7 @@
   std::vector<held_call> held;
   std::uint64_t lastNumber = 0;
   member_report lastReport;
+  time_point pausedAt;
   /// Whether onAlive was last told that the instance is dead.
   bool deathTold = false;
 
@@ -122,7 +126,9 @@
   void Die(const std::string& aCause);
   void TellDeath();
   void Return();
-  void SetPaused(bool aPaused);
+  void Pause();
+  void Wake();
+  void CancelLeft();
   void Left(std::uint64_t aNumber);
 };
 
@@ -146,7 +152,7 @@
 {
   const std::lock_guard lock(mImplementation->mutex);
   mImplementation->address = aAddress;
-  mImplementation->WriteMembership("started");
+  mImplementation->WriteMembership(StateName(engine_state::idle));
   mImplementation->ReportLocked();
 }
 
@@ -223,6 +229,9 @@
     ordered.token = order->token.value;
     ordered.service = order->service.value;
     ordered.detail = OrderName(order->kind);
+    for (const order_member& member : order->members) {
+      ordered.members.push_back(member.instance.value);
+    }
     history.Write(ordered);
   }
   RecordLocked(result.outputs);
@@ -238,7 +247,10 @@
              { "outcome", result.refusal.empty() ? "accepted" : result.refusal } });
   Deliver(result.outputs);
   if (result.fetch) {
-    callbacks.onFetch(*result.fetch, order->model, order->modelVersion);
+    callbacks.onFetch(order->model, order->modelVersion, [this, fetch = *result.fetch] {
+      const std::lock_guard locked(mutex);
+      engine.WeightsFetched(fetch);
+    });
   }
   if (result.refusal.empty()) {
     aResponder->Send({ kOk, { { "Content-Type", "application/json" } }, body });
@@ -286,7 +298,7 @@
 {
   const std::lock_guard lock(mutex);
   if (faults.paused) {
-    // A paused engine does not see its callers leave; SetPaused() cancels when it wakes.
+    // A paused engine does not see its callers leave; CancelLeft() cancels when it wakes.
     return;
   }
   pending.erase(aNumber);
@@ -304,7 +316,7 @@
   RecordLocked(outputs);
   if (engine.IsDead() && !deadBefore) {
     board.Forget(address);
-    WriteMembership("died");
+    WriteMembership(kDead);
   } else {
     ReportLocked();
   }
@@ -514,24 +526,27 @@
 }
 
 void
-engine_host::Apply(const instance_faults& aFaults)
+engine_host::Apply(const fleet_faults& aPlan)
 {
+  const instance_faults faults = aPlan.Of(mImplementation->instance);
   instance_faults before;
   {
     const std::lock_guard lock(mImplementation->mutex);
     before = mImplementation->faults;
-    mImplementation->faults = aFaults;
+    mImplementation->faults = faults;
     mImplementation->faults.paused = before.paused;
-    mImplementation->engine.SetStraggle(aFaults.straggle);
-    mImplementation->engine.SetCrashMarker(aFaults.crashMarker);
+    mImplementation->engine.SetStraggle(faults.straggle);
+    mImplementation->engine.SetCrashMarker(faults.crashMarker);
   }
-  if (aFaults.dead && !before.dead) {
-    mImplementation->Die("died");
-  } else if (!aFaults.dead && before.dead) {
+  if (faults.dead && !before.dead) {
+    mImplementation->Die(aPlan.dark ? "dark" : "killed");
+  } else if (!faults.dead && before.dead) {
     mImplementation->Return();
   }
-  if (aFaults.paused != before.paused) {
-    mImplementation->SetPaused(aFaults.paused);
+  if (faults.paused && !before.paused) {
+    mImplementation->Pause();
+  } else if (!faults.paused && before.paused) {
+    mImplementation->Wake();
   }
 }
 
@@ -544,7 +559,7 @@
     const std::vector<engine_output> outputs = engine.Die(aCause);
     board.Forget(address);
     RecordLocked(outputs);
-    WriteMembership("died");
+    WriteMembership(kDead);
   }
   lock.unlock();
   TellDeath();
@@ -559,7 +574,7 @@
     engine.Return();
     deathTold = false;
     lastReport = engine.Report(Now());
-    WriteMembership("started");
+    WriteMembership(StateName(engine_state::idle));
     ReportLocked();
   }
   callbacks.onAlive(true);
@@ -579,40 +594,60 @@
 }
 
 void
-engine_host::implementation::SetPaused(bool aPaused)
+engine_host::implementation::Pause()
+{
+  const std::lock_guard lock(mutex);
+  faults.paused = true;
+  pausedAt = Now();
+  if (engine.IsDead()) {
+    return;
+  }
+  member_report silent = engine.Report(pausedAt);
+  silent.working = false;
+  board.Report(address, silent);
+  WriteMembership(kDead);
+}
+
+void
+engine_host::implementation::Wake()
 {
   std::vector<held_call> calls;
+  std::vector<engine_output> outputs;
   {
     const std::lock_guard lock(mutex);
-    faults.paused = aPaused;
-    WriteMembership(aPaused ? "paused" : "resumed");
-    if (!aPaused) {
-      calls.swap(held);
+    faults.paused = false;
+    calls.swap(held);
+    if (!engine.IsDead()) {
+      outputs = engine.Wake(Now() - pausedAt);
+      RecordLocked(outputs);
+      WriteMembership(StateName(engine.Report(Now()).state));
+      ReportLocked();
     }
   }
+  {
+    const std::lock_guard delivering(delivery);
+    Deliver(outputs);
+  }
   // Calls that came during the pause are handled even when their callers have left since.
   for (const held_call& call : calls) {
     Process(call.request, call.responder);
   }
-  if (!aPaused) {
-    std::vector<std::pair<std::uint64_t, shared_responder>> answers;
-    {
-      const std::lock_guard lock(mutex);
-      for (const auto& [number, answer] : pending) {
-        answers.emplace_back(number, answer.responder);
-      }
-    }
-    for (const auto& [number, responder] : answers) {
-      responder->OnLeave([this, number = number] { Left(number); });
-    }
-  }
+  CancelLeft();
 }
 
 void
-engine_host::WeightsFetched(std::uint64_t aFetch)
+engine_host::implementation::CancelLeft()
 {
-  const std::lock_guard lock(mImplementation->mutex);
-  mImplementation->engine.WeightsFetched(aFetch);
+  std::vector<std::pair<std::uint64_t, shared_responder>> answers;
+  {
+    const std::lock_guard lock(mutex);
+    for (const auto& [number, answer] : pending) {
+      answers.emplace_back(number, answer.responder);
+    }
+  }
+  for (const auto& [number, responder] : answers) {
+    responder->OnLeave([this, number = number] { Left(number); });
+  }
 }
 
 std::set<endpoint>
--- a/standins/engine/enginehost.h
+++ b/standins/engine/enginehost.h
@@ -3,7 +3,7 @@
 #include "entry/responder.h"
 #include "entry/serverrequest.h"
 #include "history/historywriter.h"
-#include "standins/engine/enginefaults.h"
+#include "standins/common/fleetfaults.h"
 #include "standins/engine/engineinstance.h"
 #include "standins/engine/sharedboard.h"
 
@@ -18,14 +18,16 @@
 {
   /// The instance died (false) or returned (true). Not called on a thread that handles a call.
   std::function<void(bool)> onAlive;
-  /// Weights of that fetch number are needed for a model and version.
-  std::function<void(std::uint64_t, const std::string&, const std::string&)> onFetch;
+  /// Weights of a model and version are needed; the function is to be called when they are there.
+  std::function<void(const std::string&, const std::string&, std::function<void()>)> onFetch;
 };
 
 /// One engine instance with its callers' connections.
 class engine_host
 {
 public:
+  using fault_plan = fleet_faults;
+
   engine_host(const engine_options& aOptions,
               const instance_id& aInstance,
               shared_board& aBoard,
@@ -41,10 +43,9 @@
   /// Lets time pass.
   void Tick();
   /// Puts faults in force.
-  void Apply(const instance_faults& aFaults);
+  void Apply(const fleet_faults& aPlan);
   /// Begins a new life after a crash.
   void ReturnFromCrash();
-  void WeightsFetched(std::uint64_t aFetch);
   /// Addresses of the members that the instance hears as a head.
   [[nodiscard]] std::set<endpoint> HeardAddresses() const;
   [[nodiscard]] incarnation Life() const;
--- a/standins/engine/engineinstance.cpp
+++ b/standins/engine/engineinstance.cpp
@@ -13,6 +13,12 @@
 constexpr int kTokensPerTick = 8;
 constexpr duration kNeverHeard{ 3600000 };
 
+// Causes of a cut as HISTORY.md names them.
+constexpr const char* kMemberLost = "member_lost";
+constexpr const char* kMemberChanged = "member_changed";
+constexpr const char* kPoison = "poison";
+constexpr const char* kCancelled = "cancelled";
+
 std::string
 ResidentName(const std::string& aModel, const std::string& aVersion)
 {
@@ -174,20 +180,35 @@
   mState = engine_state::ready;
 }
 
-bool
-engine_instance::IsWhole(time_point aNow, const member_board& aBoard) const
+group_presence
+engine_instance::Presence(time_point aNow, const member_board& aBoard) const
 {
-  return std::all_of(mMembers.begin(), mMembers.end(), [&](const order_member& aMember) {
-    if (aMember.instance == mInstance) {
-      return aMember.life == mLife;
-    }
-    const auto report = aBoard.Find(aMember.address);
-    const bool working =
-      report && (report->state == engine_state::ready || report->state == engine_state::draining);
-    return working && report->instance == aMember.instance && report->life == aMember.life &&
-           report->group == mGroup && report->version == mVersion &&
-           aNow - report->heardAt <= mOptions.memberTimeout;
-  });
+  group_presence worst = group_presence::whole;
+  for (const order_member& member : mMembers) {
+    worst = std::max(worst, PresenceOf(member, aNow, aBoard));
+  }
+  return worst;
+}
+
+group_presence
+engine_instance::PresenceOf(const order_member& aMember,
+                            time_point aNow,
+                            const member_board& aBoard) const
+{
+  if (aMember.instance == mInstance) {
+    return aMember.life == mLife ? group_presence::whole : group_presence::lost;
+  }
+  const auto report = aBoard.Find(aMember.address);
+  if (!report || report->instance != aMember.instance || report->life != aMember.life ||
+      aNow - report->heardAt > mOptions.memberTimeout) {
+    return group_presence::lost;
+  }
+  const bool ready =
+    report->state == engine_state::ready || report->state == engine_state::draining;
+  if (!ready || report->group != mGroup || report->version != mVersion) {
+    return group_presence::changed;
+  }
+  return report->working ? group_presence::whole : group_presence::stalled;
 }
 
 std::optional<engine_refusal>
@@ -204,8 +225,9 @@
   if (mState != engine_state::ready) {
     return engine_refusal{ kServiceUnavailable, StateName(mState) };
   }
-  if (!IsWhole(aNow, aBoard)) {
-    return engine_refusal{ kServiceUnavailable, "member_missing" };
+  const group_presence presence = Presence(aNow, aBoard);
+  if (presence == group_presence::lost || presence == group_presence::changed) {
+    return engine_refusal{ kServiceUnavailable, kMemberLost };
   }
   if (mQueue.size() >= mOptions.maxQueued) {
     return engine_refusal{ kTooManyRequests, "full" };
@@ -244,7 +266,7 @@
   if (running == mRunning.end()) {
     return std::nullopt;
   }
-  engine_output output{ engine_output::kind::cut, running->request, "caller_left" };
+  engine_output output{ engine_output::kind::cut, running->request, kCancelled };
   mRunning.erase(running);
   return output;
 }
@@ -257,13 +279,16 @@
     return outputs;
   }
   FinishLoad(aNow);
-  const bool works = mState == engine_state::ready || mState == engine_state::draining;
-  if (works && mRank == 0 && !IsWhole(aNow, aBoard)) {
-    DropAll("member_missing", outputs);
+  const group_presence presence = Presence(aNow, aBoard);
+  if (presence == group_presence::lost) {
+    DropAll(kMemberLost, outputs);
+  } else if (presence == group_presence::changed) {
+    DropAll(kMemberChanged, outputs);
+  } else if (presence == group_presence::whole) {
+    Start(aNow, outputs);
+    std::erase_if(mRunning,
+                  [&](running_request& aRunning) { return Advance(aRunning, aNow, outputs); });
   }
-  Start(aNow, outputs);
-  std::erase_if(mRunning,
-                [&](running_request& aRunning) { return Advance(aRunning, aNow, outputs); });
   TakeLoadReport(aNow);
   return outputs;
 }
@@ -273,7 +298,7 @@
 {
   while (!mDead && mRunning.size() < mOptions.maxRunning && !mQueue.empty()) {
     if (!StartOne(aNow, aOutputs)) {
-      std::vector<engine_output> lost = Die("crashed");
+      std::vector<engine_output> lost = Die(kPoison);
       std::move(lost.begin(), lost.end(), std::back_inserter(aOutputs));
     }
   }
@@ -340,6 +365,16 @@
   return outputs;
 }
 
+std::vector<engine_output>
+engine_instance::Wake(duration aPause)
+{
+  std::vector<engine_output> outputs;
+  if (aPause > mOptions.memberTimeout && mMembers.size() > 1) {
+    DropAll(kMemberLost, outputs);
+  }
+  return outputs;
+}
+
 void
 engine_instance::Return()
 {
@@ -408,7 +443,7 @@
 member_report
 engine_instance::Report(time_point aNow) const
 {
-  return { mInstance, mLife, mGroup, mVersion, mState, aNow };
+  return { mInstance, mLife, mGroup, mVersion, mState, aNow, true };
 }
 
 } // namespace persimmon::standins
--- a/standins/engine/engineinstance.h
+++ b/standins/engine/engineinstance.h
@@ -71,6 +71,9 @@
   std::vector<engine_output> Tick(time_point aNow, const member_board& aBoard);
   /// Ends this life; all requests are lost.
   std::vector<engine_output> Die(const std::string& aCause);
+  /// Goes on after a pause; the members of a larger group have given up on a head that was long
+  /// away.
+  std::vector<engine_output> Wake(duration aPause);
   /// Begins a new life: idle, with nothing resident.
   void Return();
   /// Makes all tokens slower by a factor.
@@ -79,8 +82,8 @@
   void SetCrashMarker(std::string aMarker) { mCrashMarker = std::move(aMarker); }
 
   [[nodiscard]] bool IsDead() const { return mDead; }
-  /// Returns whether a request at this head could run now, as far as its members are concerned.
-  [[nodiscard]] bool IsWhole(time_point aNow, const member_board& aBoard) const;
+  /// Returns the worst that is known of any member.
+  [[nodiscard]] group_presence Presence(time_point aNow, const member_board& aBoard) const;
   [[nodiscard]] engine_status Status(time_point aNow, const member_board& aBoard) const;
   [[nodiscard]] member_report Report(time_point aNow) const;
   /// Addresses of the group's members, this instance included.
@@ -102,6 +105,9 @@
   void Adapt(const engine_order& aOrder, order_result& aResult);
   void Release(order_result& aResult);
   void FinishLoad(time_point aNow);
+  group_presence PresenceOf(const order_member& aMember,
+                            time_point aNow,
+                            const member_board& aBoard) const;
   bool IsResident() const;
   void MakeResident();
   std::optional<engine_refusal> Admission(const engine_request& aRequest,
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,4 +1,4 @@
-#include "settings/settings.h"
+#include "standins/common/fleetflags.h"
 #include "standins/common/standinevents.h"
 #include "standins/common/stopsignal.h"
 #include "standins/engine/enginefleet.h"
@@ -8,14 +8,13 @@
 namespace {
 
 constexpr std::int64_t kMostMs = 600000;
-constexpr std::int64_t kMostInstances = 4096;
-constexpr std::int64_t kMostPort = 65535;
-constexpr std::int64_t kMostThreads = 64;
 constexpr std::int64_t kMostRequests = 100000;
 
 struct program_options
 {
-  standins::fleet_options fleet;
+  standins::fleet_settings fleet;
+  standins::engine_options engine;
+  std::uint64_t weightBytes = 0;
   std::string history;
 };
 
@@ -23,12 +22,7 @@
 Declare(settings& aSettings)
 {
   aSettings.AddRequired("domain", "fabric domain; instances are named DOMAIN-0, DOMAIN-1, ...");
-  aSettings.AddRequired("zone", "availability zone");
-  aSettings.Add("instances", "1", "number of instances");
-  aSettings.Add("ip", "127.0.0.1", "address of all instances");
-  aSettings.Add("base-port", "0", "port of the first instance, the others follow; 0 for free ones");
-  aSettings.AddRequired("platform-url", "platform as http://ip:port");
-  aSettings.AddRequired("control-listen", "address ip:port of /control");
+  standins::DeclareFleetFlags(aSettings);
   aSettings.Add("fencing", "true", "refuse orders with an old fencing token");
   aSettings.Add("load-ms", "500", "time to load weights");
   aSettings.Add("weight-bytes", "0", "weights an instance fetches from the platform for a load");
@@ -38,8 +32,6 @@
   aSettings.Add("max-running", "8", "requests that run at once in a group");
   aSettings.Add("max-queued", "64", "requests that wait in a group");
   aSettings.Add("report-ms", "200", "time between two load reports");
-  aSettings.Add("threads", "2", "threads that serve calls");
-  aSettings.Add("history", "", "file to append the history to");
 }
 
 standins::engine_options
@@ -61,18 +53,12 @@
 Read(settings& aSettings)
 {
   program_options options;
-  options.fleet.engine = ReadEngine(aSettings);
+  options.fleet = standins::ReadFleetFlags(aSettings);
+  options.engine = ReadEngine(aSettings);
   options.fleet.domain.value = aSettings.Text("domain");
-  options.fleet.zone.value = aSettings.Text("zone");
-  options.fleet.instances =
-    static_cast<std::size_t>(aSettings.Number("instances", 1, kMostInstances));
-  options.fleet.ip = aSettings.Text("ip");
-  options.fleet.basePort = static_cast<std::uint16_t>(aSettings.Number("base-port", 0, kMostPort));
-  options.fleet.platformUrl = aSettings.Text("platform-url");
-  options.fleet.control.value = aSettings.Text("control-listen");
-  options.fleet.weightBytes =
-    static_cast<std::uint64_t>(aSettings.Number("weight-bytes", 0, INT64_MAX));
-  options.fleet.threads = static_cast<std::size_t>(aSettings.Number("threads", 1, kMostThreads));
+  options.fleet.prefix = options.fleet.domain.value;
+  options.fleet.fencing = options.engine.fencing;
+  options.weightBytes = static_cast<std::uint64_t>(aSettings.Number("weight-bytes", 0, INT64_MAX));
   options.history = aSettings.Text("history");
   return options;
 }
@@ -82,7 +68,7 @@
 {
   const std::string process = "standin-engine-" + aOptions.fleet.domain.value;
   history::history_writer history(aOptions.history, process);
-  standins::engine_fleet fleet(aOptions.fleet, history);
+  standins::engine_fleet fleet(aOptions.fleet, aOptions.engine, aOptions.weightBytes, history);
   if (!history.IsReady() || !fleet.Start()) {
     return exit_failure;
   }
--- a/standins/engine/memberboard.h
+++ b/standins/engine/memberboard.h
@@ -34,6 +34,21 @@
   generation version;
   engine_state state = engine_state::idle;
   time_point heardAt;
+  /// False while the instance is paused: it has not been missed yet, but nothing runs with it.
+  bool working = true;
+};
+
+/// What a head knows of its members.
+enum class group_presence
+{
+  /// Every member works in the expected life, group and generation.
+  whole,
+  /// A member does not work, but has not been missed yet.
+  stalled,
+  /// A member is gone or in another life.
+  lost,
+  /// A member was ordered into another group, generation or state.
+  changed
 };
 
 /// The newest reports of instances by their address; an instance that is known to be dead has none.
