--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -123,6 +123,9 @@
   if (self.mSilenced) {
     return 0;
   }
+  if (self.mPaused) {
+    return CURL_WRITEFUNC_PAUSE;
+  }
   self.mHandlers.onData({ aData, aSize * aCount });
   return aSize * aCount;
 }
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -29,6 +29,8 @@
   [[nodiscard]] CURL* Handle() const { return mHandle.get(); }
   /// Calls no handler from now on and makes libcurl give the call up.
   void Silence() { mSilenced = true; }
+  /// While paused, libcurl keeps what comes to itself.
+  void SetPaused(bool aPaused) { mPaused = aPaused; }
   /// Tells the owner how the call ended.
   void Finish(CURLcode aCode);
 
@@ -48,6 +50,7 @@
   std::unique_ptr<CURL, curl_handle_closer> mHandle;
   response_head mHead;
   bool mSilenced = false;
+  bool mPaused = false;
 };
 
 } // namespace persimmon::upstream
--- a/src/upstream/internal/curlmulti.cpp
+++ b/src/upstream/internal/curlmulti.cpp
@@ -56,12 +56,6 @@
   curl_multi_remove_handle(mMulti, aHandle);
 }
 
-void
-curl_multi::Pause(CURL* aHandle)
-{
-  curl_easy_pause(aHandle, CURLPAUSE_RECV);
-}
-
 void
 curl_multi::Resume(CURL* aHandle)
 {
--- a/src/upstream/internal/curlmulti.h
+++ b/src/upstream/internal/curlmulti.h
@@ -22,7 +22,7 @@
 
   void Add(CURL* aHandle);
   void Remove(CURL* aHandle);
-  void Pause(CURL* aHandle);
+  /// Lets a handle go on whose write callback asked for a pause.
   void Resume(CURL* aHandle);
 
 private:
--- a/src/upstream/internal/upstreamloop.cpp
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -49,6 +49,8 @@
     });
   }
 
+  [[nodiscard]] bool OnLoopThread() const { return thread.get_id() == std::this_thread::get_id(); }
+
   active_call* Find(call_id aId)
   {
     const auto found = calls.find(aId);
@@ -99,18 +101,25 @@
 void
 upstream_loop::Pause(call_id aCall)
 {
-  Post([state = mImplementation.get(), aCall] {
-    if (const active_call* call = state->Find(aCall)) {
-      state->multi.Pause(call->Handle());
+  const auto pause = [state = mImplementation.get(), aCall] {
+    if (active_call* call = state->Find(aCall)) {
+      call->SetPaused(true);
     }
-  });
+  };
+  // Within a handler it takes effect before any more data is told.
+  if (mImplementation->OnLoopThread()) {
+    pause();
+  } else {
+    Post(pause);
+  }
 }
 
 void
 upstream_loop::Resume(call_id aCall)
 {
   Post([state = mImplementation.get(), aCall] {
-    if (const active_call* call = state->Find(aCall)) {
+    if (active_call* call = state->Find(aCall)) {
+      call->SetPaused(false);
       state->multi.Resume(call->Handle());
     }
   });
--- a/src/upstream/upstreamloop.h
+++ b/src/upstream/upstreamloop.h
@@ -26,7 +26,8 @@
   call_id Start(upstream_call aCall, call_handlers aHandlers);
   /// Closes the call's connection; its handlers are not called again.
   void Cancel(call_id aCall);
-  /// Stops reading the response, so that the upstream feels the back-pressure.
+  /// Stops reading the response, so that the upstream feels the back-pressure. Called from one of
+  /// the call's handlers, it takes effect before the next data.
   void Pause(call_id aCall);
   void Resume(call_id aCall);
   /// Runs a function on the loop's thread, never within the call itself.
