--- a/standins/engine/enginehost.cpp
+++ b/standins/engine/enginehost.cpp
@@ -20,8 +20,11 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
-// Detail of a membership event of an instance that is dead or paused.
-constexpr const char* kDead = "dead";
+// Details of membership events, and causes of cuts, beside the names of states.
+constexpr const char* kStarted = "started";
+constexpr const char* kDied = "died";
+constexpr const char* kPaused = "paused";
+constexpr const char* kResumed = "resumed";
 
 struct pending_answer
 {
@@ -152,7 +155,7 @@
 {
   const std::lock_guard lock(mImplementation->mutex);
   mImplementation->address = aAddress;
-  mImplementation->WriteMembership(StateName(engine_state::idle));
+  mImplementation->WriteMembership(kStarted);
   mImplementation->ReportLocked();
 }
 
@@ -316,7 +319,7 @@
   RecordLocked(outputs);
   if (engine.IsDead() && !deadBefore) {
     board.Forget(address);
-    WriteMembership(kDead);
+    WriteMembership(kDied);
   } else {
     ReportLocked();
   }
@@ -539,7 +542,7 @@
     mImplementation->engine.SetCrashMarker(faults.crashMarker);
   }
   if (faults.dead && !before.dead) {
-    mImplementation->Die(aPlan.dark ? "dark" : "killed");
+    mImplementation->Die(kDied);
   } else if (!faults.dead && before.dead) {
     mImplementation->Return();
   }
@@ -559,7 +562,7 @@
     const std::vector<engine_output> outputs = engine.Die(aCause);
     board.Forget(address);
     RecordLocked(outputs);
-    WriteMembership(kDead);
+    WriteMembership(kDied);
   }
   lock.unlock();
   TellDeath();
@@ -574,7 +577,7 @@
     engine.Return();
     deathTold = false;
     lastReport = engine.Report(Now());
-    WriteMembership(StateName(engine_state::idle));
+    WriteMembership(kStarted);
     ReportLocked();
   }
   callbacks.onAlive(true);
@@ -605,7 +608,7 @@
   member_report silent = engine.Report(pausedAt);
   silent.working = false;
   board.Report(address, silent);
-  WriteMembership(kDead);
+  WriteMembership(kPaused);
 }
 
 void
@@ -620,7 +623,7 @@
     if (!engine.IsDead()) {
       outputs = engine.Wake(Now() - pausedAt);
       RecordLocked(outputs);
-      WriteMembership(StateName(engine.Report(Now()).state));
+      WriteMembership(kResumed);
       ReportLocked();
     }
   }
--- a/standins/engine/engineinstance.cpp
+++ b/standins/engine/engineinstance.cpp
@@ -14,10 +14,10 @@
 constexpr duration kNeverHeard{ 3600000 };
 
 // Causes of a cut as HISTORY.md names them.
-constexpr const char* kMemberLost = "member_lost";
+constexpr const char* kMemberMissing = "member_missing";
 constexpr const char* kMemberChanged = "member_changed";
-constexpr const char* kPoison = "poison";
-constexpr const char* kCancelled = "cancelled";
+constexpr const char* kCrashed = "crashed";
+constexpr const char* kCallerLeft = "caller_left";
 
 std::string
 ResidentName(const std::string& aModel, const std::string& aVersion)
@@ -227,7 +227,7 @@
   }
   const group_presence presence = Presence(aNow, aBoard);
   if (presence == group_presence::lost || presence == group_presence::changed) {
-    return engine_refusal{ kServiceUnavailable, kMemberLost };
+    return engine_refusal{ kServiceUnavailable, kMemberMissing };
   }
   if (mQueue.size() >= mOptions.maxQueued) {
     return engine_refusal{ kTooManyRequests, "full" };
@@ -266,7 +266,7 @@
   if (running == mRunning.end()) {
     return std::nullopt;
   }
-  engine_output output{ engine_output::kind::cut, running->request, kCancelled };
+  engine_output output{ engine_output::kind::cut, running->request, kCallerLeft };
   mRunning.erase(running);
   return output;
 }
@@ -281,7 +281,7 @@
   FinishLoad(aNow);
   const group_presence presence = Presence(aNow, aBoard);
   if (presence == group_presence::lost) {
-    DropAll(kMemberLost, outputs);
+    DropAll(kMemberMissing, outputs);
   } else if (presence == group_presence::changed) {
     DropAll(kMemberChanged, outputs);
   } else if (presence == group_presence::whole) {
@@ -298,7 +298,7 @@
 {
   while (!mDead && mRunning.size() < mOptions.maxRunning && !mQueue.empty()) {
     if (!StartOne(aNow, aOutputs)) {
-      std::vector<engine_output> lost = Die(kPoison);
+      std::vector<engine_output> lost = Die(kCrashed);
       std::move(lost.begin(), lost.end(), std::back_inserter(aOutputs));
     }
   }
@@ -370,7 +370,7 @@
 {
   std::vector<engine_output> outputs;
   if (aPause > mOptions.memberTimeout && mMembers.size() > 1) {
-    DropAll(kMemberLost, outputs);
+    DropAll(kMemberMissing, outputs);
   }
   return outputs;
 }
--- a/standins/service/servicehost.cpp
+++ b/standins/service/servicehost.cpp
@@ -103,7 +103,7 @@
 service_host::SetAddress(const endpoint& /*aAddress*/)
 {
   const std::lock_guard lock(mImplementation->mutex);
-  mImplementation->WriteMembership("ready");
+  mImplementation->WriteMembership("started");
 }
 
 void
@@ -145,7 +145,7 @@
   } else if (verdict == call_verdict::dropped) {
     aResponder->Abort();
   } else if (verdict == call_verdict::crashes) {
-    Die("poison");
+    Die("crashed");
   }
 }
 
@@ -264,7 +264,7 @@
       cut.detail = aCause;
       history.Write(cut);
     }
-    WriteMembership("dead");
+    WriteMembership("died");
     lostAnswers.swap(pending);
     lostCalls.swap(held);
   }
@@ -299,7 +299,7 @@
     }
     service.Return();
     deathTold = false;
-    WriteMembership("ready");
+    WriteMembership("started");
   }
   onAlive(true);
 }
@@ -331,7 +331,7 @@
     mImplementation->service.Apply(aPlan);
   }
   if (faults.dead && !deadBefore) {
-    mImplementation->Die(aPlan.dark ? "dark" : "killed");
+    mImplementation->Die("died");
     mImplementation->TellDeath();
   } else if (!faults.dead && deadBefore) {
     mImplementation->Return();
@@ -348,7 +348,7 @@
   {
     const std::lock_guard lock(mutex);
     paused = aPaused;
-    WriteMembership(aPaused ? "dead" : "ready");
+    WriteMembership(aPaused ? "paused" : "resumed");
     if (!aPaused) {
       calls.swap(held);
     }
