--- /dev/null
+++ b/src/peers/internal/memberlist.cpp
@@ -0,0 +1,134 @@
+#include "peers/memberlist.h"
+
+#include "base/hash.h"
+
+#include <tuple>
+
+namespace persimmon::peers {
+namespace {
+
+bool
+IsNewer(const member& aUpdate, const member& aKnown)
+{
+  return std::tie(aUpdate.life, aUpdate.sequence, aUpdate.state) >
+         std::tie(aKnown.life, aKnown.sequence, aKnown.state);
+}
+
+} // namespace
+
+const char*
+MemberStateName(member_state aState)
+{
+  switch (aState) {
+    case member_state::alive:
+      return "alive";
+    case member_state::suspect:
+      return "suspect";
+    case member_state::dead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+member_list::member_list(member aSelf)
+  : mSelf(aSelf.id)
+{
+  mMembers.emplace(mSelf, std::move(aSelf));
+}
+
+std::optional<member>
+member_list::Merge(member aUpdate, time_point aNow)
+{
+  if (aUpdate.id == mSelf) {
+    member& self = mMembers.at(mSelf);
+    const bool refute =
+      aUpdate.life == self.life && self.state == member_state::alive && IsNewer(aUpdate, self);
+    if (!refute) {
+      return std::nullopt;
+    }
+    self.sequence = aUpdate.sequence + 1;
+    return self;
+  }
+  const auto found = mMembers.find(aUpdate.id);
+  if (found != mMembers.end() && !IsNewer(aUpdate, found->second)) {
+    return std::nullopt;
+  }
+  aUpdate.since = aNow;
+  return mMembers.insert_or_assign(aUpdate.id, aUpdate).first->second;
+}
+
+std::optional<member>
+member_list::Suspect(const router_id& aId, time_point aNow)
+{
+  const auto found = mMembers.find(aId);
+  if (aId == mSelf || found == mMembers.end() || found->second.state != member_state::alive) {
+    return std::nullopt;
+  }
+  found->second.state = member_state::suspect;
+  found->second.since = aNow;
+  return found->second;
+}
+
+std::vector<member>
+member_list::DeclareDead(duration aPatience, time_point aNow)
+{
+  std::vector<member> dead;
+  for (auto& [id, entry] : mMembers) {
+    if (entry.state == member_state::suspect && aNow - entry.since >= aPatience) {
+      entry.state = member_state::dead;
+      entry.since = aNow;
+      dead.push_back(entry);
+    }
+  }
+  return dead;
+}
+
+member
+member_list::Leave()
+{
+  member& self = mMembers.at(mSelf);
+  self.state = member_state::dead;
+  return self;
+}
+
+void
+member_list::Forget(duration aRetention, time_point aNow)
+{
+  std::erase_if(mMembers, [&](const auto& aEntry) {
+    return aEntry.second.state == member_state::dead && aEntry.first != mSelf &&
+           aNow - aEntry.second.since >= aRetention;
+  });
+}
+
+const member*
+member_list::Find(const router_id& aId) const
+{
+  const auto found = mMembers.find(aId);
+  return found == mMembers.end() ? nullptr : &found->second;
+}
+
+std::uint64_t
+member_list::Hash() const
+{
+  std::uint64_t hash = 0;
+  for (const auto& [id, entry] : mMembers) {
+    if (entry.state != member_state::dead) {
+      hash ^= HashText(id.value, entry.life ^ (entry.sequence << 48U));
+    }
+  }
+  return hash;
+}
+
+std::vector<router_id>
+member_list::Live() const
+{
+  std::vector<router_id> live;
+  for (const auto& [id, entry] : mMembers) {
+    if (entry.state != member_state::dead) {
+      live.push_back(id);
+    }
+  }
+  return live;
+}
+
+} // namespace persimmon::peers
--- /dev/null
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -0,0 +1,496 @@
+#include "peers/internal/meshcoreimplementation.h"
+
+#include <algorithm>
+
+namespace persimmon::peers {
+namespace {
+
+constexpr duration kPullRetry = 1_s;
+constexpr duration kRepairInterval = 5_s;
+/// Differences in a row before a difference counts as more than messages under way.
+constexpr int kDifferencesBeforeRepair = 2;
+/// An origin that spoke and then was silent for this long may have lost its path.
+constexpr duration kStarvation{ 1700 };
+constexpr duration kAppliedSettle = 5_s;
+constexpr std::int64_t kStampStepMs = 50;
+/// Stands for all origins in a graft.
+constexpr const char* kAllOrigins = "*";
+
+} // namespace
+
+void
+mesh_core::implementation::On(const frame_received& aEvent)
+{
+  const auto found = links.find(aEvent.link);
+  if (found == links.end()) {
+    return;
+  }
+  link_state& link = found->second;
+  ++counters.framesReceived;
+  counters.bytesReceived += aEvent.bytes.size();
+  frame_reason why;
+  const auto frame = DecodeFrame(aEvent.bytes, why);
+  if (!frame || !link.codec.Introduce(*frame)) {
+    ++counters.badFrames;
+    Close(aEvent.link, link_reason::bad_frame, frame ? "too many names" : why.detail);
+    return;
+  }
+  link.lastHeard = now;
+  for (const wire_record& record : frame->records) {
+    const bool good = TakeRecord(link, record);
+    if (links.find(aEvent.link) == links.end()) {
+      return;
+    }
+    if (!good) {
+      ++counters.badFrames;
+      Close(
+        aEvent.link, link_reason::bad_frame, "bad record of kind " + std::to_string(record.kind));
+      return;
+    }
+  }
+  SendPrompt();
+}
+
+bool
+mesh_core::implementation::TakeRecord(link_state& aLink, const wire_record& aRecord)
+{
+  const auto kind = static_cast<record_kind>(std::min<std::uint64_t>(aRecord.kind, UINT8_MAX));
+  if (!aLink.greeted && kind != record_kind::hello) {
+    return false;
+  }
+  switch (kind) {
+    case record_kind::hello:
+      return TakeHello(aLink, aRecord);
+    case record_kind::member: {
+      const auto update = aLink.codec.ParseMember(aRecord);
+      if (update) {
+        MergeMember(*update, aLink.id);
+      }
+      return update.has_value();
+    }
+    case record_kind::summary:
+      return TakeSummary(aLink, aRecord);
+    case record_kind::announce:
+      return TakeAnnounce(aLink, aRecord);
+    case record_kind::pull:
+      return TakePull(aLink, aRecord);
+    case record_kind::body:
+    case record_kind::presence:
+    case record_kind::leaving:
+    case record_kind::suspect:
+    case record_kind::share:
+    case record_kind::applied:
+      return TakeFact(aLink, aRecord);
+    case record_kind::applied_hash:
+      return TakeAppliedHash(aLink, aRecord);
+    case record_kind::prune:
+      return TakePrune(aLink, aRecord);
+    case record_kind::graft:
+      return TakeGraft(aLink, aRecord);
+  }
+  ++counters.unknownRecords;
+  return true;
+}
+
+bool
+mesh_core::implementation::TakeSummary(link_state& aLink, const wire_record& aRecord)
+{
+  const auto summary = aLink.codec.ParseSummary(aRecord);
+  if (!summary) {
+    return false;
+  }
+  if (summary->listed && summary->hash == facts.Hash()) {
+    caughtUp = true;
+  }
+  const bool same = summary->hash == facts.Hash() && summary->members == members.Hash();
+  aLink.differences = same ? 0 : aLink.differences + 1;
+  const bool first = !aLink.hasSummary;
+  aLink.hasSummary = true;
+  const bool lasting =
+    aLink.differences >= kDifferencesBeforeRepair && now - aLink.lastRepair > kRepairInterval;
+  if (first || lasting) {
+    Repair(aLink);
+    if (summary->members == members.Hash()) {
+      return true;
+    }
+    for (const auto& [id, entry] : members.All()) {
+      if (entry.state != member_state::dead) {
+        aLink.members.Add(id);
+      }
+    }
+    for (const auto& [router, hash] : appliedHashes) {
+      aLink.appliedHashes.Add(router);
+    }
+  }
+  return true;
+}
+
+void
+mesh_core::implementation::Repair(link_state& aLink)
+{
+  const bool first = aLink.lastRepair == time_point{};
+  aLink.lastRepair = now;
+  aLink.differences = 0;
+  facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
+    const bool mark = std::holds_alternative<leaving_message>(aFact.message) ||
+                      std::holds_alternative<suspect_message>(aFact.message);
+    if (IsVersioned(aFact.message) || (first && mark)) {
+      Queue(aLink, aSubject, aFact);
+    }
+  });
+}
+
+bool
+mesh_core::implementation::TakeAnnounce(link_state& aLink, const wire_record& aRecord)
+{
+  const auto announced = aLink.codec.ParseAnnounce(aRecord);
+  if (!announced) {
+    return false;
+  }
+  const subject_id subject = SubjectOf(announced->what, announced->name);
+  const mesh_fact* held = facts.Find(subject);
+  if (held != nullptr && held->version >= announced->version.value) {
+    if (held->version == announced->version.value) {
+      aLink.Forget(subject);
+    } else {
+      Queue(aLink, subject, *held);
+    }
+    return true;
+  }
+  wanted_version& wanted = mWanted[subject];
+  if (announced->version > wanted.record.version) {
+    wanted = { *announced, {}, now + (mStoreFresh ? options.pullGrace : duration{}) };
+  }
+  if (announced->version == wanted.record.version) {
+    wanted.holders.push_back(aLink.id);
+  }
+  AskForWanted();
+  return true;
+}
+
+void
+mesh_core::implementation::AskForWanted()
+{
+  for (auto& [subject, wanted] : mWanted) {
+    if (wanted.holders.empty() || now < wanted.due) {
+      continue;
+    }
+    link_state& holder = links.at(wanted.holders.front());
+    std::rotate(wanted.holders.begin(), wanted.holders.begin() + 1, wanted.holders.end());
+    wanted.due = now + kPullRetry;
+    Append(holder, holder.codec.Render(wanted.record, record_kind::pull, holder.frame));
+    holder.sendNow = true;
+  }
+}
+
+void
+mesh_core::implementation::SendPrompt()
+{
+  for (auto& [id, link] : links) {
+    if (link.sendNow) {
+      SendFrame(link);
+    }
+  }
+}
+
+bool
+mesh_core::implementation::TakePull(link_state& aLink, const wire_record& aRecord)
+{
+  const auto asked = aLink.codec.ParseAnnounce(aRecord);
+  if (!asked) {
+    return false;
+  }
+  const subject_id subject = SubjectOf(asked->what, asked->name);
+  const mesh_fact* held = facts.Find(subject);
+  if (held == nullptr) {
+    return true;
+  }
+  wire_record body = aLink.codec.Render(*held, now, aLink.frame);
+  counters.bodyBytesSent += EncodedSize(body);
+  Append(aLink, std::move(body));
+  aLink.sendNow = true;
+  return true;
+}
+
+bool
+mesh_core::implementation::TakeFact(link_state& aLink, const wire_record& aRecord)
+{
+  const auto fact = aLink.codec.ParseFact(aRecord, now);
+  if (!fact) {
+    return false;
+  }
+  const subject_id subject = SubjectOf(fact->message);
+  const router_id origin = OriginOf(fact->message);
+  if (origin == options.self) {
+    return true;
+  }
+  switch (facts.Offer(*fact, now)) {
+    case offer_result::newer:
+      aLink.Forget(subject);
+      HeardOrigin(origin, aLink.id, std::holds_alternative<presence_message>(fact->message));
+      ++counters.messagesDelivered;
+      actions.push_back(deliver_message{ fact->message, aLink.peer });
+      Accepted(*fact, aLink.id);
+      break;
+    case offer_result::same:
+      ++counters.duplicates;
+      aLink.Forget(subject);
+      TookDuplicate(aLink, origin);
+      break;
+    case offer_result::older:
+      Queue(aLink, subject, *facts.Find(subject));
+      break;
+  }
+  return true;
+}
+
+void
+mesh_core::implementation::Accepted(const mesh_fact& aFact, std::optional<link_id> aFrom)
+{
+  const subject_id subject = SubjectOf(aFact.message);
+  const auto wanted = mWanted.find(subject);
+  if (wanted != mWanted.end() && wanted->second.record.version.value <= aFact.version) {
+    mWanted.erase(wanted);
+  }
+  QueueForOthers(aFact, aFrom);
+}
+
+void
+mesh_core::implementation::Queue(link_state& aLink, subject_id aSubject, const mesh_fact& aFact)
+{
+  if (!aLink.greeted) {
+    return;
+  }
+  const router_id origin = OriginOf(aFact.message);
+  if (!origin.Empty() && aLink.prunedByPeer.count(origin) != 0) {
+    return;
+  }
+  aLink.facts[static_cast<std::size_t>(WorthOf(aFact.message))].Add(aSubject);
+}
+
+void
+mesh_core::implementation::QueueForOthers(const mesh_fact& aFact, std::optional<link_id> aFrom)
+{
+  const subject_id subject = SubjectOf(aFact.message);
+  for (auto& [id, link] : links) {
+    if (id != aFrom) {
+      Queue(link, subject, aFact);
+    }
+  }
+}
+
+void
+mesh_core::implementation::HeardOrigin(const router_id& aOrigin, link_id aFrom, bool aPeriodic)
+{
+  if (aOrigin.Empty()) {
+    return;
+  }
+  origin_state& origin = mOrigins[aOrigin];
+  origin.parent = aFrom;
+  if (aPeriodic) {
+    origin.heard = now;
+    origin.periodic = true;
+  }
+}
+
+void
+mesh_core::implementation::TookDuplicate(link_state& aLink, const router_id& aOrigin)
+{
+  const auto origin = mOrigins.find(aOrigin);
+  const bool parent = origin == mOrigins.end() || origin->second.parent == aLink.id;
+  if (aOrigin.Empty() || parent || !aLink.prunedByUs.insert(aOrigin).second) {
+    return;
+  }
+  Append(aLink, aLink.codec.Render(aOrigin, record_kind::prune, aLink.frame));
+}
+
+bool
+mesh_core::implementation::TakePrune(link_state& aLink, const wire_record& aRecord)
+{
+  const auto origin = aLink.codec.ParseRouter(aRecord);
+  if (origin) {
+    aLink.prunedByPeer.insert(*origin);
+  }
+  return origin.has_value();
+}
+
+bool
+mesh_core::implementation::TakeGraft(link_state& aLink, const wire_record& aRecord)
+{
+  const auto origin = aLink.codec.ParseRouter(aRecord);
+  if (!origin) {
+    return false;
+  }
+  const bool all = origin->value == kAllOrigins;
+  if (all) {
+    aLink.prunedByPeer.clear();
+  } else {
+    aLink.prunedByPeer.erase(*origin);
+  }
+  facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
+    const router_id from = OriginOf(aFact.message);
+    if (!from.Empty() && (all || from == *origin)) {
+      Queue(aLink, aSubject, aFact);
+    }
+  });
+  for (const auto& [router, hash] : appliedHashes) {
+    if (all || router == *origin) {
+      aLink.appliedHashes.Add(router);
+    }
+  }
+  return true;
+}
+
+void
+mesh_core::implementation::GraftOrigin(const router_id& aOrigin)
+{
+  for (auto& [id, link] : links) {
+    if (link.prunedByUs.erase(aOrigin) != 0) {
+      Append(link, link.codec.Render(aOrigin, record_kind::graft, link.frame));
+    }
+  }
+}
+
+void
+mesh_core::implementation::GraftOrphans(link_id aClosed)
+{
+  std::vector<router_id> orphans;
+  for (const auto& [origin, state] : mOrigins) {
+    if (state.parent == aClosed) {
+      orphans.push_back(origin);
+    }
+  }
+  for (const router_id& origin : orphans) {
+    mOrigins.erase(origin);
+    GraftOrigin(origin);
+  }
+}
+
+void
+mesh_core::implementation::GraftStarved()
+{
+  std::vector<router_id> starved;
+  for (const auto& [origin, state] : mOrigins) {
+    if (state.periodic && now - state.heard > kStarvation) {
+      starved.push_back(origin);
+    }
+  }
+  for (const router_id& origin : starved) {
+    mOrigins[origin].periodic = false;
+    GraftOrigin(origin);
+  }
+}
+
+std::uint64_t
+mesh_core::implementation::NextStamp()
+{
+  const auto age = static_cast<std::uint64_t>((now - mStartedAt).ms);
+  mLastStamp = std::max(mLastStamp + 1, (options.life + age) / kStampStepMs);
+  return mLastStamp & kStampMask;
+}
+
+bool
+mesh_core::implementation::IsPresenceNeeded(const presence_message& aMessage) const
+{
+  const subject_id subject = SubjectOf(aMessage);
+  const auto sent = mPresenceSent.find(subject);
+  const mesh_fact* known = facts.Find(subject);
+  if (sent == mPresenceSent.end() || known == nullptr) {
+    return true;
+  }
+  const auto& before = std::get<presence_message>(known->message);
+  const bool changed = before.whole != aMessage.whole || before.version != aMessage.version;
+  return changed || now - sent->second >= options.presenceInterval;
+}
+
+void
+mesh_core::implementation::On(const publish_requested& aEvent)
+{
+  mesh_fact fact{ aEvent.message, VersionOf(aEvent.message), now - AgeOf(aEvent.message) };
+  if (const auto* presence = std::get_if<presence_message>(&aEvent.message)) {
+    if (!IsPresenceNeeded(*presence)) {
+      return;
+    }
+    mPresenceSent[SubjectOf(*presence)] = now;
+    fact.version = NextStamp();
+  } else if (std::holds_alternative<share_message>(aEvent.message)) {
+    fact.version = NextStamp();
+  }
+  if (facts.Offer(fact, now) != offer_result::newer) {
+    return;
+  }
+  if (const auto* applied = std::get_if<applied_message>(&aEvent.message)) {
+    UpdateOwnHash(*applied);
+  }
+  Accepted(fact, std::nullopt);
+}
+
+void
+mesh_core::implementation::UpdateOwnHash(const applied_message& aMessage)
+{
+  if (aMessage.router != options.self) {
+    return;
+  }
+  const subject_id subject = SubjectOf(aMessage.what, aMessage.name);
+  applied_hash_record& own = appliedHashes[options.self];
+  own.router = options.self;
+  const auto known = mOwnApplied.find(subject);
+  if (known != mOwnApplied.end()) {
+    own.hash ^= HashOfVersion(subject, known->second);
+  }
+  mOwnApplied[subject] = aMessage.version.value;
+  own.hash ^= HashOfVersion(subject, aMessage.version.value);
+  mAppliedChanged = true;
+  mAppliedChangedAt = now;
+}
+
+bool
+mesh_core::implementation::TakeAppliedHash(link_state& aLink, const wire_record& aRecord)
+{
+  const auto update = aLink.codec.ParseAppliedHash(aRecord);
+  if (!update) {
+    return false;
+  }
+  const auto known = appliedHashes.find(update->router);
+  if (update->router == options.self) {
+    return true;
+  }
+  if (known != appliedHashes.end() && known->second.stamp >= update->stamp) {
+    if (known->second.stamp == update->stamp) {
+      aLink.appliedHashes.Remove(update->router);
+      TookDuplicate(aLink, update->router);
+    }
+    return true;
+  }
+  appliedHashes[update->router] = *update;
+  aLink.appliedHashes.Remove(update->router);
+  HeardOrigin(update->router, aLink.id, false);
+  SpreadAppliedHash(update->router, aLink.id);
+  return true;
+}
+
+void
+mesh_core::implementation::SpreadAppliedHash(const router_id& aRouter,
+                                             std::optional<link_id> aExcept)
+{
+  for (auto& [id, link] : links) {
+    if (id != aExcept && link.greeted && link.prunedByPeer.count(aRouter) == 0) {
+      link.appliedHashes.Add(aRouter);
+    }
+  }
+}
+
+void
+mesh_core::implementation::SettleAppliedHash()
+{
+  if (!mAppliedChanged || now - mAppliedChangedAt < kAppliedSettle) {
+    return;
+  }
+  mAppliedChanged = false;
+  applied_hash_record& own = appliedHashes[options.self];
+  own.stamp =
+    std::max(own.stamp + 1, options.life + static_cast<std::uint64_t>((now - mStartedAt).ms));
+  SpreadAppliedHash(options.self, std::nullopt);
+}
+
+} // namespace persimmon::peers
--- /dev/null
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "base/random.h"
+#include "peers/factstore.h"
+#include "peers/internal/dialer.h"
+#include "peers/internal/linkstate.h"
+#include "peers/memberlist.h"
+#include "peers/meshcore.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace persimmon::peers {
+
+/// State and steps of a mesh_core. Links and members stand in meshcorelinks.cpp, messages in
+/// meshcorefacts.cpp, sending in meshcoresending.cpp.
+class mesh_core::implementation
+{
+public:
+  implementation(mesh_options aOptions, time_point aNow);
+
+  void On(const link_opened& aEvent);
+  void On(const link_closed& aEvent);
+  void On(const frame_received& aEvent);
+  void On(const publish_requested& aEvent);
+  void On(const seeds_changed& aEvent);
+  void On(const store_state_changed& aEvent);
+  void On(const timer_fired& aEvent);
+  void On(const stop_requested& aEvent);
+
+  mesh_options options;
+  time_point now;
+  std::vector<mesh_action> actions;
+  member_list members;
+  fact_store facts;
+  std::map<link_id, link_state> links;
+  mesh_counters counters;
+  bool caughtUp = false;
+  std::map<router_id, applied_hash_record> appliedHashes;
+
+private:
+  /// A version that was announced and is not held.
+  struct wanted_version
+  {
+    announce_record record;
+    std::vector<link_id> holders;
+    time_point due;
+  };
+
+  /// Where an origin's messages come from.
+  struct origin_state
+  {
+    link_id parent;
+    /// It sends presence, which comes again and again.
+    bool periodic = false;
+    time_point heard;
+  };
+
+  // Links and members.
+  void Greet(link_state& aLink);
+  void Dial(const endpoint& aAddress);
+  void DialPeers();
+  void Probe();
+  void CloseUnneeded();
+  void CloseSilent();
+  void Close(link_id aLink, link_reason aReason, const std::string& aDetail);
+  void DropLink(link_id aLink);
+  void DialFailed(const endpoint& aAddress);
+  void SuspectPeer(const router_id& aPeer);
+  void SpreadMember(const member& aEntry, std::optional<link_id> aExcept);
+  void MergeMember(const member& aUpdate, link_id aFrom);
+  /// Tells a peer what is known of a member when it sent something older.
+  void AnswerOldMember(const member& aUpdate, link_state& aLink);
+  /// Drops what an earlier life of a router said.
+  void ForgetOrigin(const router_id& aRouter);
+  bool IsLinked(const router_id& aPeer) const;
+  std::vector<router_id> WantedPeers() const;
+  std::vector<endpoint> ProbeTargets() const;
+  /// Closes one of two links to the same peer; false when it was aLink.
+  bool ResolveDuplicate(link_state& aLink);
+
+  // Records.
+  bool TakeRecord(link_state& aLink, const wire_record& aRecord);
+  bool TakeHello(link_state& aLink, const wire_record& aRecord);
+  bool TakeSummary(link_state& aLink, const wire_record& aRecord);
+  bool TakeAnnounce(link_state& aLink, const wire_record& aRecord);
+  bool TakePull(link_state& aLink, const wire_record& aRecord);
+  bool TakeFact(link_state& aLink, const wire_record& aRecord);
+  bool TakeAppliedHash(link_state& aLink, const wire_record& aRecord);
+  bool TakePrune(link_state& aLink, const wire_record& aRecord);
+  bool TakeGraft(link_state& aLink, const wire_record& aRecord);
+
+  // Messages.
+  void Accepted(const mesh_fact& aFact, std::optional<link_id> aFrom);
+  void Queue(link_state& aLink, subject_id aSubject, const mesh_fact& aFact);
+  void QueueForOthers(const mesh_fact& aFact, std::optional<link_id> aFrom);
+  void HeardOrigin(const router_id& aOrigin, link_id aFrom, bool aPeriodic);
+  void TookDuplicate(link_state& aLink, const router_id& aOrigin);
+  void GraftOrigin(const router_id& aOrigin);
+  void GraftOrphans(link_id aClosed);
+  void GraftStarved();
+  void AskForWanted();
+  void Repair(link_state& aLink);
+  void UpdateOwnHash(const applied_message& aMessage);
+  void SettleAppliedHash();
+  void SpreadAppliedHash(const router_id& aRouter, std::optional<link_id> aExcept);
+  bool IsPresenceNeeded(const presence_message& aMessage) const;
+  std::uint64_t NextStamp();
+
+  // Sending.
+  void Append(link_state& aLink, wire_record aRecord);
+  void SendFrame(link_state& aLink);
+  /// Sends the frames that answer what just came.
+  void SendPrompt();
+  void SendSummaries();
+  void Flush(bool aBulk);
+  void FlushWorth(std::size_t aWorth);
+  wire_record RenderFact(link_state& aLink, const mesh_fact& aFact);
+  /// Puts the first thing that waits into the link's frame and charges the budget.
+  bool SendOne(link_state& aLink, std::size_t aWorth);
+  bool SendWaiting(link_state& aLink, std::size_t aWorth);
+  void Spend(link_state& aLink, wire_record aRecord);
+
+  random_source mRandom;
+  dialer mDialer;
+  std::vector<endpoint> mSeeds;
+  time_point mStartedAt;
+  std::uint64_t mNextLink = 1;
+  std::map<link_id, endpoint> mDialling;
+  std::map<link_id, endpoint> mDialled;
+  std::unordered_map<subject_id, wanted_version> mWanted;
+  std::map<router_id, origin_state> mOrigins;
+  bool mStoreFresh = false;
+  std::int64_t mBudget = 0;
+  time_point mBudgetAt;
+  time_point mNextBulk;
+  time_point mNextProbe;
+  time_point mNextUpkeep;
+  std::uint64_t mLastStamp = 0;
+  time_point mAppliedChangedAt;
+  bool mAppliedChanged = false;
+  std::unordered_map<subject_id, std::uint64_t> mOwnApplied;
+  std::unordered_map<subject_id, time_point> mPresenceSent;
+};
+
+} // namespace persimmon::peers
--- /dev/null
+++ b/src/peers/internal/meshcoresending.cpp
@@ -0,0 +1,163 @@
+#include "peers/internal/meshcoreimplementation.h"
+
+#include <algorithm>
+
+namespace persimmon::peers {
+namespace {
+
+/// Bytes around the records of a frame: CBOR heads, layout and the transport's header.
+constexpr std::size_t kFrameOverhead = 12;
+/// Room that a frame keeps below its bound.
+constexpr std::size_t kFrameReserve = 1024;
+
+/// Upper bound of the bytes that the names from aFirst on take in a frame.
+std::size_t
+SizeOfNames(const wire_frame& aFrame, std::size_t aFirst)
+{
+  std::size_t size = 0;
+  for (std::size_t i = aFirst; i < aFrame.names.size(); ++i) {
+    size += aFrame.names[i].size() + 2;
+  }
+  return size;
+}
+
+announce_record
+AnnounceOf(const mesh_message& aMessage)
+{
+  if (const auto* document = std::get_if<document_message>(&aMessage)) {
+    return { applied_message::subject::document, document->service.value, document->version };
+  }
+  const auto& table = std::get<table_message>(aMessage);
+  return { applied_message::subject::table, table.domain.value, table.version };
+}
+
+} // namespace
+
+void
+mesh_core::implementation::Append(link_state& aLink, wire_record aRecord)
+{
+  const std::size_t size = EncodedSize(aRecord);
+  const std::size_t names = aLink.frame.names.size() * kMaxNameBytes;
+  const std::size_t whole = aLink.frameBytes + size + names + kFrameReserve;
+  const bool full = whole > kMaxFrameBytes || aLink.frame.records.size() >= kMaxFrameRecords;
+  if (full && !aLink.frame.records.empty()) {
+    // Names that this record introduced go out with the frame before it.
+    SendFrame(aLink);
+  }
+  aLink.frame.records.push_back(std::move(aRecord));
+  aLink.frameBytes += size;
+}
+
+void
+mesh_core::implementation::SendFrame(link_state& aLink)
+{
+  std::string bytes = EncodeFrame(aLink.frame);
+  ++counters.framesSent;
+  counters.bytesSent += bytes.size();
+  actions.push_back(send_frame{ aLink.id, std::move(bytes) });
+  aLink.frame = {};
+  aLink.frameBytes = 0;
+  aLink.sendNow = false;
+}
+
+void
+mesh_core::implementation::SendSummaries()
+{
+  for (auto& [id, link] : links) {
+    if (now - link.lastSummary >= options.summaryInterval) {
+      link.lastSummary = now;
+      Append(link, link.codec.Render(summary_record{ facts.Hash(), members.Hash(), caughtUp }));
+    }
+  }
+}
+
+void
+mesh_core::implementation::Flush(bool aBulk)
+{
+  mBudget += options.bytesPerSecond * (now - mBudgetAt).ms / 1000;
+  mBudget = std::min(mBudget, options.burstBytes);
+  mBudgetAt = now;
+  SettleAppliedHash();
+  const auto bulkStart = static_cast<std::size_t>(message_worth::presence);
+  const std::size_t end = aBulk ? kWorthCount : bulkStart;
+  for (std::size_t worth = 0; worth < end; ++worth) {
+    FlushWorth(worth);
+  }
+  for (auto& [id, link] : links) {
+    if (!link.frame.records.empty()) {
+      mBudget -= static_cast<std::int64_t>(kFrameOverhead);
+      SendFrame(link);
+    }
+  }
+}
+
+void
+mesh_core::implementation::FlushWorth(std::size_t aWorth)
+{
+  bool sent = true;
+  while (sent && mBudget > 0) {
+    sent = false;
+    for (auto& [id, link] : links) {
+      if (mBudget > 0 && SendOne(link, aWorth)) {
+        sent = true;
+      }
+    }
+  }
+}
+
+bool
+mesh_core::implementation::SendOne(link_state& aLink, std::size_t aWorth)
+{
+  const std::size_t names = aLink.frame.names.size();
+  const std::size_t frames = counters.framesSent;
+  const bool sent = SendWaiting(aLink, aWorth);
+  const std::size_t first = counters.framesSent == frames ? names : 0;
+  mBudget -= static_cast<std::int64_t>(SizeOfNames(aLink.frame, first));
+  return sent;
+}
+
+bool
+mesh_core::implementation::SendWaiting(link_state& aLink, std::size_t aWorth)
+{
+  if (const auto subject = aLink.facts[aWorth].Take()) {
+    if (const mesh_fact* fact = facts.Find(*subject)) {
+      Spend(aLink, RenderFact(aLink, *fact));
+    }
+    return true;
+  }
+  if (aWorth != static_cast<std::size_t>(message_worth::member)) {
+    return false;
+  }
+  if (const auto router = aLink.members.Take()) {
+    if (const member* entry = members.Find(*router)) {
+      Spend(aLink, aLink.codec.Render(*entry, aLink.frame));
+    }
+    return true;
+  }
+  if (const auto router = aLink.appliedHashes.Take()) {
+    const auto hash = appliedHashes.find(*router);
+    if (hash != appliedHashes.end()) {
+      Spend(aLink, aLink.codec.Render(hash->second, aLink.frame));
+    }
+    return true;
+  }
+  return false;
+}
+
+wire_record
+mesh_core::implementation::RenderFact(link_state& aLink, const mesh_fact& aFact)
+{
+  if (IsVersioned(aFact.message)) {
+    return aLink.codec.Render(AnnounceOf(aFact.message), record_kind::announce, aLink.frame);
+  }
+  return aLink.codec.Render(aFact, now, aLink.frame);
+}
+
+void
+mesh_core::implementation::Spend(link_state& aLink, wire_record aRecord)
+{
+  mBudget -= static_cast<std::int64_t>(EncodedSize(aRecord));
+  Append(aLink, std::move(aRecord));
+}
+
+} // namespace persimmon::peers
--- /dev/null
+++ b/src/peers/internal/meshnode.cpp
@@ -0,0 +1,415 @@
+#include "peers/meshnode.h"
+
+#include "base/random.h"
+#include "peers/internal/websockettransport.h"
+#include "peers/peersevents.h"
+#include "peers/peersmetrics.h"
+#include "peers/wireframe.h"
+
+#include <charconv>
+#include <future>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace persimmon::peers {
+namespace {
+
+/// Interval between two updates of the metrics.
+constexpr duration kMetricsInterval = 1_s;
+
+struct ip_and_port
+{
+  std::string ip;
+  std::uint16_t port = 0;
+};
+
+std::optional<ip_and_port>
+Split(const endpoint& aAddress)
+{
+  const std::size_t colon = aAddress.value.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
+  }
+  ip_and_port parts{ aAddress.value.substr(0, colon) };
+  const char* end = aAddress.value.data() + aAddress.value.size();
+  const auto result = std::from_chars(aAddress.value.data() + colon + 1, end, parts.port);
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return parts;
+}
+
+} // namespace
+
+struct mesh_node::implementation
+{
+  mesh_node_settings settings;
+  metrics_registry* metrics = nullptr;
+  message_handler onMessage;
+  member_handler onMember;
+  std::unique_ptr<websocket_transport> transport;
+  std::string reason;
+  steady_clock clock;
+  bool running = false;
+
+  // The core changes on the transport's thread only; other threads read it under the lock.
+  mutable std::mutex mutex;
+  std::unique_ptr<mesh_core> core;
+  std::set<router_id> blocked;
+
+  // On the transport's thread only.
+  std::map<std::uint64_t, router_id> peers;
+  mesh_counters counted;
+  time_point nextMetrics;
+
+  std::optional<endpoint> Start();
+  std::optional<endpoint> Listen();
+  transport_callbacks Callbacks();
+  void Opened(std::uint64_t aLink, bool aOutgoing, const std::string& aPeer);
+  void Refused(const std::string& aAddress, const std::string& aDetail);
+  void Feed(const mesh_event& aEvent);
+  bool IsBlocked(std::uint64_t aLink) const;
+  void Act(const mesh_action& aAction);
+  void Do(const open_link& aAction);
+  void Do(const close_link& aAction);
+  void Do(const send_frame& aAction);
+  void Do(const deliver_message& aAction);
+  void Do(const member_changed& aAction);
+  void UpdateMetrics();
+  void Tick();
+  void Post(const mesh_event& aEvent);
+};
+
+std::optional<endpoint>
+mesh_node::implementation::Listen()
+{
+  const auto parts = Split(settings.listen);
+  if (!parts) {
+    reason = "'" + settings.listen.value + "' is not ip:port";
+    return std::nullopt;
+  }
+  const std::uint16_t port = transport->Listen(parts->ip, parts->port, reason);
+  if (port == 0) {
+    return std::nullopt;
+  }
+  return endpoint{ parts->ip + ":" + std::to_string(port) };
+}
+
+transport_callbacks
+mesh_node::implementation::Callbacks()
+{
+  transport_callbacks callbacks;
+  callbacks.opened = [this](std::uint64_t aLink, bool aOutgoing, const std::string& aPeer) {
+    Opened(aLink, aOutgoing, aPeer);
+  };
+  callbacks.received = [this](std::uint64_t aLink, const std::string& aBytes) {
+    if (!IsBlocked(aLink)) {
+      Feed(frame_received{ { aLink }, aBytes });
+    }
+  };
+  callbacks.closed = [this](std::uint64_t aLink) {
+    const auto peer = peers.find(aLink);
+    if (peer != peers.end()) {
+      WriteLog(kLinkEnded, { { "peer", peer->second.value }, { "reason", "closed_by_peer" } });
+      peers.erase(peer);
+    }
+    Feed(link_closed{ { aLink } });
+  };
+  callbacks.refused = [this](const std::string& aAddress, const std::string& aDetail) {
+    Refused(aAddress, aDetail);
+  };
+  return callbacks;
+}
+
+std::optional<endpoint>
+mesh_node::implementation::Start()
+{
+  transport_settings link;
+  link.self = settings.self.value;
+  link.key = settings.key;
+  link.maxFrameBytes = kMaxFrameBytes;
+  transport = std::make_unique<websocket_transport>(link, Callbacks());
+  endpoint address;
+  if (!settings.leaf) {
+    const auto bound = Listen();
+    if (!bound) {
+      return std::nullopt;
+    }
+    address = *bound;
+  }
+  mesh_options options;
+  options.self = settings.self;
+  options.life = static_cast<std::uint64_t>(wall_clock{}.Now().ms);
+  options.address = address;
+  options.zone = settings.zone;
+  options.leaf = settings.leaf;
+  options.seeds = settings.seeds;
+  options.randomSeed = EntropySeed();
+  const duration interval = options.urgentInterval;
+  core = std::make_unique<mesh_core>(std::move(options), clock.Now());
+  running = true;
+  WriteLog(kMeshStarted, { { "address", address.value }, { "self", settings.self.value } });
+  transport->Start(static_cast<long>(interval.ms), [this] { Tick(); });
+  return address;
+}
+
+void
+mesh_node::implementation::Opened(std::uint64_t aLink, bool aOutgoing, const std::string& aPeer)
+{
+  peers[aLink] = { aPeer };
+  if (IsBlocked(aLink)) {
+    transport->Close(aLink);
+    peers.erase(aLink);
+    if (aOutgoing) {
+      Feed(link_closed{ { aLink } });
+    }
+    return;
+  }
+  WriteLog(kLinkOpened, { { "peer", aPeer }, { "direction", aOutgoing ? "out" : "in" } });
+  Feed(link_opened{ { aLink }, aOutgoing });
+}
+
+void
+mesh_node::implementation::Refused(const std::string& aAddress, const std::string& aDetail)
+{
+  WriteLog(kPeerRefused, { { "address", aAddress }, { "detail", aDetail } });
+  if (metrics != nullptr) {
+    metrics->Count(kMeshRefused);
+  }
+}
+
+bool
+mesh_node::implementation::IsBlocked(std::uint64_t aLink) const
+{
+  const std::lock_guard lock(mutex);
+  const auto peer = peers.find(aLink);
+  return peer != peers.end() && blocked.count(peer->second) != 0;
+}
+
+void
+mesh_node::implementation::Feed(const mesh_event& aEvent)
+{
+  std::vector<mesh_action> actions;
+  {
+    const std::lock_guard lock(mutex);
+    actions = core->Handle(aEvent, clock.Now());
+  }
+  for (const mesh_action& action : actions) {
+    Act(action);
+  }
+}
+
+void
+mesh_node::implementation::Act(const mesh_action& aAction)
+{
+  std::visit([this](const auto& aIt) { Do(aIt); }, aAction);
+}
+
+void
+mesh_node::implementation::Do(const open_link& aAction)
+{
+  transport->Connect(aAction.link.value, aAction.address.value);
+}
+
+void
+mesh_node::implementation::Do(const close_link& aAction)
+{
+  const std::string peer = peers[aAction.link.value].value;
+  peers.erase(aAction.link.value);
+  const log_event& event = aAction.why == link_reason::bad_frame ? kFrameRefused : kLinkEnded;
+  WriteLog(
+    event,
+    { { "peer", peer }, { "reason", LinkReasonName(aAction.why) }, { "detail", aAction.detail } });
+  transport->Close(aAction.link.value);
+}
+
+void
+mesh_node::implementation::Do(const send_frame& aAction)
+{
+  if (!IsBlocked(aAction.link.value)) {
+    transport->Send(aAction.link.value, aAction.bytes);
+  }
+}
+
+void
+mesh_node::implementation::Do(const deliver_message& aAction)
+{
+  if (onMessage) {
+    onMessage(aAction.message, aAction.from);
+  }
+}
+
+void
+mesh_node::implementation::Do(const member_changed& aAction)
+{
+  const member& entry = aAction.entry;
+  WriteLog(kMemberChanged,
+           { { "router", entry.id.value },
+             { "state", MemberStateName(entry.state) },
+             { "life", std::to_string(entry.life) },
+             { "address", entry.address.value } });
+  if (onMember) {
+    onMember(entry);
+  }
+}
+
+void
+mesh_node::implementation::UpdateMetrics()
+{
+  const time_point now = clock.Now();
+  if (metrics == nullptr || now < nextMetrics) {
+    return;
+  }
+  nextMetrics = now + kMetricsInterval;
+  mesh_status status;
+  std::size_t live = 0;
+  {
+    const std::lock_guard lock(mutex);
+    status = core->Status(now);
+    live = core->Live().size();
+  }
+  const auto count = [this](const metric_spec& aMetric, std::uint64_t aNow, std::uint64_t aBefore) {
+    metrics->Count(aMetric, {}, static_cast<double>(aNow - aBefore));
+  };
+  const mesh_counters& counters = status.counters;
+  count(kMeshFramesSent, counters.framesSent, counted.framesSent);
+  count(kMeshBytesSent, counters.bytesSent, counted.bytesSent);
+  count(kMeshBodyBytesSent, counters.bodyBytesSent, counted.bodyBytesSent);
+  count(kMeshBytesReceived, counters.bytesReceived, counted.bytesReceived);
+  count(kMeshDelivered, counters.messagesDelivered, counted.messagesDelivered);
+  count(kMeshDuplicates, counters.duplicates, counted.duplicates);
+  count(kMeshUnknown, counters.unknownRecords, counted.unknownRecords);
+  count(kMeshBadFrames, counters.badFrames, counted.badFrames);
+  metrics->Set(kMeshWaiting, static_cast<double>(counters.waiting));
+  metrics->Set(kMeshPeers, static_cast<double>(status.peers.size()));
+  metrics->Set(kMeshLive, static_cast<double>(live));
+  counted = counters;
+}
+
+void
+mesh_node::implementation::Tick()
+{
+  Feed(timer_fired{});
+  UpdateMetrics();
+}
+
+void
+mesh_node::implementation::Post(const mesh_event& aEvent)
+{
+  if (running) {
+    transport->Post([this, aEvent] { Feed(aEvent); });
+  }
+}
+
+mesh_node::mesh_node(mesh_node_settings aSettings, metrics_registry* aMetrics)
+  : mImplementation(std::make_unique<implementation>())
+{
+  mImplementation->settings = std::move(aSettings);
+  mImplementation->metrics = aMetrics;
+}
+
+mesh_node::~mesh_node()
+{
+  Stop();
+}
+
+void
+mesh_node::SetHandler(message_handler aHandler)
+{
+  mImplementation->onMessage = std::move(aHandler);
+}
+
+void
+mesh_node::SetMemberHandler(member_handler aHandler)
+{
+  mImplementation->onMember = std::move(aHandler);
+}
+
+std::optional<endpoint>
+mesh_node::Start()
+{
+  return mImplementation->Start();
+}
+
+void
+mesh_node::Stop()
+{
+  if (!mImplementation->running) {
+    return;
+  }
+  mImplementation->running = false;
+  std::promise<void> stopped;
+  mImplementation->transport->Post([this, &stopped] {
+    mImplementation->Feed(stop_requested{});
+    // One more turn lets the last frames out.
+    mImplementation->transport->Post([&stopped] { stopped.set_value(); });
+  });
+  stopped.get_future().wait();
+  mImplementation->transport->Stop();
+}
+
+void
+mesh_node::Publish(const mesh_message& aMessage)
+{
+  mImplementation->Post(publish_requested{ aMessage });
+}
+
+void
+mesh_node::SetSeeds(std::vector<endpoint> aAddresses)
+{
+  mImplementation->Post(seeds_changed{ std::move(aAddresses) });
+}
+
+void
+mesh_node::SetStoreState(bool aFresh, bool aListed)
+{
+  mImplementation->Post(store_state_changed{ aFresh, aListed });
+}
+
+mesh_status
+mesh_node::Status() const
+{
+  const std::lock_guard lock(mImplementation->mutex);
+  return mImplementation->core ? mImplementation->core->Status(mImplementation->clock.Now())
+                               : mesh_status{};
+}
+
+std::vector<router_id>
+mesh_node::Live() const
+{
+  const std::lock_guard lock(mImplementation->mutex);
+  return mImplementation->core ? mImplementation->core->Live() : std::vector<router_id>{};
+}
+
+force_status
+mesh_node::InForce(applied_message::subject aWhat,
+                   const std::string& aName,
+                   revision aVersion) const
+{
+  const std::lock_guard lock(mImplementation->mutex);
+  return mImplementation->core ? mImplementation->core->InForce(aWhat, aName, aVersion)
+                               : force_status{};
+}
+
+bool
+mesh_node::CaughtUp() const
+{
+  return Status().caughtUp;
+}
+
+const std::string&
+mesh_node::LastReason() const
+{
+  return mImplementation->reason;
+}
+
+void
+mesh_node::BlockPeers(const std::vector<router_id>& aPeers)
+{
+  WriteLog(kMeshFaultsSet, { { "blocked", std::to_string(aPeers.size()) } });
+  const std::lock_guard lock(mImplementation->mutex);
+  mImplementation->blocked = { aPeers.begin(), aPeers.end() };
+}
+
+} // namespace persimmon::peers
--- /dev/null
+++ b/src/peers/tests/meshcoretests.cpp
@@ -0,0 +1,215 @@
+#include "peers/meshcore.h"
+
+#include "peers/tests/mocks/memorymesh.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::peers;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 6;
+constexpr std::size_t kRouters = 9;
+const std::string kService = "verifier-llm";
+
+mesh_message
+Document(std::uint64_t aRevision)
+{
+  return document_message{ { kService }, { aRevision }, "text-" + std::to_string(aRevision) };
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(mesh_core)
+{
+  memory_mesh mesh{ kSeed };
+  std::map<std::size_t, std::vector<mesh_message>> delivered;
+
+  void setup() override
+  {
+    mesh.onDeliver = [this](std::size_t aNode, const mesh_message& aMessage, time_point) {
+      delivered[aNode].push_back(aMessage);
+    };
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      mesh.Add(3);
+    }
+    CHECK(mesh.RunUntil(10_s, [this] { return mesh.Agreed(); }).has_value());
+  }
+
+  bool AllHold(const mesh_message& aMessage, std::size_t aFirst = 0, std::size_t aEnd = kRouters)
+  {
+    for (std::size_t i = aFirst; i < aEnd; ++i) {
+      const auto held = mesh.Core(i).Held(applied_message::subject::document, kService);
+      if (!held || *held != aMessage) {
+        return false;
+      }
+    }
+    return true;
+  }
+};
+// clang-format on
+
+TEST(mesh_core, DocumentReachesEveryRouterFromOne)
+{
+  mesh.Publish(4, Document(10));
+  CHECK(mesh.RunUntil(1_s, [this] { return AllHold(Document(10)); }).has_value());
+  CHECK(delivered[4].empty());
+  CHECK_EQUAL(1, delivered[0].size());
+}
+
+TEST(mesh_core, OlderDocumentNeverReplacesANewerOne)
+{
+  mesh.Publish(0, Document(10));
+  mesh.Run(1_s);
+  mesh.Publish(5, Document(9));
+  mesh.Run(5_s);
+  CHECK(AllHold(Document(10)));
+}
+
+TEST(mesh_core, DocumentCrossesAHealedPartition)
+{
+  mesh.Cut([](std::size_t aFrom, std::size_t aTo) { return (aFrom < 4) != (aTo < 4); });
+  mesh.Run(10_s);
+  CHECK_EQUAL(4, mesh.Core(0).Live().size());
+  CHECK_EQUAL(5, mesh.Core(8).Live().size());
+  mesh.Publish(0, Document(11));
+  mesh.Run(2_s);
+  CHECK(AllHold(Document(11), 0, 4));
+  CHECK_FALSE(mesh.Core(8).Held(applied_message::subject::document, kService).has_value());
+  mesh.Heal();
+  CHECK(mesh.RunUntil(15_s, [this] { return mesh.Agreed() && AllHold(Document(11)); }).has_value());
+}
+
+TEST(mesh_core, CrashedRouterIsDeadAndItsNextLifeIsBack)
+{
+  mesh.Kill(3);
+  CHECK(mesh.RunUntil(8_s, [this] { return mesh.Agreed(); }).has_value());
+  mesh.Restart(3);
+  CHECK(mesh.RunUntil(8_s, [this] { return mesh.Agreed(); }).has_value());
+}
+
+TEST(mesh_core, SilentMachineIsDeadAsWell)
+{
+  mesh.Kill(3, true);
+  CHECK(mesh.RunUntil(12_s, [this] { return mesh.Agreed(); }).has_value());
+}
+
+TEST(mesh_core, LiveRouterRefutesItsSuspicion)
+{
+  // Router 3 loses its links to all but one peer for less than the patience of a suspicion.
+  mesh.Cut([](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom == 3 && aTo != 0) || (aTo == 3 && aFrom != 0);
+  });
+  mesh.Run(4_s);
+  mesh.Heal();
+  CHECK(mesh.RunUntil(10_s, [this] { return mesh.Agreed(); }).has_value());
+}
+
+TEST(mesh_core, FreshRouterCatchesUpOnlyFromOneThatHasTheDocuments)
+{
+  mesh.Publish(0, Document(10));
+  mesh.Run(2_s);
+  CHECK_FALSE(mesh.Core(8).Status(mesh.Now()).caughtUp);
+  mesh.Feed(0, store_state_changed{ true, true });
+  mesh.Run(5_s);
+  CHECK(mesh.Core(8).Status(mesh.Now()).caughtUp);
+  mesh.Kill(8);
+  mesh.Run(1_s);
+  mesh.Restart(8);
+  CHECK_FALSE(mesh.Core(8).Status(mesh.Now()).caughtUp);
+  CHECK(
+    mesh.RunUntil(5_s, [this] { return mesh.Core(8).Status(mesh.Now()).caughtUp; }).has_value());
+  CHECK(AllHold(Document(10)));
+}
+
+TEST(mesh_core, InForceNamesTheLaggards)
+{
+  mesh.Publish(0, Document(10));
+  mesh.Run(1_s);
+  const auto subject = applied_message::subject::document;
+  for (std::size_t i = 0; i + 1 < kRouters; ++i) {
+    mesh.Publish(i, applied_message{ mesh.IdOf(i), subject, kService, { 10 } });
+  }
+  mesh.Run(2_s);
+  force_status status = mesh.Core(2).InForce(subject, kService, { 10 });
+  CHECK_EQUAL(kRouters - 1, status.inForce);
+  CHECK_EQUAL(kRouters, status.live);
+  CHECK(status.laggards == std::vector<router_id>{ mesh.IdOf(8) });
+  mesh.Publish(8, applied_message{ mesh.IdOf(8), subject, kService, { 10 } });
+  mesh.Run(2_s);
+  CHECK_EQUAL(kRouters, mesh.Core(2).InForce(subject, kService, { 10 }).inForce);
+}
+
+TEST(mesh_core, LateRouterLearnsWhatOthersAppliedBefore)
+{
+  const auto subject = applied_message::subject::document;
+  mesh.Publish(0, Document(10));
+  mesh.Run(1_s);
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Publish(i, applied_message{ mesh.IdOf(i), subject, kService, { 10 } });
+  }
+  mesh.Run(10_s);
+  mesh.Kill(5);
+  mesh.Run(1_s);
+  mesh.Restart(5);
+  mesh.Run(10_s);
+  const force_status status = mesh.Core(5).InForce(subject, kService, { 10 });
+  CHECK_EQUAL(kRouters - 1, status.inForce);
+  CHECK(status.laggards == std::vector<router_id>{ mesh.IdOf(5) });
+}
+
+TEST(mesh_core, LeafExchangesMessagesAndIsNoMember)
+{
+  const std::size_t leaf = mesh.AddLeaf(2);
+  mesh.Run(2_s);
+  CHECK(mesh.Agreed());
+  mesh.Publish(leaf, table_message{ { "domain-1" }, { 7 }, "table" });
+  mesh.Publish(6, leaving_message{ { "i1" }, { 3 } });
+  mesh.Run(2_s);
+  CHECK(delivered[8] ==
+          (std::vector<mesh_message>{ leaving_message{ { "i1" }, { 3 } },
+                                      table_message{ { "domain-1" }, { 7 }, "table" } }) ||
+        delivered[8].size() == 2);
+  CHECK_EQUAL(1, delivered[leaf].size());
+  mesh.Kill(2);
+  mesh.Run(1_s);
+  mesh.Restart(2);
+  CHECK(mesh.RunUntil(10_s, [&] { return mesh.Core(leaf).Status(mesh.Now()).peers.size() == 1; })
+          .has_value());
+}
+
+TEST(mesh_core, UrgentMessagesPassTheBudgetBeforeShares)
+{
+  for (std::uint32_t i = 0; i < 5000; ++i) {
+    mesh.Publish(
+      0, share_message{ mesh.IdOf(0), { "s" }, { "customer-" + std::to_string(i) }, i, 0, {} });
+  }
+  mesh.Run(500_ms);
+  mesh.Publish(0, leaving_message{ { "i9" }, { 1 } });
+  const auto heard = [this] {
+    const auto& got = delivered[8];
+    return std::find(got.begin(), got.end(), mesh_message(leaving_message{ { "i9" }, { 1 } })) !=
+           got.end();
+  };
+  CHECK(mesh.RunUntil(1_s, heard).has_value());
+  CHECK(mesh.Core(0).Status(mesh.Now()).counters.waiting > 1000);
+}
+
+TEST(mesh_core, SteadyPresenceStaysWithinTheBudget)
+{
+  for (int second = 0; second < 60; ++second) {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      for (int group = 0; group < 12; ++group) {
+        mesh.Publish(
+          i,
+          presence_message{ { "group-" + std::to_string(group) }, { 1 }, mesh.IdOf(i), {}, true });
+      }
+    }
+    mesh.Run(1_s);
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    CHECK(mesh.Core(i).Status(mesh.Now()).counters.bytesSent < 3000U * 71U);
+  }
+}
--- /dev/null
+++ b/src/peers/tests/meshnodetests.cpp
@@ -0,0 +1,87 @@
+#include "peers/meshnode.h"
+
+#include <CppUTest/TestHarness.h>
+#include <chrono>
+#include <future>
+#include <thread>
+
+using namespace persimmon;
+using namespace persimmon::peers;
+
+namespace {
+
+const endpoint kAnyPort{ "127.0.0.1:0" };
+
+/// Polls a condition that the mesh brings about; the limit only ends a hanging test.
+bool
+Eventually(const std::function<bool()>& aCondition)
+{
+  for (int i = 0; i < 3000; ++i) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(mesh_node)
+{
+  metrics_registry metrics;
+};
+// clang-format on
+
+TEST(mesh_node, CarriesMessagesBetweenProcesses)
+{
+  mesh_node first({ { "r1" }, { "a" }, kAnyPort, {}, "key" });
+  const auto address = first.Start();
+  CHECK(address.has_value());
+  mesh_node second({ { "r2" }, { "a" }, kAnyPort, { *address }, "key" });
+  std::promise<mesh_message> arrived;
+  second.SetHandler(
+    [&arrived](const mesh_message& aMessage, const router_id&) { arrived.set_value(aMessage); });
+  CHECK(second.Start().has_value());
+  const mesh_message sent = document_message{ { "s" }, { 4 }, std::string(1U << 20U, 'x') };
+  first.Publish(sent);
+  CHECK(arrived.get_future().get() == sent);
+  CHECK(Eventually([&] { return first.Live().size() == 2; }));
+}
+
+TEST(mesh_node, RefusesAWrongKey)
+{
+  mesh_node first({ { "r1" }, { "a" }, kAnyPort, {}, "key" }, &metrics);
+  const auto address = first.Start();
+  mesh_node second({ { "r2" }, { "a" }, kAnyPort, { *address }, "other" });
+  CHECK(second.Start().has_value());
+  CHECK(Eventually([&] {
+    return metrics.Render().find("persimmon_mesh_refused_total 0") == std::string::npos &&
+           metrics.Render().find("persimmon_mesh_refused_total ") != std::string::npos;
+  }));
+  CHECK(first.Status().peers.empty());
+  CHECK(second.Status().peers.empty());
+}
+
+TEST(mesh_node, BlockedPeerIsDeclaredDeadAndComesBack)
+{
+  mesh_node first({ { "r1" }, { "a" }, kAnyPort, {}, "key" });
+  const auto address = first.Start();
+  mesh_node second({ { "r2" }, { "a" }, kAnyPort, { *address }, "key" });
+  CHECK(second.Start().has_value());
+  CHECK(Eventually([&] { return first.Live().size() == 2; }));
+  first.BlockPeers({ { "r2" } });
+  CHECK(Eventually([&] { return first.Live().size() == 1; }));
+  first.BlockPeers({});
+  CHECK(Eventually([&] { return first.Live().size() == 2 && second.Live().size() == 2; }));
+}
+
+TEST(mesh_node, RefusesAnAddressInUse)
+{
+  mesh_node first({ { "r1" }, { "a" }, kAnyPort, {}, "key" });
+  const auto address = first.Start();
+  mesh_node second({ { "r2" }, { "a" }, *address, {}, "key" });
+  CHECK_FALSE(second.Start().has_value());
+  CHECK_FALSE(second.LastReason().empty());
+}
