Admission: silent routers keep their part, lone ones use what is idle

Cause: after kRouterLifetime without shares each of nine isolated routers took itself to be alone and claimed the whole capacity. Routers are now counted from the instance list, which outlives the mesh; a silent one is assumed to use its part unless the upstreams' reported load shows less. The limit is reviewed at most twice a second, since others' use is not known more often; the tests' times moved with it.

--- a/bench/routingmodel.cpp
+++ b/bench/routingmodel.cpp
@@ -463,6 +463,7 @@
     for (model_router<Policy>& router : mRouters) {
       router.chooser.Pool().Update(mCandidates, mNow);
       router.chooser.Pool().Maintain(mNow);
+      router.gate.SetObservedLoad(ReportedLoad(), mNow);
       Carry(router.gate.Tick(mNow));
     }
     if (mNow < mOptions.end + mOptions.deadline) {
@@ -470,6 +471,15 @@
     }
   }
 
+  [[nodiscard]] std::uint64_t ReportedLoad() const
+  {
+    std::uint64_t sum = 0;
+    for (const routing::candidate& current : mCandidates) {
+      sum += current.load.running + current.load.queued;
+    }
+    return sum;
+  }
+
   void Share()
   {
     if (mNow >= mOptions.sharesStop) {
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -17,8 +17,10 @@
 
 /// How long another router's shares count as its present use.
 constexpr duration kShareLifetime = 3_s;
-/// How long a silent router is still assumed to use its part of the capacity.
+/// How long a router that fell silent is counted, unless SetRouterCount() says otherwise.
 constexpr duration kRouterLifetime = 30_s;
+/// How long an observed load counts.
+constexpr duration kObservedLoadLifetime = 5_s;
 
 /// Admits one service's requests at one router: as many at once as the upstreams can run, fairly
 /// by the customers' weights over all routers. A customer may use what others leave idle. What
@@ -26,7 +28,9 @@
 /// once. Pure; the caller serialises calls.
 ///
 /// Each router may always use its part of the capacity, and of the idle rest as much as each other
-/// router. A router that falls silent keeps its part for kRouterLifetime.
+/// router. A router that falls silent is assumed to use its part, unless the load that the
+/// upstreams report shows that it does not, so that a mesh that stops can neither overload the
+/// upstreams nor keep a lone router from using them.
 class admission
 {
 public:
@@ -34,9 +38,11 @@
 
   /// Sets the limits and customers of a document. Requests of customers that were removed go on.
   void SetDocument(const service_document& aDocument);
-  /// Sets how many routers are known to live, this one included; more are counted when more have
-  /// sent their shares.
+  /// Sets how many routers there are, this one included, from a source that outlives the mesh, such
+  /// as the instance list; more are counted when more have sent their shares.
   void SetRouterCount(std::size_t aCount) { mRouterCount = aCount; }
+  /// Sets how many requests all upstreams report to have.
+  void SetObservedLoad(std::uint64_t aRequests, time_point aNow);
   /// Sets how many upstreams are eligible.
   std::vector<admission_action> SetUpstreams(std::size_t aCount, time_point aNow);
 
@@ -111,6 +117,7 @@
   void NoteEnd(time_point aStartedAt, time_point aNow);
   void ReviewRemotes(time_point aNow);
   void ReviewLimit(time_point aNow);
+  [[nodiscard]] std::int64_t UseElsewhere(std::size_t aRouters, time_point aNow) const;
   [[nodiscard]] std::uint32_t Capacity() const;
   [[nodiscard]] duration EstimateWait(const waiting_request& aRequest) const;
   [[nodiscard]] bool CanMeetDeadline(const admission_request& aRequest,
@@ -132,6 +139,10 @@
   std::map<router_id, remote_router> mRemotes;
   std::uint64_t mNextSerial = 1;
   std::size_t mLimit = 0;
+  time_point mReviewedAt{ INT64_MIN };
+  /// Observed load without this router's own requests.
+  std::int64_t mObservedElsewhere = 0;
+  time_point mObservedAt{ INT64_MIN };
   std::uint64_t mEnds = 0;
   /// Smoothed time that a request runs.
   double mRunMs = 0;
--- a/src/routing/clusterview.h
+++ b/src/routing/clusterview.h
@@ -62,6 +62,8 @@
   [[nodiscard]] std::vector<placement::group> Groups() const;
   /// Instances that are marked as leaving.
   [[nodiscard]] std::vector<peers::leaving_message> Leaving() const;
+  /// Number of routers by the instance list, at least 1.
+  [[nodiscard]] std::size_t RouterCount() const;
   /// Versions in force here, for the mesh.
   [[nodiscard]] std::vector<peers::applied_message> Applied(const router_id& aSelf) const;
   /// True until the first document has come.
--- a/src/routing/internal/admission.cpp
+++ b/src/routing/internal/admission.cpp
@@ -11,6 +11,9 @@
 constexpr double kRunWeight = 0.1;
 /// Requests that must have ended before waits are estimated.
 constexpr std::uint64_t kMinEnds = 5;
+/// Time between two reviews of the limit; others' use is not known more often, and a router may
+/// take its share of the idle rest once in each.
+constexpr duration kReviewInterval = 500_ms;
 constexpr duration kMinRetryAfter = 1_s;
 constexpr duration kMaxRetryAfter = 60_s;
 
@@ -51,7 +54,10 @@
 std::vector<admission_action>
 admission::SetUpstreams(std::size_t aCount, time_point aNow)
 {
-  mUpstreams = aCount;
+  if (aCount != mUpstreams) {
+    mUpstreams = aCount;
+    mReviewedAt = { INT64_MIN };
+  }
   return Tick(aNow);
 }
 
@@ -233,8 +239,10 @@
 admission::Tick(time_point aNow)
 {
   action_list actions;
-  ReviewRemotes(aNow);
-  ReviewLimit(aNow);
+  if (mReviewedAt.ms == INT64_MIN || mReviewedAt + kReviewInterval <= aNow) {
+    ReviewRemotes(aNow);
+    ReviewLimit(aNow);
+  }
   RefuseExpired(aNow, actions);
   StartWaiting(aNow, actions);
   std::erase_if(mCustomers, [](const auto& aEntry) {
@@ -317,24 +325,45 @@
 }
 
 void
-admission::ReviewLimit(time_point aNow)
+admission::SetObservedLoad(std::uint64_t aRequests, time_point aNow)
 {
-  const std::size_t routers = std::max(mRouterCount, mRemotes.size() + 1);
-  const std::uint32_t part = DivideUp(Capacity(), routers);
-  std::int64_t elsewhere = 0;
+  const auto all = static_cast<std::int64_t>(aRequests);
+  mObservedElsewhere = std::max<std::int64_t>(0, all - static_cast<std::int64_t>(mRunning.size()));
+  mObservedAt = aNow;
+}
+
+std::int64_t
+admission::UseElsewhere(std::size_t aRouters, time_point aNow) const
+{
+  std::int64_t heard = 0;
+  std::size_t silent = aRouters - 1;
   for (const auto& [id, router] : mRemotes) {
     if (router.heardAt + kShareLifetime <= aNow) {
-      elsewhere += part;
       continue;
     }
+    --silent;
     for (const auto& [name, use] : router.customers) {
-      elsewhere += use.running;
+      heard += use.running;
     }
   }
+  std::int64_t assumed = static_cast<std::int64_t>(silent) * DivideUp(Capacity(), aRouters);
+  if (mObservedAt.ms != INT64_MIN && aNow < mObservedAt + kObservedLoadLifetime) {
+    assumed = std::min(assumed, std::max<std::int64_t>(0, mObservedElsewhere - heard));
+  }
+  return heard + assumed;
+}
+
+void
+admission::ReviewLimit(time_point aNow)
+{
+  const std::size_t routers = std::max(mRouterCount, mRemotes.size() + 1);
   const auto own = static_cast<std::int64_t>(mRunning.size());
-  const std::int64_t idle = static_cast<std::int64_t>(Capacity()) - elsewhere - own;
+  const std::int64_t idle =
+    static_cast<std::int64_t>(Capacity()) - UseElsewhere(routers, aNow) - own;
   const std::int64_t borrowed = own + idle / static_cast<std::int64_t>(routers);
-  mLimit = static_cast<std::size_t>(std::max<std::int64_t>(part, borrowed));
+  mLimit =
+    static_cast<std::size_t>(std::max<std::int64_t>(DivideUp(Capacity(), routers), borrowed));
+  mReviewedAt = aNow;
 }
 
 std::vector<peers::share_message>
--- a/src/routing/internal/clusterview.cpp
+++ b/src/routing/internal/clusterview.cpp
@@ -414,6 +414,15 @@
   return result;
 }
 
+std::size_t
+cluster_view::RouterCount() const
+{
+  const auto count = std::count_if(mInstances.begin(), mInstances.end(), [](const auto& aEntry) {
+    return aEntry.second.entry && !aEntry.second.leaving;
+  });
+  return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, count));
+}
+
 std::vector<peers::applied_message>
 cluster_view::Applied(const router_id& aSelf) const
 {
--- a/src/routing/tests/admissiontests.cpp
+++ b/src/routing/tests/admissiontests.cpp
@@ -163,7 +163,7 @@
 {
   Open(9, 50);
   gate.Apply(Share("r2", "large", 6), kStart);
-  gate.Tick(kStart);
+  gate.Tick(kStart + 500_ms);
   std::vector<request_id> running;
   while (gate.Waiting() == 0) {
     for (const auto& action : Ask("small", kStart)) {
@@ -181,7 +181,7 @@
   for (int router = 2; router <= 9; ++router) {
     gate.Apply(Share(fmt::format("r{}", router).c_str(), "large", 10), kStart);
   }
-  gate.Tick(kStart);
+  gate.Tick(kStart + 500_ms);
   CHECK_EQUAL(10, gate.Limit());
   for (int router = 2; router <= 9; ++router) {
     gate.Apply(Share(fmt::format("r{}", router).c_str(), "large", 0), kStart + 1_s);
@@ -191,7 +191,9 @@
   for (int number = 0; number < 10; ++number) {
     Ask("small", kStart + 1_s);
   }
-  gate.Tick(kStart + 1_s);
+  gate.Tick(kStart + 1400_ms);
+  CHECK_EQUAL(10, gate.Limit());
+  gate.Tick(kStart + 1500_ms);
   CHECK_EQUAL(18, gate.Limit());
 }
 
@@ -210,6 +212,36 @@
   CHECK_EQUAL(90, gate.Limit());
 }
 
+TEST(admission, RoutersThatTheListNamesKeepTheirPartHoweverLongTheMeshIsSilent)
+{
+  gate.SetRouterCount(9);
+  Open(90, 50);
+  for (int number = 0; number < 20; ++number) {
+    Ask("small", kStart);
+  }
+  for (std::int64_t second = 1; second < 600; ++second) {
+    gate.SetObservedLoad(90, kStart + 1_s * second);
+    gate.Tick(kStart + 1_s * second);
+    CHECK_EQUAL(10, gate.Limit());
+  }
+}
+
+TEST(admission, LoneRouterOfManyListedOnesUsesWhatTheUpstreamsShowAsIdle)
+{
+  gate.SetRouterCount(9);
+  Open(90, 100);
+  for (int number = 0; number < 90; ++number) {
+    Ask("small", kStart);
+  }
+  for (std::int64_t second = 1; second < 60; ++second) {
+    gate.SetObservedLoad(gate.Running(), kStart + 1_s * second);
+    gate.Tick(kStart + 1_s * second);
+  }
+  CHECK(gate.Running() > 80);
+  gate.Tick(kStart + 60_s + kObservedLoadLifetime);
+  CHECK(gate.Limit() < 90);
+}
+
 TEST(admission, UnknownCustomersAreRefusedAndRemovedOnesFinish)
 {
   Open(2, 8);
