Choice of upstream: estimate what other routers send, and let reports age

Cause: between reports each router saw only its own dispatches, a ninth of all, so that all nine filled the same upstreams up to the bound. An own dispatch now counts for up to four routers' (they see the same reports and prefixes), and a report is drawn towards the mean as it ages. The limit still counts known requests only.

--- a/bench/routingmodel.cpp
+++ b/bench/routingmodel.cpp
@@ -135,6 +135,7 @@
     for (std::size_t number = 0; number < mOptions.routers; ++number) {
       const zone_name zone{ fmt::format("z{}", number % mOptions.zones) };
       mRouters.emplace_back(fmt::format("r{}", number), zone, mOptions);
+      mRouters.back().chooser.Pool().SetRouterCount(mOptions.routers);
       mRouters.back().chooser.Pool().Update(mCandidates, mNow);
       mRouters.back().gate.SetDocument(Document());
       mRouters.back().gate.SetRouterCount(mOptions.routers);
--- a/src/routing/internal/choicepolicies.cpp
+++ b/src/routing/internal/choicepolicies.cpp
@@ -48,7 +48,7 @@
 IsUsable(const upstream_pool& aPool, std::size_t aSlot, time_point aNow)
 {
   const pool_slot& slot = aPool.Slots()[aSlot];
-  return slot.Healthy(aNow) && slot.load < aPool.Limit();
+  return slot.Healthy(aNow) && slot.known < aPool.Limit();
 }
 
 std::optional<upstream_choice>
@@ -152,7 +152,7 @@
         none.why == choice_reason::all_full ? choice_reason::all_full : choice_reason::all_excluded;
       continue;
     }
-    if (current.load >= aPool.Limit()) {
+    if (current.known >= aPool.Limit()) {
       none.why = choice_reason::all_full;
       continue;
     }
--- a/src/routing/internal/upstreampool.cpp
+++ b/src/routing/internal/upstreampool.cpp
@@ -8,6 +8,11 @@
 namespace persimmon::routing {
 namespace {
 
+/// A report loses its weight against the mean with this time constant, in milliseconds.
+constexpr double kReportTrustMs = 4000;
+/// Each own dispatch since the report stands for those of so many routers, at most; they see the
+/// same reports and prefixes, so theirs are much like our own.
+constexpr std::size_t kMaxDispatchWeight = 4;
 /// Weight of a new sample in the smoothed latency.
 constexpr double kSampleWeight = 0.2;
 /// The same for an upstream on probation, whose samples are rare.
@@ -41,7 +46,7 @@
 }
 
 void
-upstream_pool::Update(const std::vector<candidate>& aCandidates, time_point /*aNow*/)
+upstream_pool::Update(const std::vector<candidate>& aCandidates, time_point aNow)
 {
   std::vector<bool> seen(mSlots.size(), false);
   for (const candidate& current : aCandidates) {
@@ -54,6 +59,7 @@
   }
   ReleaseUnused(seen);
   Relist();
+  AgeReports(aNow);
 }
 
 std::size_t
@@ -144,26 +150,47 @@
   }
   present.reportedAt = aReport.at;
   mSlots[aSlot].reported = aReport.running + aReport.queued;
+  present.aged = mSlots[aSlot].reported;
   std::erase_if(present.ended,
                 [&](const ended_dispatch& aEnded) { return aEnded.endedAt <= aReport.at; });
   RefreshLoad(aSlot);
 }
 
+void
+upstream_pool::AgeReports(time_point aNow)
+{
+  double sum = 0;
+  for (const std::uint32_t slot : mListedSlots) {
+    sum += mSlots[slot].reported;
+  }
+  const double mean = sum / static_cast<double>(std::max<std::size_t>(1, mListedCount));
+  for (const std::uint32_t slot : mListedSlots) {
+    record& present = mRecords[slot];
+    present.aged = mSlots[slot].reported;
+    if (present.reportedAt.ms != INT64_MIN) {
+      const auto age = static_cast<double>((aNow - present.reportedAt).ms);
+      present.aged = mean + std::exp(-age / kReportTrustMs) * (present.aged - mean);
+    }
+    RefreshLoad(slot);
+  }
+}
+
 void
 upstream_pool::RefreshLoad(std::size_t aSlot)
 {
   const record& present = mRecords[aSlot];
-  std::uint32_t load = mSlots[aSlot].reported;
+  auto since = -static_cast<std::int64_t>(present.ended.size());
   for (const running_dispatch& running : present.running) {
-    load += running.ticket.startedAt >= present.reportedAt ? 1 : 0;
+    since += running.ticket.startedAt >= present.reportedAt ? 1 : 0;
   }
-  const auto ended = static_cast<std::uint32_t>(present.ended.size());
-  load -= std::min(load, ended);
-  if (mSlots[aSlot].listed) {
-    mTotalLoad += load;
-    mTotalLoad -= mSlots[aSlot].load;
+  const auto weight = static_cast<std::int64_t>(std::min(mRouterCount, kMaxDispatchWeight));
+  const auto load = std::max<std::int64_t>(0, std::llround(present.aged) + weight * since);
+  pool_slot& slot = mSlots[aSlot];
+  slot.known = static_cast<std::uint32_t>(std::max<std::int64_t>(0, slot.reported + since));
+  if (slot.listed) {
+    mTotalLoad += static_cast<std::uint64_t>(load) - slot.load;
   }
-  mSlots[aSlot].load = load;
+  slot.load = static_cast<std::uint32_t>(load);
 }
 
 dispatch_ticket
@@ -361,6 +388,7 @@
 std::vector<health_change>
 upstream_pool::Maintain(time_point aNow)
 {
+  AgeReports(aNow);
   FindStalled(aNow);
   DecideProbation();
   return Announce(aNow);
@@ -391,7 +419,7 @@
     const time_point last = mRecords[slot].lastTest;
     const bool rested = last.ms == INT64_MIN || last + kTestInterval <= aNow;
     const bool usable = mSlots[slot].Eligible(aNow) && aNow >= mSlots[slot].ejectedUntil &&
-                        mSlots[slot].load < mLimit;
+                        mSlots[slot].known < mLimit;
     if (rested && usable && (!due || last < mRecords[*due].lastTest)) {
       due = slot;
     }
--- a/src/routing/tests/upstreamchoosertests.cpp
+++ b/src/routing/tests/upstreamchoosertests.cpp
@@ -122,6 +122,30 @@
   CHECK_EQUAL(2, pool.Slots()[0].load);
 }
 
+TEST(upstream_chooser, ReportFadesIntoTheMeanAsItAges)
+{
+  auto candidates = Candidates(2);
+  candidates[0].load = { 20, 0, kStart };
+  candidates[1].load = { 0, 0, kStart };
+  chooser.Pool().Update(candidates, kStart);
+  CHECK_EQUAL(20, chooser.Pool().Slots()[0].load);
+  chooser.Pool().Maintain(kStart + 60_s);
+  CHECK_EQUAL(10, chooser.Pool().Slots()[0].load);
+  CHECK_EQUAL(10, chooser.Pool().Slots()[1].load);
+}
+
+TEST(upstream_chooser, OwnDispatchesStandForOtherRoutersInTheEstimateButNotAgainstTheLimit)
+{
+  chooser.Pool().SetRouterCount(3);
+  chooser.Pool().SetLimit(2);
+  chooser.Pool().Update(Candidates(1), kStart);
+  chooser.Pool().Start(0, kStart);
+  CHECK_EQUAL(3, chooser.Pool().Slots()[0].load);
+  CHECK(chooser.Choose({}, kStart).target != nullptr);
+  chooser.Pool().Start(0, kStart);
+  CHECK(chooser.Choose({}, kStart).why == choice_reason::all_full);
+}
+
 TEST(upstream_chooser, OwnZoneGoesFirstAndSpillsWhenOverloaded)
 {
   chooser.Pool().Update({ Candidate(0, "sud-a"), Candidate(1, "sud-b"), Candidate(2, "sud-c") },
--- a/src/routing/upstreampool.h
+++ b/src/routing/upstreampool.h
@@ -46,8 +46,10 @@
   std::uint64_t hash = 0;
   time_point freshUntil;
   time_point ejectedUntil;
-  /// Reported load, corrected by own dispatches and ends since the report.
+  /// Estimate of the present load, from the report, its age and dispatches since.
   std::uint32_t load = 0;
+  /// Reported load with own dispatches and ends since the report.
+  std::uint32_t known = 0;
   std::uint32_t reported = 0;
   bool listed = false;
   bool ownZone = false;
@@ -74,6 +76,8 @@
   void Update(const std::vector<candidate>& aCandidates, time_point aNow);
   /// Sets how many requests an upstream may run at once.
   void SetLimit(std::uint32_t aRequestsPerUpstream) { mLimit = aRequestsPerUpstream; }
+  /// Sets how many routers send requests to these upstreams, this one included.
+  void SetRouterCount(std::size_t aCount) { mRouterCount = aCount; }
   /// Takes a load that came with a response.
   void Report(std::size_t aSlot, const load_report& aReport);
 
@@ -117,6 +121,8 @@
   {
     std::shared_ptr<const upstream> target;
     time_point reportedAt{ INT64_MIN };
+    /// Reported load, drawn towards the mean as the report ages.
+    double aged = 0;
     /// By start, oldest first.
     std::vector<running_dispatch> running;
     /// Ended since the report although they had started before it.
@@ -133,6 +139,7 @@
   void Reset(std::size_t aSlot, const candidate& aCandidate);
   void ReleaseUnused(const std::vector<bool>& aSeen);
   void Relist();
+  void AgeReports(time_point aNow);
   void RefreshLoad(std::size_t aSlot);
   running_dispatch* Find(const dispatch_ticket& aTicket);
   void NoteSign(running_dispatch& aRunning, time_point aNow);
@@ -148,6 +155,7 @@
 
   zone_name mOwnZone;
   std::uint32_t mLimit = UINT32_MAX;
+  std::size_t mRouterCount = 1;
   std::vector<pool_slot> mSlots;
   std::vector<record> mRecords;
   std::unordered_map<upstream_id, std::size_t> mSlotOf;
@@ -159,6 +167,8 @@
   std::vector<std::size_t> mFreeSlots;
   std::uint64_t mNextSerial = 1;
   /// Smoothed time to the first sign of life, and its mean deviation.
+  time_point mNow;
+  double mMean = 0;
   double mSignMs = 0;
   double mSignDeviationMs = 0;
 };
