Choice of upstream: see stragglers in their running streams

Cause: latency was sampled when a request had ended, which takes a straggler longest of all, and each of nine routers learnt it anew from several requests. Streams are now sampled while they run, from their first token on, so that neither a queue nor a long prompt looks like a slow upstream.

--- a/bench/routingmodel.cpp
+++ b/bench/routingmodel.cpp
@@ -20,6 +20,7 @@
 
 constexpr duration kTickEvery = 100_ms;
 constexpr duration kShareEvery = 500_ms;
+constexpr duration kProgressEvery = 500_ms;
 constexpr duration kChooseAgainAfter = 50_ms;
 /// Part of the time per token that a group takes when it runs a single request.
 constexpr double kIdleSpeed = 0.6;
@@ -32,6 +33,7 @@
   arrival,
   dispatch,
   first_token,
+  progress,
   finish,
   fail,
   deadline,
@@ -81,6 +83,8 @@
   std::size_t group = 0;
   routing::dispatch_ticket ticket;
   bool over = false;
+  time_point firstTokenAt{};
+  double msPerToken = 0;
 };
 
 template<typename Policy>
@@ -187,6 +191,8 @@
         return Dispatch(aStep.subject);
       case step_kind::first_token:
         return FirstToken(aStep.subject);
+      case step_kind::progress:
+        return Progress(aStep.subject);
       case step_kind::finish:
         return Finish(aStep.subject);
       case step_kind::fail:
@@ -305,7 +311,7 @@
       return;
     }
     const std::size_t number = mAttempts.size();
-    mAttempts.push_back({ aRequest, choice.slot, chooser.Pool().Start(choice.slot, mNow), false });
+    mAttempts.push_back({ aRequest, choice.slot, chooser.Pool().Start(choice.slot, mNow) });
     ++request.attempts;
     request.current = number;
     request.tried.push_back(choice.target->id);
@@ -344,6 +350,7 @@
     const double firstMs = static_cast<double>(prefill.ms) * aGroup.slowness;
     const double tokensMs =
       static_cast<double>(mOptions.perToken.ms) * request.tokens * speed * aGroup.slowness;
+    mAttempts[aAttempt].msPerToken = tokensMs / request.tokens;
     const bool fails = aGroup.failing > 0 && mRandom.Chance(aGroup.failing);
     const double wholeMs = firstMs + tokensMs;
     Schedule(After(firstMs), step_kind::first_token, aAttempt);
@@ -362,9 +369,22 @@
 
   void FirstToken(std::size_t aAttempt)
   {
-    const model_attempt& attempt = mAttempts[aAttempt];
+    model_attempt& attempt = mAttempts[aAttempt];
     if (!attempt.over && !mGroups[attempt.group].dark) {
+      attempt.firstTokenAt = mNow;
       PoolOf(attempt).Progress(attempt.ticket, 0, mNow);
+      Schedule(mNow + kProgressEvery, step_kind::progress, aAttempt);
+    }
+  }
+
+  void Progress(std::size_t aAttempt)
+  {
+    const model_attempt& attempt = mAttempts[aAttempt];
+    if (!attempt.over && !mGroups[attempt.group].dark) {
+      const auto ran = static_cast<double>((mNow - attempt.firstTokenAt).ms);
+      const auto tokens = static_cast<std::uint32_t>(ran / attempt.msPerToken);
+      PoolOf(attempt).Progress(attempt.ticket, tokens, mNow);
+      Schedule(mNow + kProgressEvery, step_kind::progress, aAttempt);
     }
   }
 
--- a/src/routing/internal/upstreampool.cpp
+++ b/src/routing/internal/upstreampool.cpp
@@ -197,7 +197,7 @@
 upstream_pool::Start(std::size_t aSlot, time_point aNow)
 {
   const dispatch_ticket ticket{ aSlot, mNextSerial++, aNow };
-  mRecords[aSlot].running.push_back({ ticket, false });
+  mRecords[aSlot].running.push_back({ ticket, false, {} });
   if (mSlots[aSlot].probation) {
     mRecords[aSlot].lastTest = aNow;
   }
@@ -225,21 +225,22 @@
     return;
   }
   aRunning.heard = true;
+  aRunning.heardAt = aNow;
   const auto span = static_cast<double>((aNow - aRunning.ticket.startedAt).ms);
   mSignDeviationMs += kSignWeight * (std::abs(span - mSignMs) - mSignDeviationMs);
   mSignMs += kSignWeight * (span - mSignMs);
 }
 
 void
-upstream_pool::Sample(std::size_t aSlot,
-                      const dispatch_ticket& aTicket,
-                      std::uint32_t aTokens,
-                      time_point aNow)
+upstream_pool::Sample(const running_dispatch& aRunning, std::uint32_t aTokens, time_point aNow)
 {
-  record& present = mRecords[aSlot];
-  const double value =
-    static_cast<double>((aNow - aTicket.startedAt).ms) / std::max<std::uint32_t>(1, aTokens);
-  const double weight = mSlots[aSlot].probation ? kTestSampleWeight : kSampleWeight;
+  // A stream is measured from its first token, so that waiting in a queue does not count.
+  const time_point from =
+    aTokens > 0 && aRunning.heardAt < aNow ? aRunning.heardAt : aRunning.ticket.startedAt;
+  const double value = static_cast<double>((aNow - from).ms) / std::max<std::uint32_t>(1, aTokens);
+  const std::size_t slot = aRunning.ticket.slot;
+  record& present = mRecords[slot];
+  const double weight = mSlots[slot].probation ? kTestSampleWeight : kSampleWeight;
   present.msPerToken =
     present.samples == 0 ? value : present.msPerToken + weight * (value - present.msPerToken);
   ++present.samples;
@@ -254,7 +255,7 @@
   }
   NoteSign(*running, aNow);
   if (aTokens > 0) {
-    Sample(aTicket.slot, aTicket, aTokens, aNow);
+    Sample(*running, aTokens, aNow);
   }
 }
 
@@ -270,7 +271,7 @@
   record& present = mRecords[aTicket.slot];
   if (aResult.outcome == attempt_outcome::completed) {
     NoteSign(*running, aNow);
-    Sample(aTicket.slot, aTicket, aResult.tokens, aNow);
+    Sample(*running, aResult.tokens, aNow);
   }
   if (aTicket.startedAt < present.reportedAt) {
     present.ended.push_back({ aTicket.startedAt, aNow });
--- a/src/routing/tests/upstreamchoosertests.cpp
+++ b/src/routing/tests/upstreamchoosertests.cpp
@@ -176,6 +176,36 @@
   CHECK(chooser.Pool().Health(3, kStart + 6_s) == pool_health::good);
 }
 
+TEST(upstream_chooser, StragglerShowsInItsStreamsBeforeTheyEnd)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (std::size_t slot = 0; slot < 10; ++slot) {
+    const dispatch_ticket ticket = chooser.Pool().Start(slot, kStart);
+    chooser.Pool().Progress(ticket, 0, kStart + 100_ms);
+    for (std::int64_t half = 1; half <= 3; ++half) {
+      const auto tokens = static_cast<std::uint32_t>(half * (slot == 6 ? 5 : 25));
+      chooser.Pool().Progress(ticket, tokens, kStart + 100_ms + 500_ms * half);
+    }
+  }
+  chooser.Pool().Maintain(kStart + 1600_ms);
+  CHECK(chooser.Pool().Health(6, kStart + 1600_ms) == pool_health::probation);
+}
+
+TEST(upstream_chooser, WaitingInAQueueDoesNotMakeAStraggler)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (std::size_t slot = 0; slot < 10; ++slot) {
+    for (int round = 0; round < 4; ++round) {
+      const dispatch_ticket ticket = chooser.Pool().Start(slot, kStart);
+      const time_point first = kStart + (slot == 2 ? 900_ms : 100_ms);
+      chooser.Pool().Progress(ticket, 0, first);
+      chooser.Pool().Finish(ticket, { attempt_outcome::completed, 20 }, first + 300_ms);
+    }
+  }
+  chooser.Pool().Maintain(kStart + 1200_ms);
+  CHECK(chooser.Pool().Health(2, kStart + 1200_ms) == pool_health::good);
+}
+
 TEST(upstream_chooser, AtMostAFifthIsOnProbation)
 {
   chooser.Pool().Update(Candidates(10), kStart);
--- a/src/routing/upstreampool.h
+++ b/src/routing/upstreampool.h
@@ -83,7 +83,8 @@
 
   /// Records a dispatch.
   dispatch_ticket Start(std::size_t aSlot, time_point aNow);
-  /// Records a sign of life; aTokens generated so far, 0 when unknown.
+  /// Records a sign of life; aTokens generated so far, 0 when unknown. Call it at the first byte
+  /// and, for streams, about twice a second, so that a straggler shows before it has finished.
   void Progress(const dispatch_ticket& aTicket, std::uint32_t aTokens, time_point aNow);
   /// Records the end of a dispatch.
   void Finish(const dispatch_ticket& aTicket, const attempt_result& aResult, time_point aNow);
@@ -111,6 +112,7 @@
     dispatch_ticket ticket;
     /// The upstream has shown a sign of life for it.
     bool heard = false;
+    time_point heardAt;
   };
   struct ended_dispatch
   {
@@ -143,10 +145,7 @@
   void RefreshLoad(std::size_t aSlot);
   running_dispatch* Find(const dispatch_ticket& aTicket);
   void NoteSign(running_dispatch& aRunning, time_point aNow);
-  void Sample(std::size_t aSlot,
-              const dispatch_ticket& aTicket,
-              std::uint32_t aTokens,
-              time_point aNow);
+  void Sample(const running_dispatch& aRunning, std::uint32_t aTokens, time_point aNow);
   void NoteOutcome(std::size_t aSlot, attempt_outcome aOutcome, time_point aNow);
   void FindStalled(time_point aNow);
   [[nodiscard]] double MedianMsPerToken() const;
