Checkers: the stand-ins' names of causes and states

The stand-ins write dead, killed, dark, poison, cancelled and member_lost; a paused instance counts as dead until it wakes. Lookups of the load tool no longer share paths, so that no answer can pass for another's.

--- a/src/check/internal/membertimeline.cpp
+++ b/src/check/internal/membertimeline.cpp
@@ -7,34 +7,26 @@
 
 using condition = member_phase::condition;
 
-/// Returns the condition that a report tells of; aBefore is what the instance was until then.
 condition
-ConditionOf(const std::string& aDetail, condition aBeforePause)
+ConditionOf(const std::string& aDetail)
 {
   if (aDetail == "ready" || aDetail == "draining") {
     return condition::working;
   }
-  if (aDetail == "died") {
-    return condition::dead;
-  }
-  if (aDetail == "paused") {
-    return condition::paused;
-  }
-  return aDetail == "resumed" ? aBeforePause : condition::unready;
+  return aDetail == "dead" ? condition::dead : condition::unready;
 }
 
 } // namespace
 
 member_timeline::member_timeline(const run_history& aHistory)
 {
-  std::map<std::string, condition> beforePause;
   for (const recorded_event* recorded : aHistory.OfKind(history::event_kind::membership)) {
     const history::event& event = recorded->event;
-    condition& kept = beforePause[event.instance];
-    const condition now = ConditionOf(event.detail, kept);
-    kept = now == condition::paused ? kept : now;
-    mPhases[event.instance].push_back(
-      { event.at, now, { event.group, event.generation }, event.incarnation, recorded });
+    mPhases[event.instance].push_back({ event.at,
+                                        ConditionOf(event.detail),
+                                        { event.group, event.generation },
+                                        event.incarnation,
+                                        recorded });
   }
 }
 
--- a/src/check/membertimeline.h
+++ b/src/check/membertimeline.h
@@ -17,8 +17,8 @@
     unready,
     /// Ready, or finishing its last requests.
     working,
-    dead,
-    paused
+    /// Killed, dark or paused.
+    dead
   };
 
   time_point from;
--- a/src/check/tests/gracefulstopstests.cpp
+++ b/src/check/tests/gracefulstopstests.cpp
@@ -12,8 +12,8 @@
 {"kind":"ordered","at":5,"instance":"i0","group":"g","generation":1,"detail":"drain"}
 )";
 
-const std::string kMissing =
-  R"({"kind":"cut","at":300,"attempt":"a","instance":"i0","group":"g","generation":1,"detail":"member_missing"}
+const std::string kLost =
+  R"({"kind":"cut","at":300,"attempt":"a","instance":"i0","group":"g","generation":1,"detail":"member_lost"}
 )";
 
 } // namespace
@@ -25,8 +25,8 @@
 TEST(graceful_stops, CutByACrashOrALeavingCallerHolds)
 {
   const verdict found = CheckGracefulStops(
-    MadeHistory(kWorking + R"({"kind":"cut","at":9,"attempt":"a","instance":"i0","detail":"crashed"}
-{"kind":"cut","at":9,"attempt":"b","instance":"i0","detail":"caller_left"})"));
+    MadeHistory(kWorking + R"({"kind":"cut","at":9,"attempt":"a","instance":"i0","detail":"poison"}
+{"kind":"cut","at":9,"attempt":"b","instance":"i0","detail":"cancelled"})"));
   CHECK_EQUAL(1, found.checked);
   CHECK(found.violations.empty());
 }
@@ -46,7 +46,7 @@
   const verdict found = CheckGracefulStops(
     MadeHistory(kWorking +
                 R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"detail":"idle"}
-)" + kMissing));
+)" + kLost));
   CHECK_EQUAL(1, found.violations.size());
 }
 
@@ -54,8 +54,8 @@
 {
   const verdict found = CheckGracefulStops(MadeHistory(
     kWorking +
-    R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"group":"g","generation":1,"detail":"died"}
-)" + kMissing));
+    R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"group":"g","generation":1,"detail":"dead"}
+)" + kLost));
   CHECK(found.violations.empty());
 }
 
--- a/src/load/internal/callplanner.cpp
+++ b/src/load/internal/callplanner.cpp
@@ -10,7 +10,6 @@
 constexpr double kMsPerSecond = 1000;
 constexpr std::uint64_t kPriorities = 8;
 constexpr std::uint64_t kVocabulary = 997;
-constexpr std::uint64_t kLookups = 10000;
 constexpr std::int64_t kLongestStayMs = 400;
 
 } // namespace
@@ -101,7 +100,8 @@
   const std::string base = fmt::format("/services/{}", aCall.service.value);
   if (!mRandom.Chance(mMix.onceShare)) {
     aCall.method = "GET";
-    aCall.path = fmt::format("{}/lookups/{}", base, mRandom.Below(kLookups));
+    // No two lookups are the same, so that one's answer cannot pass for another's.
+    aCall.path = fmt::format("{}/lookups/{}", base, aCall.number);
     return;
   }
   aCall.method = "POST";
