--- a/src/check/internal/gracefulstops.cpp
+++ b/src/check/internal/gracefulstops.cpp
@@ -13,10 +13,10 @@
 constexpr std::string_view kMemberLost = "member_lost";
 
 /// Causes that no plan brings about; any other cut is a planned one.
-constexpr std::array<std::string_view, 5> kUnplannedCauses = { "died",
-                                                               "crashed",
-                                                               "caller_left",
-                                                               "paused",
+constexpr std::array<std::string_view, 5> kUnplannedCauses = { "killed",
+                                                               "dark",
+                                                               "poison",
+                                                               "cancelled",
                                                                kMemberLost };
 
 /// Refusals by which a caller sees that its answer was broken off.
