JSON: overflowing numbers and deep nesting are problems, not crashes

Fuzzing ParseServiceDocument with 20,000 damaged texts ended the process at the first number that no double holds (nlohmann's out_of_range, which ParseJson let pass), and so did a million nested brackets in a body. Both are refused now with the position and what was expected; nesting is bounded at 100 levels.

--- a/src/base/internal/json.cpp
+++ b/src/base/internal/json.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t kLongestShownValue = 80;
+constexpr std::size_t kMostLevels = 100;
 
 std::string
 Shown(const nlohmann::json& aValue)
@@ -18,6 +19,32 @@
   return text;
 }
 
+/// Returns whether brackets outside of texts are nested deeper than allowed. Rendering and copying
+/// a value recurse, so that deep input could exhaust the stack.
+bool
+IsTooDeep(std::string_view aText)
+{
+  std::size_t level = 0;
+  bool inText = false;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    const char letter = aText[at];
+    if (inText) {
+      at += letter == '\\' ? 1 : 0;
+      inText = letter != '"';
+    } else if (letter == '"') {
+      inText = true;
+    } else if (letter == '[' || letter == '{') {
+      ++level;
+    } else if ((letter == ']' || letter == '}') && level > 0) {
+      --level;
+    }
+    if (level > kMostLevels) {
+      return true;
+    }
+  }
+  return false;
+}
+
 const nlohmann::json&
 EmptyList()
 {
@@ -36,11 +63,18 @@
 std::optional<nlohmann::json>
 ParseJson(std::string_view aText, json_problem& aProblem)
 {
+  if (IsTooDeep(aText)) {
+    aProblem = { "$", "deep nesting", fmt::format("JSON of at most {} levels", kMostLevels) };
+    return std::nullopt;
+  }
   try {
     return nlohmann::json::parse(aText);
   } catch (const nlohmann::json::parse_error& error) {
     aProblem = { "$", fmt::format("a syntax error at byte {}", error.byte), "JSON in UTF-8" };
     return std::nullopt;
+  } catch (const nlohmann::json::out_of_range&) {
+    aProblem = { "$", "a number out of range", "numbers that a double can hold" };
+    return std::nullopt;
   }
 }
 
