Stand-in engine: one token an event, resumption echoed

A router resumes a stream after the events it has passed on, so that an event must have one token; a slow tick put up to eight into one. The test of a resumption asked for the two tokens in one output; it now asks for two outputs with one each.

--- a/standins/engine/engineanswers.cpp
+++ b/standins/engine/engineanswers.cpp
@@ -29,6 +29,7 @@
            { "Persimmon-Service", aRequest.service.value },
            { "Persimmon-Version", aRequest.modelVersion },
            { "Persimmon-Generation", std::to_string(aRequest.version.value) },
+           { "Persimmon-Resume-Tokens", std::to_string(aRequest.resumeTokens) },
            LoadHeader(aLoad) };
 }
 
--- a/standins/engine/engineinstance.cpp
+++ b/standins/engine/engineinstance.cpp
@@ -323,17 +323,15 @@
                          std::vector<engine_output>& aOutputs)
 {
   const std::size_t last = aRunning.request->maxTokens;
-  std::string text;
+  // Routers count events to resume a stream, so that each token is an event of its own.
   for (int i = 0; i < kTokensPerTick && aRunning.nextAt <= aNow && aRunning.emitted < last; ++i) {
-    text += aRunning.tokens.Token(aRunning.emitted++);
+    aOutputs.push_back(
+      { engine_output::kind::tokens, aRunning.request, aRunning.tokens.Token(aRunning.emitted++) });
     aRunning.nextAt = aRunning.nextAt + TokenInterval();
   }
   if (aRunning.nextAt <= aNow) {
     aRunning.nextAt = aNow + TokenInterval();
   }
-  if (!text.empty()) {
-    aOutputs.push_back({ engine_output::kind::tokens, aRunning.request, std::move(text) });
-  }
   if (aRunning.emitted < last) {
     return false;
   }
--- a/standins/tests/engineinstancetests.cpp
+++ b/standins/tests/engineinstancetests.cpp
@@ -203,7 +203,9 @@
   HearOther(kLoaded + 200_ms);
   const auto outputs = engine.Tick(kLoaded + 200_ms, board);
   const answer_tokens answer("body");
-  STRCMP_EQUAL((answer.Token(2) + answer.Token(3)).c_str(), outputs.front().text.c_str());
+  CHECK_EQUAL(2, CountOf(outputs, engine_output::kind::tokens));
+  STRCMP_EQUAL(answer.Token(2).c_str(), outputs[0].text.c_str());
+  STRCMP_EQUAL(answer.Token(3).c_str(), outputs[1].text.c_str());
   STRCMP_EQUAL(answer.Text(4).c_str(), outputs.back().text.c_str());
 }
 
