--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -67,6 +67,7 @@
   void Do(const routing::close_intent& aAction);
   void Do(const routing::end_request& aAction);
 
+  void OnLedgerAnswer(ledger_answer aAnswer);
   void OnHead(routing::attempt_number aAttempt, const upstream::response_head& aHead);
   void OnData(routing::attempt_number aAttempt, std::string_view aBytes);
   void OnDone(routing::attempt_number aAttempt, const upstream::call_outcome& aOutcome);
@@ -95,6 +96,10 @@
   routing::request_flow mFlow;
   attempt mAttempt;
   std::vector<routing::upstream_id> mTried;
+  /// The intent that the ledger granted, until it is closed.
+  std::optional<ledger::ticket> mTicket;
+  /// The answer of an earlier call under the same key.
+  ledger::stored_answer mKnown;
   sse_framer mFramer;
   /// Bytes of the stream go straight to the caller.
   bool mRelaying = false;
--- a/src/app/router/exchangecontext.h
+++ b/src/app/router/exchangecontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/router/callledger.h"
 #include "app/router/decisionlog.h"
 #include "app/router/requestregistry.h"
 #include "base/ids.h"
@@ -16,6 +17,7 @@
   metrics_registry& metrics;
   decision_log& decisions;
   request_registry& registry;
+  call_ledger& ledger;
 };
 
 } // namespace persimmon::router
--- a/src/app/router/internal/callparser.cpp
+++ b/src/app/router/internal/callparser.cpp
@@ -2,6 +2,7 @@
 
 #include "app/router/completionbody.h"
 #include "base/hash.h"
+#include "ledger/idempotencykey.h"
 #include "routing/choicerequest.h"
 #include "routing/poisontracker.h"
 
@@ -19,9 +20,6 @@
 constexpr std::string_view kServicesPrefix = "/services/";
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::int64_t kMaxDeadlineMs = 3600000;
-constexpr std::size_t kKeyLength = 36;
-constexpr std::size_t kKeyVersionAt = 14;
-constexpr std::size_t kKeyVariantAt = 19;
 
 bool
 Fail(call_problem& aProblem, refusal_reason aReason, std::string aDetail)
@@ -82,46 +80,10 @@
   return true;
 }
 
-bool
-IsHexAt(std::string_view aKey, std::size_t aIndex)
-{
-  const char letter = aKey[aIndex];
-  if (aIndex == 8 || aIndex == 13 || aIndex == 18 || aIndex == 23) {
-    return letter == '-';
-  }
-  return std::isxdigit(static_cast<unsigned char>(letter)) != 0;
-}
-
-bool
-IsUuid7(std::string_view aKey)
-{
-  if (aKey.size() != kKeyLength) {
-    return false;
-  }
-  for (std::size_t i = 0; i < aKey.size(); ++i) {
-    if (!IsHexAt(aKey, i)) {
-      return false;
-    }
-  }
-  return aKey[kKeyVersionAt] == '7' &&
-         std::string_view("89abAB").find(aKey[kKeyVariantAt]) != std::string_view::npos;
-}
-
-/// Returns the key without the quotes of a structured field.
-std::string
-KeyText(const entry::server_request& aRequest)
-{
-  std::string text = aRequest.Header("Idempotency-Key");
-  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
-    text = text.substr(1, text.size() - 2);
-  }
-  return text;
-}
-
 bool
 ReadKey(const entry::server_request& aRequest, parsed_call& aCall, call_problem& aProblem)
 {
-  const std::string text = KeyText(aRequest);
+  const std::string text = aRequest.Header("Idempotency-Key");
   aCall.key.value = text;
   if (aCall.idempotent) {
     return true;
@@ -131,9 +93,9 @@
                 refusal_reason::missing_idempotency_key,
                 "this call may not be repeated and needs an Idempotency-Key");
   }
-  if (!IsUuid7(text)) {
-    return Fail(
-      aProblem, refusal_reason::bad_idempotency_key, "Idempotency-Key: expected a UUIDv7");
+  ledger::key_reason why;
+  if (!ledger::ParseKey(text, why)) {
+    return Fail(aProblem, refusal_reason::bad_idempotency_key, why.detail);
   }
   return true;
 }
@@ -220,7 +182,9 @@
 bool
 HasUsableKey(const entry::server_request& aRequest)
 {
-  return aRequest.path.starts_with(kServicesPrefix) && IsUuid7(KeyText(aRequest));
+  ledger::key_reason why;
+  return aRequest.path.starts_with(kServicesPrefix) &&
+         ledger::ParseKey(aRequest.Header("Idempotency-Key"), why).has_value();
 }
 
 const customer_spec*
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -123,8 +123,22 @@
 void
 exchange::Do(const routing::ask_intent&)
 {
-  Post(routing::flow_intent_denied{
-    routing::refusal_reason::ledger_unavailable, routing::ran_proof::unknown, 1_s });
+  mContext.ledger.Begin(
+    mCall, mRequest.body, mDeadline - Now(), [self = shared_from_this()](ledger_answer aAnswer) {
+      self->mLoop.Post(
+        [self, answer = std::move(aAnswer)]() mutable { self->OnLedgerAnswer(std::move(answer)); });
+    });
+}
+
+void
+exchange::OnLedgerAnswer(ledger_answer aAnswer)
+{
+  mTicket = std::move(aAnswer.ticket);
+  if (aAnswer.known) {
+    mKnown = std::move(*aAnswer.known);
+  }
+  Note("ledger_asked", mTicket ? "verdict=granted" : "verdict=not_granted");
+  Handle(aAnswer.event);
 }
 
 void
@@ -413,7 +427,8 @@
   entry::server_response response;
   response.status = mAttempt.head.status;
   response.headers = AnswerHeaders(mAttempt.head, mId);
-  response.body = std::move(mAttempt.held);
+  // A copy: the ledger may keep the answer as well.
+  response.body = mAttempt.held;
   mResponder->Send(std::move(response));
   CountOutcome("answered");
 }
@@ -421,6 +436,14 @@
 void
 exchange::Do(const routing::deliver_known_answer&)
 {
+  entry::server_response response;
+  response.status = mKnown.status;
+  response.headers = { { "Content-Type", mKnown.contentType },
+                       { "Persimmon-Request", mId.value },
+                       { "Persimmon-Repeat", "true" } };
+  response.body = std::move(mKnown.body);
+  mResponder->Send(std::move(response));
+  CountOutcome("answered");
 }
 
 void
@@ -445,8 +468,19 @@
 }
 
 void
-exchange::Do(const routing::close_intent&)
+exchange::Do(const routing::close_intent& aAction)
 {
+  if (!mTicket) {
+    return;
+  }
+  std::optional<ledger::stored_answer> answer;
+  if (aAction.outcome == routing::intent_outcome::done) {
+    answer = ledger::stored_answer{ mAttempt.head.status,
+                                    mAttempt.head.Header("Content-Type"),
+                                    mAttempt.held };
+  }
+  mContext.ledger.Close(*mTicket, aAction.outcome, std::move(answer));
+  mTicket.reset();
 }
 
 void
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -20,6 +20,7 @@
 constexpr duration kTickInterval{ 100 };
 constexpr duration kDrainPoll{ 20 };
 constexpr duration kLastAnswers{ 500 };
+constexpr duration kLastCloses = 2_s;
 /// A body up to this many times the limit is read to be refused with a reason; beyond it the
 /// connection is closed.
 constexpr std::size_t kReadableBodies = 2;
@@ -57,7 +58,8 @@
   metrics_registry metrics;
   decision_log decisions{ kRememberedRequests };
   request_registry registry;
-  exchange_context context{ settings.id, history, metrics, decisions, registry };
+  call_ledger ledger{ settings.id, settings.storeUrl, metrics };
+  exchange_context context{ settings.id, history, metrics, decisions, registry, ledger };
   cluster_board board{ settings.id,
                        settings.zone,
                        history,
@@ -176,7 +178,7 @@
       left->Post(routing::flow_stop{});
     }
   }
-  const bool finished = self.WaitForRequests(kLastAnswers);
+  const bool finished = self.WaitForRequests(kLastAnswers) && self.ledger.Flush(kLastCloses);
   // Answers that were handed to the connections still have to leave.
   Sleep(kLastAnswers);
   self.server.Stop();
