Router: mesh, suspects and lost upstreams

What a router learns goes to the mesh and what others learn comes in; two routers observe a group. A broken connection is followed by a probe, and only a dead upstream makes suspects. Requests on a group that lost a member are ended at once and resumed elsewhere.

--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -32,6 +32,8 @@
   void Start();
   /// Brings an event to the flow; from any thread, never within the call itself.
   void Post(routing::flow_event aEvent);
+  /// Tells that an upstream lost a member or went silent; from any thread.
+  void UpstreamLost(const routing::upstream_id& aUpstream, generation aVersion);
   [[nodiscard]] const service_name& Service() const { return mCall.service->Name(); }
 
 private:
@@ -67,6 +69,10 @@
   void Do(const routing::close_intent& aAction);
   void Do(const routing::end_request& aAction);
 
+  /// Finds out whether the attempt's upstream died; a retry waits for it.
+  void ProbeUpstream();
+  void OnProbed(const attempt_id& aAttempt, const routing::upstream_id& aUpstream, bool aDied);
+  void DecideRetry(const routing::failed_attempt& aFailed);
   void OnLedgerAnswer(ledger_answer aAnswer);
   void OnHead(routing::attempt_number aAttempt, const upstream::response_head& aHead);
   void OnData(routing::attempt_number aAttempt, std::string_view aBytes);
@@ -104,6 +110,11 @@
   /// Bytes of the stream go straight to the caller.
   bool mRelaying = false;
   bool mPaused = false;
+  /// The connection of the attempt broke after the request was sent.
+  bool mBroken = false;
+  bool mProbing = false;
+  /// A retry that waits for the probe.
+  std::optional<routing::failed_attempt> mRetryAsked;
   /// The end of the attempt was told to the flow, or the flow cancelled it.
   bool mEndTold = false;
   std::optional<upstream::timer_id> mTimer;
--- a/src/app/router/exchangecontext.h
+++ b/src/app/router/exchangecontext.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "app/router/callledger.h"
+#include "app/router/deathprober.h"
 #include "app/router/decisionlog.h"
 #include "app/router/requestregistry.h"
+#include "app/router/suspectboard.h"
 #include "base/ids.h"
 #include "history/historywriter.h"
 #include "metrics/metrics.h"
@@ -18,6 +20,8 @@
   decision_log& decisions;
   request_registry& registry;
   call_ledger& ledger;
+  suspect_board& suspects;
+  death_prober& prober;
 };
 
 } // namespace persimmon::router
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -112,6 +112,12 @@
 void
 exchange::Do(const routing::ask_admission&)
 {
+  const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
+  if (poison.verdict == routing::poison_verdict::quarantined) {
+    Handle(
+      routing::flow_not_admitted{ routing::refusal_reason::request_quarantined, poison.remaining });
+    return;
+  }
   if (mCall.service->IsOut(Now())) {
     Handle(routing::flow_not_admitted{ routing::refusal_reason::no_upstream, kOutageRetry });
     return;
@@ -147,6 +153,18 @@
   routing::choice_request request;
   request.prefix = mCall.prefix;
   request.excluded = mTried;
+  const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
+  if (poison.verdict == routing::poison_verdict::quarantined) {
+    Handle(
+      routing::flow_no_upstream{ routing::refusal_reason::request_quarantined, poison.remaining });
+    return;
+  }
+  if (poison.verdict == routing::poison_verdict::isolate) {
+    for (routing::upstream_id& upstream : mContext.suspects.UpstreamsWithSuspects()) {
+      request.excluded.push_back(std::move(upstream));
+    }
+    Note("isolated", "suspected of having killed an upstream");
+  }
   mAttempt.chosen = mCall.service->Choose(request, Now());
   const routing::upstream_choice& choice = mAttempt.chosen.choice;
   const std::string why = routing::ChoiceReasonName(choice.why);
@@ -188,7 +206,58 @@
 void
 exchange::Do(const routing::ask_retry& aAction)
 {
-  const routing::retry_verdict verdict = mCall.service->DecideRetry(aAction.failed, Now());
+  if (mProbing) {
+    mRetryAsked = aAction.failed;
+  } else {
+    DecideRetry(aAction.failed);
+  }
+}
+
+void
+exchange::ProbeUpstream()
+{
+  mProbing = true;
+  const routing::upstream& target = *mAttempt.chosen.choice.target;
+  mContext.prober.Probe(
+    target, [self = shared_from_this(), attempt = mAttempt.id, id = target.id](bool aDied) {
+      self->mLoop.Post([self, attempt, id, aDied] { self->OnProbed(attempt, id, aDied); });
+    });
+}
+
+void
+exchange::OnProbed(const attempt_id& aAttempt, const routing::upstream_id& aUpstream, bool aDied)
+{
+  mProbing = false;
+  if (aDied) {
+    WriteLog(routing::kUpstreamDied,
+             { { "service", mRecord.service.value }, { "upstream", aUpstream.value } });
+    mContext.metrics.Count(routing::kUpstreamDeathsTotal, { { "service", mRecord.service.value } });
+    mContext.suspects.Died(aUpstream, Now());
+  }
+  mContext.suspects.Ended(aAttempt);
+  if (mRetryAsked) {
+    const routing::failed_attempt failed = *mRetryAsked;
+    mRetryAsked.reset();
+    DecideRetry(failed);
+  }
+}
+
+void
+exchange::UpstreamLost(const routing::upstream_id& aUpstream, generation aVersion)
+{
+  mLoop.Post([self = shared_from_this(), aUpstream, aVersion] {
+    const auto& target = self->mAttempt.chosen.choice.target;
+    if (target && target->id == aUpstream && target->version == aVersion && !self->mEndTold) {
+      self->mBroken = true;
+      self->Handle(routing::flow_upstream_lost{ self->mAttempt.number, self->mFramer.Events() });
+    }
+  });
+}
+
+void
+exchange::DecideRetry(const routing::failed_attempt& aFailed)
+{
+  const routing::retry_verdict verdict = mCall.service->DecideRetry(aFailed, Now());
   const std::string name = routing::RetryVerdictName(verdict);
   mContext.metrics.Count(routing::kRetriesTotal,
                          { { "service", mRecord.service.value }, { "verdict", name } });
@@ -245,7 +314,9 @@
   mEndTold = false;
   mTried.push_back(target.id);
   mFramer.DropPartial();
+  mBroken = false;
   RecordAttempt(aAction.resumeAfter);
+  mContext.suspects.Started(mAttempt.id, mCall.fingerprint, target.id, Now());
   upstream::upstream_call call;
   call.address = target.address;
   call.method = mCall.method;
@@ -273,6 +344,13 @@
   const char* name = kNames[static_cast<std::size_t>(aAction.outcome)];
   const auto tokens = static_cast<std::uint32_t>(mFramer.Events());
   mCall.service->FinishAttempt(mAttempt.chosen.ticket, { aAction.outcome, tokens }, Now());
+  if (aAction.outcome == routing::attempt_outcome::completed) {
+    mContext.suspects.Completed(mAttempt.id, Now());
+  } else if (aAction.outcome == routing::attempt_outcome::failed && mBroken) {
+    ProbeUpstream();
+  } else {
+    mContext.suspects.Ended(mAttempt.id);
+  }
   mContext.metrics.Count(kAttemptsTotal,
                          { { "service", mRecord.service.value }, { "outcome", name } });
   Note("attempt_ended", fmt::format("attempt={} outcome={}", mAttempt.id.value, name));
@@ -368,6 +446,7 @@
   }
   mEndTold = true;
   mRelaying = false;
+  mBroken = !aWhole && aOutcome.end == upstream::call_end::maybe_sent;
   if (!aWhole) {
     WriteLog(kAttemptFailed,
              { { "request", mId.value },
--- a/src/app/router/internal/headstate.cpp
+++ b/src/app/router/internal/headstate.cpp
@@ -15,9 +15,16 @@
   incarnation life;
   generation version;
   duration heard;
-  bool ready = false;
+  bool serves = false;
 };
 
+/// A member that drains is present: it finishes what it runs and refuses the rest by itself.
+bool
+Serves(const std::string& aState)
+{
+  return aState == "ready" || aState == "draining";
+}
+
 using heard_members = std::unordered_map<instance_id, heard_member>;
 
 std::uint64_t
@@ -38,7 +45,7 @@
     member.life.value = Counter(entry, "incarnation");
     member.version.value = Counter(entry, "generation");
     member.heard.ms = entry.NumberOr("heard_ms", 0, INT64_MAX, 0);
-    member.ready = entry.TextOr("state", "") == "ready";
+    member.serves = Serves(entry.TextOr("state", ""));
     members.emplace(instance, member);
   }
   return members;
@@ -50,7 +57,7 @@
           const heard_members& aHeard)
 {
   const auto found = aHeard.find(aMember.instance);
-  return found != aHeard.end() && found->second.ready && found->second.life == aMember.life &&
+  return found != aHeard.end() && found->second.serves && found->second.life == aMember.life &&
          found->second.version == aGroup.version;
 }
 
@@ -80,7 +87,7 @@
   }
   json_reader reader(*value, "$", problem);
   reader.AllowUnknown();
-  const bool ready = reader.TextOr("state", "") == "ready";
+  const bool serves = Serves(reader.TextOr("state", ""));
   const bool sameGroup = reader.TextOr("group", "") == aGroup.id.value &&
                          Counter(reader, "generation") == aGroup.version.value;
   const heard_members heard = ReadMembers(reader, problem);
@@ -95,7 +102,7 @@
     aProblem = problem.Text();
     return std::nullopt;
   }
-  observed.whole = ready && sameGroup &&
+  observed.whole = serves && sameGroup &&
                    std::all_of(aGroup.members.begin(),
                                aGroup.members.end(),
                                [&](const placement::group_member& aMember) {
--- a/src/app/router/internal/platformwatcher.cpp
+++ b/src/app/router/internal/platformwatcher.cpp
@@ -40,7 +40,7 @@
   bool stopping = false;
   /// Objects that were seen, to notice those that a list no longer has.
   std::map<platform::object_key, revision> known;
-  bool listedOnce = false;
+  bool listed = false;
   std::thread objects;
   std::thread instances;
 
@@ -101,10 +101,7 @@
     TellList(kind, *list);
     from = from ? std::min(*from, list->asOf) : list->asOf;
   }
-  if (!listedOnce) {
-    listedOnce = true;
-    handlers.onListed();
-  }
+  listed = true;
   return from;
 }
 
@@ -130,10 +127,12 @@
   while (Goes()) {
     auto from = ListAll(store);
     const time_point listedAt = clock.Now();
+    handlers.onState(from.has_value(), listed);
     while (from && Goes() && clock.Now() - listedAt < kListInterval) {
       if (!WatchOnce(store, *from)) {
         from.reset();
       }
+      handlers.onState(from.has_value(), listed);
     }
     if (!from) {
       WriteLog(kWatchFailed,
--- a/src/app/router/internal/requestregistry.cpp
+++ b/src/app/router/internal/requestregistry.cpp
@@ -111,4 +111,14 @@
   }
 }
 
+void
+request_registry::TellLost(const lost_upstream& aLost) const
+{
+  for (const auto& found : All()) {
+    if (found->Service() == aLost.service) {
+      found->UpstreamLost(aLost.upstream, aLost.version);
+    }
+  }
+}
+
 } // namespace persimmon::router
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -4,6 +4,8 @@
 #include "app/router/clusterboard.h"
 #include "app/router/exchange.h"
 #include "app/router/exchangecontext.h"
+#include "app/router/lostupstreams.h"
+#include "app/router/meshbridge.h"
 #include "app/router/platformwatcher.h"
 #include "app/router/presenceobserver.h"
 #include "app/router/readiness.h"
@@ -18,6 +20,7 @@
 
 constexpr std::size_t kRememberedRequests = 4096;
 constexpr duration kTickInterval{ 100 };
+constexpr std::uint64_t kTicksPerSecond = 10;
 constexpr duration kDrainPoll{ 20 };
 constexpr duration kLastAnswers{ 500 };
 constexpr duration kLastCloses = 2_s;
@@ -58,52 +61,90 @@
   metrics_registry metrics;
   decision_log decisions{ kRememberedRequests };
   request_registry registry;
+  suspect_board suspects{ [this](const std::vector<peers::suspect_message>& aNews) {
+    for (const peers::suspect_message& news : aNews) {
+      mesh.Publish(news);
+    }
+  } };
   call_ledger ledger{ settings.id, settings.storeUrl, metrics };
-  exchange_context context{ settings.id, history, metrics, decisions, registry, ledger };
   cluster_board board{ settings.id,
                        settings.zone,
                        history,
                        [this](const std::vector<routing::admission_action>& aActions) {
                          registry.CarryOut(aActions);
                        } };
+  mesh_bridge mesh{ settings, board, metrics };
+  death_prober prober{ board };
+  exchange_context context{ settings.id, history, metrics,  decisions,
+                            registry,    ledger,  suspects, prober };
   upstream::upstream_client upstreams{ settings.upstreamThreads };
   caller_front front{ settings.zone, settings.maxBodyBytes, board, ready, upstreams, context };
-  presence_observer observer{ settings.id,
-                              board,
-                              [](const placement::group&) { return true; },
-                              [](const peers::presence_message&) {} };
+  presence_observer observer{
+    settings.id,
+    board,
+    [this](const placement::group& aGroup) { return mesh.Observes(aGroup); },
+    [this](const peers::presence_message& aPresence) { mesh.Publish(aPresence); }
+  };
+  lost_upstreams lostUpstreams;
   upstream::upstream_loop ticker;
   std::unique_ptr<platform_watcher> watcher;
   entry::http_server server{ ServerOptions(settings) };
 
-  void Tick()
-  {
-    const time_point now = steady_clock().Now();
-    board.Tick(now);
-    for (const auto& service : board.Services()) {
-      if (service->IsOut(now) && service->Waiting() > 0) {
-        registry.RefuseWaiting(service->Name());
-      }
-    }
-    ticker.After(kTickInterval, [this] { Tick(); });
-  }
+  std::uint64_t ticks = 0;
 
+  void Tick();
+  void TickEachSecond(time_point aNow);
   void StartWatching();
   bool Listen();
   bool WaitForRequests(duration aLimit) const;
 };
 
+void
+router_process::implementation::Tick()
+{
+  const time_point now = steady_clock().Now();
+  board.Tick(now);
+  for (const auto& service : board.Services()) {
+    if (service->IsOut(now) && service->Waiting() > 0) {
+      registry.RefuseWaiting(service->Name());
+    }
+  }
+  for (const lost_upstream& lost : lostUpstreams.Update(board, now)) {
+    registry.TellLost(lost);
+  }
+  if (++ticks % kTicksPerSecond == 0) {
+    TickEachSecond(now);
+  }
+  ticker.After(kTickInterval, [this] { Tick(); });
+}
+
+void
+router_process::implementation::TickEachSecond(time_point aNow)
+{
+  suspects.Prune(aNow);
+  mesh.PublishShares();
+  if (mesh.CaughtUp() && !board.Empty()) {
+    ready.informed = true;
+  }
+}
+
 void
 router_process::implementation::StartWatching()
 {
   watcher_handlers handlers;
   handlers.onObject = [this](const peers::mesh_message& aMessage) {
-    board.Apply(aMessage, steady_clock().Now());
+    mesh.PublishObject(aMessage, board.Apply(aMessage, steady_clock().Now()));
   };
   handlers.onInstances = [this](const std::vector<platform::listed_instance>& aList) {
     board.Apply(aList, steady_clock().Now());
+    mesh.PublishLeaving();
+  };
+  handlers.onState = [this](bool aFresh, bool aListed) {
+    mesh.SetStoreState(aFresh, aListed);
+    if (aListed) {
+      ready.informed = true;
+    }
   };
-  handlers.onListed = [this] { ready.informed = true; };
   watcher = std::make_unique<platform_watcher>(settings.storeUrl, std::move(handlers));
 }
 
@@ -149,6 +190,10 @@
     self.reason = "cannot open " + self.settings.historyPath;
     return false;
   }
+  if (!self.mesh.Start(self.suspects)) {
+    self.reason = self.mesh.LastReason();
+    return false;
+  }
   if (!self.Listen()) {
     return false;
   }
@@ -179,6 +224,7 @@
     }
   }
   const bool finished = self.WaitForRequests(kLastAnswers) && self.ledger.Flush(kLastCloses);
+  self.mesh.Stop();
   // Answers that were handed to the connections still have to leave.
   Sleep(kLastAnswers);
   self.server.Stop();
--- a/src/app/router/internal/serviceshard.cpp
+++ b/src/app/router/internal/serviceshard.cpp
@@ -36,7 +36,11 @@
     const limits_spec& limits = aView->document->document.limits;
     mAdmission.SetDocument(aView->document->document);
     mChooser.Pool().SetLimit(static_cast<std::uint32_t>(limits.concurrencyPerUpstream));
-    mBudget.SetPercent(limits.retryPercent);
+    if (mView->document) {
+      mBudget.SetPercent(limits.retryPercent);
+    } else {
+      mBudget = routing::retry_budget(limits.retryPercent);
+    }
   }
   mView = std::move(aView);
   mChooser.Pool().Update(mView->candidates, aNow);
--- a/src/app/router/platformwatcher.h
+++ b/src/app/router/platformwatcher.h
@@ -16,8 +16,9 @@
 {
   std::function<void(const peers::mesh_message&)> onObject;
   std::function<void(const std::vector<platform::listed_instance>&)> onInstances;
-  /// All documents and tables were listed for the first time.
-  std::function<void()> onListed;
+  /// Tells, after each list and watch, whether the platform answered and whether all documents and
+  /// tables were ever listed.
+  std::function<void(bool aFresh, bool aListed)> onState;
 };
 
 /// Learns documents, domain tables and instances from the platform: lists all, then watches; lists
--- a/src/app/router/requestregistry.h
+++ b/src/app/router/requestregistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/router/lostupstream.h"
 #include "base/ids.h"
 #include "routing/admissionaction.h"
 
@@ -26,6 +27,8 @@
   void CarryOut(const std::vector<routing::admission_action>& aActions) const;
   /// Tells a service's requests that wait for admission that no upstream is there.
   void RefuseWaiting(const service_name& aService) const;
+  /// Tells the requests that run on an upstream that it is lost.
+  void TellLost(const lost_upstream& aLost) const;
 
 private:
   static constexpr std::size_t kShards = 16;
--- a/src/routing/internal/requestflow.cpp
+++ b/src/routing/internal/requestflow.cpp
@@ -225,7 +225,8 @@
     return;
   }
   mActions.emplace_back(report_attempt{ mAttempts, attempt_outcome::failed });
-  AttemptFailed(refusal_reason::upstream_failed, aEvent.detail, aEvent.notSent, false);
+  // A call that never left adds no work to the service, as after a refusal to drain.
+  AttemptFailed(refusal_reason::upstream_failed, aEvent.detail, aEvent.notSent, aEvent.notSent);
 }
 
 void
--- a/src/routing/tests/requestflowtests.cpp
+++ b/src/routing/tests/requestflowtests.cpp
@@ -218,6 +218,15 @@
   CHECK(Find<close_intent>(actions)->outcome == intent_outcome::not_run);
 }
 
+TEST(request_flow, CallThatNeverLeftIsReroutedFreely)
+{
+  flow_driver flow(Call(true, false));
+  flow.Dispatch(true);
+  const auto asked = flow.Handle(flow_attempt_ended{ 1, false, true, 0, {} });
+  CHECK(Find<ask_retry>(asked)->failed.draining);
+  CHECK_FALSE(Find<ask_retry>(flow.Handle(Ended(1, false))));
+}
+
 TEST(request_flow, OneAttemptThatMayHaveRunSpoilsTheProof)
 {
   flow_driver flow(Call(true, false));
--- a/src/upstream/calloutcome.h
+++ b/src/upstream/calloutcome.h
@@ -18,6 +18,8 @@
 struct call_outcome
 {
   call_end end = call_end::whole;
+  /// With not_sent: the address was reached and nobody listens there.
+  bool refused = false;
   /// Text of the failure for logs.
   std::string detail;
 };
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -1,5 +1,6 @@
 #include "upstream/internal/activecall.h"
 
+#include <cerrno>
 #include <charconv>
 
 namespace persimmon::upstream {
@@ -139,7 +140,11 @@
   // Counts the bytes of every try, so that a resend over a second connection is seen as well.
   long sent = 0;
   curl_easy_getinfo(mHandle.get(), CURLINFO_REQUEST_SIZE, &sent);
-  return { sent > 0 ? call_end::maybe_sent : call_end::not_sent, curl_easy_strerror(aCode) };
+  long error = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_OS_ERRNO, &error);
+  return { sent > 0 ? call_end::maybe_sent : call_end::not_sent,
+           error == ECONNREFUSED,
+           curl_easy_strerror(aCode) };
 }
 
 void
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -73,7 +73,9 @@
     const raw_server server({});
     closed = server.Address();
   }
-  CHECK(Run(loop, CallTo(closed, true)).outcome.end == call_end::not_sent);
+  const call_outcome outcome = Run(loop, CallTo(closed, true)).outcome;
+  CHECK(outcome.end == call_end::not_sent);
+  CHECK(outcome.refused);
 }
 
 TEST(upstream_loop, CutResponseMayHaveBeenSent)
