--- a/src/app/tests/cataloguetests.cpp
+++ b/src/app/tests/cataloguetests.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <cctype>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -106,6 +107,23 @@
   return metrics;
 }
 
+/// Words of a source, such as names of constants.
+std::set<std::string>
+Words(const std::string& aText)
+{
+  std::set<std::string> words;
+  std::string word;
+  for (const char letter : aText + " ") {
+    if (std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '_') {
+      word += letter;
+    } else {
+      words.insert(std::move(word));
+      word.clear();
+    }
+  }
+  return words;
+}
+
 /// Entries that only the first has, one a line.
 std::string
 Missing(const std::multiset<std::string>& aFirst, const std::multiset<std::string>& aSecond)
@@ -155,6 +173,26 @@
   }
 }
 
+TEST(catalogue, EveryDeclaredLogEventAndMetricIsWrittenSomewhere)
+{
+  const std::regex declaration(R"re(constexpr (?:\w+::)*(?:log_event|metric_spec)\s+(k\w+))re");
+  const auto sources = ProgramSources();
+  std::map<std::string, std::set<std::string>> users;
+  for (const auto& [path, text] : sources) {
+    for (const std::string& word : Words(text)) {
+      users[word].insert(path);
+    }
+  }
+  std::string unused;
+  for (const auto& [path, text] : sources) {
+    for (const std::smatch& match : Matches(text, declaration)) {
+      const bool isUsed = users[match.str(1)].size() > 1;
+      unused += isUsed ? "" : match.str(1) + " of " + fs::path(path).filename().string() + "\n";
+    }
+  }
+  STRCMP_EQUAL("", unused.c_str());
+}
+
 TEST(catalogue, EveryMetricIsInMetricsPageAndTheOtherWayRound)
 {
   const auto declared = DeclaredMetrics();
