--- a/src/routing/upstreampool.h
+++ b/src/routing/upstreampool.h
@@ -46,8 +46,10 @@
   std::uint64_t hash = 0;
   time_point freshUntil;
   time_point ejectedUntil;
-  /// Reported load, corrected by own dispatches and ends since the report.
+  /// Estimate of the present load, from the report, its age and dispatches since.
   std::uint32_t load = 0;
+  /// Reported load with own dispatches and ends since the report.
+  std::uint32_t known = 0;
   std::uint32_t reported = 0;
   bool listed = false;
   bool ownZone = false;
@@ -74,12 +76,15 @@
   void Update(const std::vector<candidate>& aCandidates, time_point aNow);
   /// Sets how many requests an upstream may run at once.
   void SetLimit(std::uint32_t aRequestsPerUpstream) { mLimit = aRequestsPerUpstream; }
+  /// Sets how many routers send requests to these upstreams, this one included.
+  void SetRouterCount(std::size_t aCount) { mRouterCount = aCount; }
   /// Takes a load that came with a response.
   void Report(std::size_t aSlot, const load_report& aReport);
 
   /// Records a dispatch.
   dispatch_ticket Start(std::size_t aSlot, time_point aNow);
-  /// Records a sign of life; aTokens generated so far, 0 when unknown.
+  /// Records a sign of life; aTokens generated so far, 0 when unknown. Call it at the first byte
+  /// and, for streams, about twice a second, so that a straggler shows before it has finished.
   void Progress(const dispatch_ticket& aTicket, std::uint32_t aTokens, time_point aNow);
   /// Records the end of a dispatch.
   void Finish(const dispatch_ticket& aTicket, const attempt_result& aResult, time_point aNow);
@@ -96,6 +101,8 @@
   /// Slots in the router's own zone and in all zones.
   [[nodiscard]] const std::vector<std::uint32_t>& OwnZoneSlots() const { return mOwnZoneSlots; }
   [[nodiscard]] const std::vector<std::uint32_t>& ListedSlots() const { return mListedSlots; }
+  /// Hashes of the listed upstreams' ids, in the order of ListedSlots().
+  [[nodiscard]] const std::vector<std::uint64_t>& ListedHashes() const { return mListedHashes; }
   [[nodiscard]] bool IsExcluded(std::size_t aSlot, const choice_request& aRequest) const;
   /// Returns an upstream on probation that is due for a test, if any.
   [[nodiscard]] std::optional<std::size_t> DueForTest(time_point aNow) const;
@@ -107,6 +114,7 @@
     dispatch_ticket ticket;
     /// The upstream has shown a sign of life for it.
     bool heard = false;
+    time_point heardAt;
   };
   struct ended_dispatch
   {
@@ -117,6 +125,8 @@
   {
     std::shared_ptr<const upstream> target;
     time_point reportedAt{ INT64_MIN };
+    /// Reported load, drawn towards the mean as the report ages.
+    double aged = 0;
     /// By start, oldest first.
     std::vector<running_dispatch> running;
     /// Ended since the report although they had started before it.
@@ -133,13 +143,11 @@
   void Reset(std::size_t aSlot, const candidate& aCandidate);
   void ReleaseUnused(const std::vector<bool>& aSeen);
   void Relist();
+  void AgeReports(time_point aNow);
   void RefreshLoad(std::size_t aSlot);
   running_dispatch* Find(const dispatch_ticket& aTicket);
   void NoteSign(running_dispatch& aRunning, time_point aNow);
-  void Sample(std::size_t aSlot,
-              const dispatch_ticket& aTicket,
-              std::uint32_t aTokens,
-              time_point aNow);
+  void Sample(const running_dispatch& aRunning, std::uint32_t aTokens, time_point aNow);
   void NoteOutcome(std::size_t aSlot, attempt_outcome aOutcome, time_point aNow);
   void FindStalled(time_point aNow);
   [[nodiscard]] double MedianMsPerToken() const;
@@ -148,11 +156,13 @@
 
   zone_name mOwnZone;
   std::uint32_t mLimit = UINT32_MAX;
+  std::size_t mRouterCount = 1;
   std::vector<pool_slot> mSlots;
   std::vector<record> mRecords;
   std::unordered_map<upstream_id, std::size_t> mSlotOf;
   std::vector<std::uint32_t> mOwnZoneSlots;
   std::vector<std::uint32_t> mListedSlots;
+  std::vector<std::uint64_t> mListedHashes;
   std::vector<std::uint32_t> mProbationSlots;
   std::uint64_t mTotalLoad = 0;
   std::size_t mListedCount = 0;
