Poison requests: deaths with another cause accuse nobody, routers isolate apart

Cause: when a fabric domain goes dark, a request that was retried from one of its groups to the next met two deaths and was quarantined although innocent; and two routers could isolate their suspects on one upstream, where either would be blamed for the other's. Two other deaths within 5 s without a request clear it of the next one, and each upstream falls to one router for isolation.

--- a/src/routing/internal/poisontracker.cpp
+++ b/src/routing/internal/poisontracker.cpp
@@ -9,6 +9,7 @@
 
 /// Oldest entries looked through for one that is not quarantined, when the memory is full.
 constexpr std::size_t kEvictionScan = 64;
+constexpr std::size_t kMaxRecentDeaths = 64;
 
 duration
 LifetimeOf(bool aQuarantined)
@@ -57,6 +58,26 @@
   return result;
 }
 
+std::vector<upstream_id>
+poison_tracker::ClosedToSuspects(const std::vector<upstream_id>& aAll,
+                                 const router_id& aSelf,
+                                 const std::vector<router_id>& aRouters) const
+{
+  std::vector<upstream_id> busy = UpstreamsWithSuspects();
+  std::vector<upstream_id> closed;
+  for (const upstream_id& upstream : aAll) {
+    const bool used = std::find(busy.begin(), busy.end(), upstream) != busy.end();
+    const std::uint64_t own = RendezvousWeight(upstream.value, aSelf.value);
+    const bool foreign = std::any_of(aRouters.begin(), aRouters.end(), [&](const auto& aRouter) {
+      return RendezvousWeight(upstream.value, aRouter.value) > own;
+    });
+    if (used || foreign) {
+      closed.push_back(upstream);
+    }
+  }
+  return closed.size() < aAll.size() ? closed : busy;
+}
+
 void
 poison_tracker::Started(const attempt_id& aAttempt,
                         std::uint64_t aFingerprint,
@@ -99,40 +120,73 @@
   return { { fingerprint, 0, false, {} } };
 }
 
-std::vector<peers::suspect_message>
-poison_tracker::Died(const upstream_id& aUpstream, time_point aNow)
+std::vector<std::uint64_t>
+poison_tracker::TakeAboard(const upstream_id& aUpstream)
 {
+  std::vector<std::uint64_t> aboard;
   const auto found = mRunningOn.find(aUpstream);
   if (found == mRunningOn.end()) {
-    return {};
+    return aboard;
+  }
+  for (const attempt_id& attempt : found->second) {
+    aboard.push_back(mRunning.at(attempt).fingerprint);
+    mRunning.erase(attempt);
   }
-  const std::vector<attempt_id> attempts = std::move(found->second);
   mRunningOn.erase(found);
-  std::vector<std::uint64_t> all;
+  std::sort(aboard.begin(), aboard.end());
+  aboard.erase(std::unique(aboard.begin(), aboard.end()), aboard.end());
+  return aboard;
+}
+
+void
+poison_tracker::RememberDeath(recent_death aDeath)
+{
+  std::erase_if(mRecentDeaths, [&](const recent_death& aOther) {
+    return aOther.upstream == aDeath.upstream || aOther.at + kCommonCauseWindow <= aDeath.at;
+  });
+  mRecentDeaths.push_back(std::move(aDeath));
+  if (mRecentDeaths.size() > kMaxRecentDeaths) {
+    mRecentDeaths.pop_front();
+  }
+}
+
+bool
+poison_tracker::DiesWithoutIt(std::uint64_t aFingerprint, time_point aNow) const
+{
+  const auto others =
+    std::count_if(mRecentDeaths.begin(), mRecentDeaths.end(), [&](const recent_death& aOther) {
+      const bool recent = aNow < aOther.at + kCommonCauseWindow;
+      return recent &&
+             !std::binary_search(aOther.aboard.begin(), aOther.aboard.end(), aFingerprint);
+    });
+  return static_cast<std::size_t>(others) >= kCommonCauseDeaths;
+}
+
+std::vector<peers::suspect_message>
+poison_tracker::Died(const upstream_id& aUpstream, time_point aNow)
+{
+  const std::vector<std::uint64_t> aboard = TakeAboard(aUpstream);
+  RememberDeath({ aUpstream, aNow, aboard });
+  std::vector<std::uint64_t> accused;
   std::vector<std::uint64_t> suspects;
-  for (const attempt_id& attempt : attempts) {
-    const std::uint64_t fingerprint = mRunning.at(attempt).fingerprint;
-    mRunning.erase(attempt);
-    all.push_back(fingerprint);
-    if (Check(fingerprint, aNow).verdict == poison_verdict::isolate) {
+  for (const std::uint64_t fingerprint : aboard) {
+    const poison_verdict verdict = Check(fingerprint, aNow).verdict;
+    if (verdict == poison_verdict::isolate) {
       suspects.push_back(fingerprint);
+    } else if (verdict == poison_verdict::clear) {
+      accused.push_back(fingerprint);
     }
   }
-  std::sort(suspects.begin(), suspects.end());
-  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
   // A single known suspect is blamed alone; the others on board were only near it.
-  if (suspects.size() == 1) {
+  if (suspects.size() == 1 && !DiesWithoutIt(suspects.front(), aNow)) {
     return { Blame(suspects.front(), aNow) };
   }
-  std::sort(all.begin(), all.end());
-  all.erase(std::unique(all.begin(), all.end()), all.end());
   std::vector<peers::suspect_message> news;
-  for (const std::uint64_t fingerprint : all) {
-    if (Check(fingerprint, aNow).verdict != poison_verdict::clear) {
-      continue;
+  for (const std::uint64_t fingerprint : accused) {
+    if (!DiesWithoutIt(fingerprint, aNow)) {
+      Touch(fingerprint, aNow).deaths = 1;
+      news.push_back({ fingerprint, 1, false, {} });
     }
-    Touch(fingerprint, aNow).deaths = 1;
-    news.push_back({ fingerprint, 1, false, {} });
   }
   return news;
 }
--- a/src/routing/poisontracker.h
+++ b/src/routing/poisontracker.h
@@ -6,6 +6,7 @@
 #include "routing/upstream.h"
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <optional>
 #include <string_view>
@@ -21,6 +22,12 @@
 /// Fingerprints remembered; beyond it, the oldest suspects are forgotten first.
 constexpr std::size_t kMaxSuspects = 4096;
 
+/// Deaths of upstreams within this time may have a common cause.
+constexpr duration kCommonCauseWindow = 5_s;
+/// So many other deaths in that window, all without a request, clear the request: something else
+/// kills upstreams, such as a fabric domain that goes dark.
+constexpr std::size_t kCommonCauseDeaths = 2;
+
 /// Returns a request's fingerprint: the same for a repeat through any router.
 std::uint64_t
 RequestFingerprint(const service_name& aService,
@@ -46,7 +53,8 @@
 
 /// Finds requests that kill the upstreams that run them. Every request in flight on an upstream
 /// that dies becomes a suspect. Suspects run one to an upstream; one that completes is cleared,
-/// one whose upstream dies again is quarantined for a time. Pure; the caller serialises calls.
+/// one whose upstream dies again is quarantined for a time. Upstreams that die together without a
+/// request in common accuse none of their requests. Pure; the caller serialises calls.
 class poison_tracker
 {
 public:
@@ -54,6 +62,13 @@
   [[nodiscard]] poison_check Check(std::uint64_t aFingerprint, time_point aNow) const;
   /// Upstreams that run a suspect; a request to isolate must not go there.
   [[nodiscard]] std::vector<upstream_id> UpstreamsWithSuspects() const;
+  /// Returns the upstreams of aAll that a request to isolate must not go to. Each upstream falls to
+  /// one router, so that two routers do not put suspects on the same one; when this router has no
+  /// free upstream of its own, any that it does not use for a suspect will do.
+  [[nodiscard]] std::vector<upstream_id> ClosedToSuspects(
+    const std::vector<upstream_id>& aAll,
+    const router_id& aSelf,
+    const std::vector<router_id>& aRouters) const;
 
   /// Records a dispatch.
   void Started(const attempt_id& aAttempt,
@@ -91,6 +106,17 @@
     bool isolated = false;
   };
 
+  struct recent_death
+  {
+    upstream_id upstream;
+    time_point at;
+    /// Fingerprints that were in flight, sorted.
+    std::vector<std::uint64_t> aboard;
+  };
+
+  std::vector<std::uint64_t> TakeAboard(const upstream_id& aUpstream);
+  void RememberDeath(recent_death aDeath);
+  [[nodiscard]] bool DiesWithoutIt(std::uint64_t aFingerprint, time_point aNow) const;
   entry& Touch(std::uint64_t aFingerprint, time_point aNow);
   void Evict();
   void Forget(std::uint64_t aFingerprint);
@@ -102,6 +128,7 @@
   std::list<std::uint64_t> mByAge;
   std::unordered_map<attempt_id, running_attempt> mRunning;
   std::unordered_map<upstream_id, std::vector<attempt_id>> mRunningOn;
+  std::deque<recent_death> mRecentDeaths;
 };
 
 } // namespace persimmon::routing
--- a/src/routing/tests/poisontrackertests.cpp
+++ b/src/routing/tests/poisontrackertests.cpp
@@ -1,5 +1,7 @@
 #include "routing/poisontracker.h"
 
+#include "base/hash.h"
+
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
@@ -89,6 +91,52 @@
   CHECK(Verdict(2, kStart) == poison_verdict::isolate);
 }
 
+TEST(poison_tracker, DomainThatGoesDarkQuarantinesNobody)
+{
+  for (const char* upstream : { "u1", "u2", "u3", "u4" }) {
+    Run(HashText(upstream), upstream, kStart);
+  }
+  tracker.Died({ "u1" }, kStart);
+  tracker.Died({ "u2" }, kStart + 100_ms);
+  CHECK_EQUAL(0, tracker.Died({ "u3" }, kStart + 200_ms).size());
+  Run(HashText("u1"), "u4", kStart + 200_ms);
+  tracker.Died({ "u4" }, kStart + 1_s);
+  CHECK(Verdict(HashText("u1"), kStart + 1_s) == poison_verdict::isolate);
+  CHECK(Verdict(HashText("u4"), kStart + 1_s) == poison_verdict::clear);
+  Run(HashText("u1"), "u5", kStart + 20_s);
+  tracker.Died({ "u5" }, kStart + 21_s);
+  CHECK(Verdict(HashText("u1"), kStart + 21_s) == poison_verdict::quarantined);
+}
+
+TEST(poison_tracker, PoisonThatKillsManyUpstreamsAtOnceIsStillQuarantined)
+{
+  for (const char* upstream : { "u1", "u2", "u3", "u4" }) {
+    Run(kPoison, upstream, kStart);
+  }
+  tracker.Died({ "u1" }, kStart);
+  tracker.Died({ "u2" }, kStart);
+  CHECK(Verdict(kPoison, kStart) == poison_verdict::quarantined);
+}
+
+TEST(poison_tracker, TwoRoutersIsolateOnDifferentUpstreams)
+{
+  std::vector<upstream_id> all;
+  all.reserve(57);
+  for (int number = 0; number < 57; ++number) {
+    all.push_back({ fmt::format("g{}", number) });
+  }
+  const std::vector<router_id> routers{ { "r1" }, { "r2" }, { "r3" } };
+  std::size_t open = 0;
+  for (const router_id& router : routers) {
+    open += all.size() - tracker.ClosedToSuspects(all, router, routers).size();
+  }
+  CHECK_EQUAL(all.size(), open);
+  const std::vector<upstream_id> one{ { "g1" } };
+  for (const router_id& router : routers) {
+    CHECK_EQUAL(0, tracker.ClosedToSuspects(one, router, routers).size());
+  }
+}
+
 TEST(poison_tracker, QuarantineExpires)
 {
   Quarantine(kStart);
