--- a/src/check/internal/gracefulstops.cpp
+++ b/src/check/internal/gracefulstops.cpp
@@ -10,14 +10,14 @@
 
 using history::event_kind;
 
-constexpr std::string_view kMemberLost = "member_lost";
+constexpr std::string_view kMemberMissing = "member_missing";
 
 /// Causes that no plan brings about; any other cut is a planned one.
-constexpr std::array<std::string_view, 5> kUnplannedCauses = { "killed",
-                                                               "dark",
-                                                               "poison",
-                                                               "cancelled",
-                                                               kMemberLost };
+constexpr std::array<std::string_view, 5> kUnplannedCauses = { "died",
+                                                               "crashed",
+                                                               "paused",
+                                                               "caller_left",
+                                                               kMemberMissing };
 
 /// Refusals by which a caller sees that its answer was broken off.
 constexpr std::array<std::string_view, 3> kBrokenOff = { "unfinished", "no_answer", "timeout" };
@@ -41,6 +41,7 @@
   for (const instance_life& member : aHistory.Members(group)) {
     const member_phase* phase = aTimeline.At(member.instance, aCut.at);
     const bool lost = phase == nullptr || phase->state == member_phase::condition::dead ||
+                      phase->state == member_phase::condition::paused ||
                       (member.incarnation != 0 && member.incarnation != phase->incarnation);
     if (lost) {
       return nullptr;
@@ -70,14 +71,14 @@
   for (const recorded_event* cut : aHistory.OfKind(event_kind::cut)) {
     const history::event& event = cut->event;
     const recorded_event* order = nullptr;
-    if (event.detail == kMemberLost) {
+    if (event.detail == kMemberMissing) {
       order = OrderedAway(aHistory, timeline, event);
     } else if (!Contains(kUnplannedCauses, event.detail)) {
       order = LastOrder(aHistory, *cut);
     } else {
       continue;
     }
-    const bool planned = event.detail != kMemberLost || order != nullptr;
+    const bool planned = event.detail != kMemberMissing || order != nullptr;
     if (planned) {
       AddViolation(
         aVerdict,
--- a/src/check/internal/membertimeline.cpp
+++ b/src/check/internal/membertimeline.cpp
@@ -7,26 +7,34 @@
 
 using condition = member_phase::condition;
 
+/// Returns the condition that a report tells of; aBeforePause is what a paused instance was.
 condition
-ConditionOf(const std::string& aDetail)
+ConditionOf(const std::string& aDetail, condition aBeforePause)
 {
   if (aDetail == "ready" || aDetail == "draining") {
     return condition::working;
   }
-  return aDetail == "dead" ? condition::dead : condition::unready;
+  if (aDetail == "died") {
+    return condition::dead;
+  }
+  if (aDetail == "paused") {
+    return condition::paused;
+  }
+  return aDetail == "resumed" ? aBeforePause : condition::unready;
 }
 
 } // namespace
 
 member_timeline::member_timeline(const run_history& aHistory)
 {
+  std::map<std::string, condition> beforePause;
   for (const recorded_event* recorded : aHistory.OfKind(history::event_kind::membership)) {
     const history::event& event = recorded->event;
-    mPhases[event.instance].push_back({ event.at,
-                                        ConditionOf(event.detail),
-                                        { event.group, event.generation },
-                                        event.incarnation,
-                                        recorded });
+    condition& kept = beforePause[event.instance];
+    const condition now = ConditionOf(event.detail, kept);
+    kept = now == condition::paused ? kept : now;
+    mPhases[event.instance].push_back(
+      { event.at, now, { event.group, event.generation }, event.incarnation, recorded });
   }
 }
 
--- a/src/check/membertimeline.h
+++ b/src/check/membertimeline.h
@@ -17,8 +17,8 @@
     unready,
     /// Ready, or finishing its last requests.
     working,
-    /// Killed, dark or paused.
-    dead
+    dead,
+    paused
   };
 
   time_point from;
--- a/src/check/tests/gracefulstopstests.cpp
+++ b/src/check/tests/gracefulstopstests.cpp
@@ -13,7 +13,7 @@
 )";
 
 const std::string kLost =
-  R"({"kind":"cut","at":300,"attempt":"a","instance":"i0","group":"g","generation":1,"detail":"member_lost"}
+  R"({"kind":"cut","at":300,"attempt":"a","instance":"i0","group":"g","generation":1,"detail":"member_missing"}
 )";
 
 } // namespace
@@ -25,8 +25,8 @@
 TEST(graceful_stops, CutByACrashOrALeavingCallerHolds)
 {
   const verdict found = CheckGracefulStops(
-    MadeHistory(kWorking + R"({"kind":"cut","at":9,"attempt":"a","instance":"i0","detail":"poison"}
-{"kind":"cut","at":9,"attempt":"b","instance":"i0","detail":"cancelled"})"));
+    MadeHistory(kWorking + R"({"kind":"cut","at":9,"attempt":"a","instance":"i0","detail":"crashed"}
+{"kind":"cut","at":9,"attempt":"b","instance":"i0","detail":"caller_left"})"));
   CHECK_EQUAL(1, found.checked);
   CHECK(found.violations.empty());
 }
@@ -54,7 +54,7 @@
 {
   const verdict found = CheckGracefulStops(MadeHistory(
     kWorking +
-    R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"group":"g","generation":1,"detail":"dead"}
+    R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"group":"g","generation":1,"detail":"died"}
 )" + kLost));
   CHECK(found.violations.empty());
 }
--- a/src/check/tests/wholegroupstests.cpp
+++ b/src/check/tests/wholegroupstests.cpp
@@ -35,7 +35,7 @@
 TEST(whole_groups, RequestLongAfterAMembersDeathIsFoundWithTheDeath)
 {
   const verdict found = CheckAfter(
-    R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"dead"}
+    R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"died"}
 {"kind":"started","at":2701,"attempt":"a","instance":"i0","group":"g","generation":1})");
   CHECK_EQUAL(1, found.violations.size());
   CHECK_EQUAL(2, found.violations[0].events.size());
@@ -45,7 +45,7 @@
 TEST(whole_groups, RequestWithinTheTimeToNoticeHolds)
 {
   const verdict found = CheckAfter(
-    R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"dead"}
+    R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"died"}
 {"kind":"started","at":2600,"attempt":"a","instance":"i0","group":"g","generation":1})");
   CHECK(found.violations.empty());
 }
@@ -69,9 +69,9 @@
 TEST(whole_groups, MemberThatWakesFromAPauseCountsAgain)
 {
   const verdict found = CheckAfter(
-    R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"dead"}
+    R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"paused"}
 {"kind":"started","at":2900,"attempt":"a","instance":"i0","group":"g","generation":1}
-{"kind":"membership","at":3000,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"ready"}
+{"kind":"membership","at":3000,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"resumed"}
 {"kind":"started","at":3100,"attempt":"b","instance":"i0","group":"g","generation":1})");
   CHECK_EQUAL(2, found.checked);
   CHECK_EQUAL(1, found.violations.size());
@@ -81,7 +81,7 @@
 {
   const verdict found = CheckAfter(
     R"({"kind":"attempted","at":90,"request":"r","attempt":"a"}
-{"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"dead"}
+{"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"died"}
 {"kind":"started","at":9000,"attempt":"a","instance":"i0","group":"g","generation":1})");
   CHECK(found.violations.empty());
 }
