--- a/src/app/placershell.cpp
+++ b/src/app/placershell.cpp
@@ -68,6 +68,8 @@
   work_queue<send_order> orders;
   std::vector<std::thread> threads;
   std::thread decider;
+  /// Used by the watching thread alone, but for Cancel().
+  std::optional<platform::http_object_store> watchStore;
   std::unique_ptr<entry::http_server> server;
   std::mutex statusMutex;
   std::string status = "{}";
@@ -192,7 +194,7 @@
 
   void Watch()
   {
-    platform::http_object_store store = Store();
+    platform::http_object_store& store = *watchStore;
     std::optional<revision> from;
     while (!events.IsClosed()) {
       if (!from) {
@@ -388,6 +390,7 @@
   }
   self.Run(1, [&self] { self.CallStore(self.leaseCalls); });
   self.Run(kStoreThreads, [&self] { self.CallStore(self.storeCalls); });
+  self.watchStore.emplace(self.Store());
   self.Run(1, [&self] { self.Watch(); });
   self.Run(1, [&self] { self.ListInstances(); });
   self.Run(kReadThreads, [&self] { self.ReadMembers(); });
@@ -415,6 +418,9 @@
   if (self.server) {
     self.server->Stop();
   }
+  if (self.watchStore) {
+    self.watchStore->Cancel();
+  }
   for (std::thread& thread : self.threads) {
     thread.join();
   }
--- a/src/platform/httpclient.h
+++ b/src/platform/httpclient.h
@@ -58,6 +58,9 @@
 
   /// Sends a request and waits for the whole response.
   std::optional<http_response> Send(const http_request& aRequest);
+  /// Ends the call in progress within about a second, and every later one at once. May be called
+  /// from another thread, so that a waiting thread can be stopped.
+  void Cancel();
   /// Tells how far the last failed request came.
   [[nodiscard]] http_failure LastFailure() const;
   /// Text of the last failure for logs.
--- a/src/platform/httpobjectstore.h
+++ b/src/platform/httpobjectstore.h
@@ -30,6 +30,9 @@
                                       duration aWait);
   /// Returns the platform's lagging list of instances.
   std::optional<std::vector<listed_instance>> Instances();
+  /// Ends the call in progress within about a second, and every later one at once. May be called
+  /// from another thread.
+  void Cancel();
   [[nodiscard]] const store_reason& LastReason() const;
 
 private:
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/httpclient.h"
 
 #include <algorithm>
+#include <atomic>
 #include <curl/curl.h>
 
 namespace persimmon::platform {
@@ -73,6 +74,12 @@
   return header_list(list);
 }
 
+int
+CheckCancelled(void* aCancelled, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+  return static_cast<const std::atomic<bool>*>(aCancelled)->load() ? 1 : 0;
+}
+
 void
 EnsureCurlStarted()
 {
@@ -108,6 +115,7 @@
 
 struct http_client::implementation
 {
+  std::atomic<bool> cancelled = false;
   std::unique_ptr<CURL, curl_closer> handle;
   http_failure failure = http_failure::none;
   std::string detail;
@@ -142,6 +150,9 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
+  curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, CheckCancelled);
+  curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &mImplementation->cancelled);
   if (aRequest.method == "HEAD") {
     curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
   } else if (!aRequest.body.empty() || aRequest.method == "POST" || aRequest.method == "PUT") {
@@ -166,6 +177,12 @@
   return response;
 }
 
+void
+http_client::Cancel()
+{
+  mImplementation->cancelled = true;
+}
+
 http_failure
 http_client::LastFailure() const
 {
--- a/src/platform/internal/httpobjectstore.cpp
+++ b/src/platform/internal/httpobjectstore.cpp
@@ -295,6 +295,12 @@
   return instances;
 }
 
+void
+http_object_store::Cancel()
+{
+  mImplementation->client.Cancel();
+}
+
 const store_reason&
 http_object_store::LastReason() const
 {
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -144,6 +144,13 @@
         return [group for table in self.tables() for group in table["groups"]
                 if group["service"] == service and group["state"] == "serving"]
 
+    def record_fault(self, detail, instance="", address=""):
+        """Appends a fault event (docs/HISTORY.md) to the deployment's own history."""
+        event = {"kind": "fault", "at": int(time.monotonic() * 1000), "process": "script", "detail": detail}
+        event.update({key: value for key, value in (("instance", instance), ("object", address)) if value})
+        with open(self.out / "faults.jsonl", "a") as file:
+            file.write(json.dumps(event) + "\n")
+
     def signal(self, name, number):
         process = self.processes.get(name)
         if process and process.poll() is None:
