--- a/src/platform/tests/httpclienttests.cpp
+++ b/src/platform/tests/httpclienttests.cpp
@@ -24,8 +24,8 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
     socklen_t size = sizeof(address);
-    bind(mSocket, generic, size);
-    listen(mSocket, 1);
+    const bool listens = bind(mSocket, generic, size) == 0 && listen(mSocket, 1) == 0;
+    CHECK(listens);
     getsockname(mSocket, generic, &size);
     mPort = ntohs(address.sin_port);
   }
