--- a/src/ledger/internal/ledgershard.cpp
+++ b/src/ledger/internal/ledgershard.cpp
@@ -173,6 +173,7 @@
     // Unanswered writes were conditional on the old version: they have landed or never will.
     Settle();
   }
+  mShared = mKnown ? moved : known.version.has_value();
   mKnown = std::move(known);
   mMustRead = false;
   if (!mUnsettled) {
@@ -324,12 +325,17 @@
   for (const waiting_close& close : mCloses) {
     consider(close.arrived + mRules.closeLinger);
   }
-  if (!first) {
-    return std::nullopt;
+  return first ? std::optional(std::max(*first, EarliestWrite())) : std::nullopt;
+}
+
+time_point
+ledger_shard::EarliestWrite() const
+{
+  if (mFailures > 0 || mConflicts > 0) {
+    return mBackOffUntil;
   }
-  const time_point earliest =
-    NeedsRead() ? mBackOffUntil : std::max(mBackOffUntil, mWriteStarted + mRules.writeInterval);
-  return std::max(*first, earliest);
+  const bool enough = mIntents.size() >= mRules.enoughIntents;
+  return mWriteStarted + (enough ? mRules.shortestInterval : mRules.loneInterval);
 }
 
 bool
@@ -343,7 +349,7 @@
 bool
 ledger_shard::NeedsRead() const
 {
-  if (mMustRead || !mKnown) {
+  if (mMustRead || !mKnown || IsOutdated()) {
     return true;
   }
   const auto stale = [this](const auto& aWaiting) { return IsStaleFor(aWaiting); };
@@ -351,6 +357,19 @@
          std::any_of(mCloses.begin(), mCloses.end(), stale);
 }
 
+bool
+ledger_shard::IsOutdated() const
+{
+  const bool readForThese =
+    std::any_of(mIntents.begin(),
+                mIntents.end(),
+                [this](const waiting_intent& aIntent) { return aIntent.step <= mKnown->step; }) ||
+    std::any_of(mCloses.begin(), mCloses.end(), [this](const waiting_close& aClose) {
+      return aClose.step <= mKnown->step;
+    });
+  return mShared && !readForThese;
+}
+
 bool
 ledger_shard::IsStaleFor(const waiting_intent& aIntent) const
 {
--- a/src/ledger/ledgershard.h
+++ b/src/ledger/ledgershard.h
@@ -18,9 +18,14 @@
 struct commit_rules
 {
   /// How long a close may wait for an intent's write to join.
-  duration closeLinger{ 200 };
+  duration closeLinger{ 1000 };
+  /// Intents that are written without waiting for more.
+  std::size_t enoughIntents = 2;
+  /// How long after the start of the last write fewer intents wait for more; one that comes later
+  /// is written at once.
+  duration loneInterval{ 25 };
   /// Least time between the starts of two writes.
-  duration writeInterval{ 0 };
+  duration shortestInterval{ 4 };
 };
 
 /// An attempt asks to be committed. Answered by exactly one verdict_action.
@@ -188,9 +193,11 @@
   void Settle();
 
   [[nodiscard]] bool NeedsRead() const;
+  [[nodiscard]] bool IsOutdated() const;
   [[nodiscard]] bool IsStaleFor(const waiting_intent& aIntent) const;
   [[nodiscard]] bool IsStaleFor(const waiting_close& aClose) const;
   [[nodiscard]] std::optional<time_point> NextDue() const;
+  [[nodiscard]] time_point EarliestWrite() const;
   [[nodiscard]] bool HasCallersWaiting() const;
 
   /// Applies everything that waits to the known table; what is answered by it is removed, what is
@@ -220,6 +227,9 @@
   std::uint32_t mFailures = 0;
   std::uint32_t mConflicts = 0;
   bool mMustRead = true;
+  /// Other routers write this object too, so that a write from a version read earlier would most
+  /// likely conflict.
+  bool mShared = false;
   /// A write from the known version got no answer and may still land.
   bool mUnsettled = false;
 };
