--- a/src/load/internal/exchange.cpp
+++ b/src/load/internal/exchange.cpp
@@ -149,11 +149,14 @@
 {
   long status = 0;
   curl_easy_getinfo(mHandle, CURLINFO_RESPONSE_CODE, &status);
+  if (!mStream.ErrorData().empty()) {
+    return BrokenStream(static_cast<int>(status));
+  }
   if (aCode != CURLE_OK) {
     return Failure(aCode, static_cast<int>(status));
   }
   if (mContentType.starts_with(kProblemType)) {
-    return Refusal(static_cast<int>(status));
+    return Refusal(static_cast<int>(status), mBody);
   }
   exchange_result result;
   result.status = static_cast<int>(status);
@@ -196,13 +199,21 @@
 }
 
 exchange_result
-exchange::Refusal(int aStatus) const
+exchange::BrokenStream(int aStatus) const
+{
+  exchange_result result = Refusal(aStatus, mStream.ErrorData());
+  result.refusal = kUnfinished;
+  return result;
+}
+
+exchange_result
+exchange::Refusal(int aStatus, const std::string& aProblem) const
 {
   exchange_result result;
   result.status = aStatus;
   result.request = mRequest;
   json_problem problem;
-  const auto body = ParseJson(mBody, problem);
+  const auto body = ParseJson(aProblem, problem);
   if (!body) {
     result.refusal = kUnfinished;
     return result;
--- a/src/load/internal/exchange.h
+++ b/src/load/internal/exchange.h
@@ -58,7 +58,10 @@
   void SetTransport(const std::string& aRouter);
   void TakeHeader(std::string_view aLine);
   [[nodiscard]] exchange_result Failure(CURLcode aCode, int aStatus) const;
-  [[nodiscard]] exchange_result Refusal(int aStatus) const;
+  /// Reads a problem that refuses the call.
+  [[nodiscard]] exchange_result Refusal(int aStatus, const std::string& aProblem) const;
+  /// Reads the problem in the event that broke a stream off.
+  [[nodiscard]] exchange_result BrokenStream(int aStatus) const;
   [[nodiscard]] std::optional<std::string> AnswerDigest() const;
 
   std::unique_ptr<open_call> mCall;
--- a/src/load/internal/streamtext.cpp
+++ b/src/load/internal/streamtext.cpp
@@ -69,6 +69,7 @@
 {
   if (aLine.starts_with("event: error")) {
     mFailed = true;
+    mInError = true;
   }
   if (!aLine.starts_with(kDataPrefix)) {
     return false;
@@ -78,6 +79,10 @@
     return false;
   }
   const std::string_view data = WithoutSpace(aLine.substr(kDataPrefix.size()));
+  if (mInError) {
+    mErrorData += data;
+    return false;
+  }
   if (data == kEnd) {
     mDone = true;
     return false;
--- a/src/load/streamtext.h
+++ b/src/load/streamtext.h
@@ -16,12 +16,16 @@
   /// Returns whether `data: [DONE]` came, with no error event before it and nothing after it.
   [[nodiscard]] bool IsWhole() const { return mDone && !mFailed; }
   [[nodiscard]] const std::string& Text() const { return mText; }
+  /// Returns the data of the error event that ended the stream, if any.
+  [[nodiscard]] const std::string& ErrorData() const { return mErrorData; }
 
 private:
   bool TakeLine(std::string_view aLine);
 
   std::string mPending;
   std::string mText;
+  std::string mErrorData;
+  bool mInError = false;
   bool mDone = false;
   bool mFailed = false;
 };
--- a/src/load/tests/loadrunnertests.cpp
+++ b/src/load/tests/loadrunnertests.cpp
@@ -120,6 +120,24 @@
   CHECK_EQUAL(seen.sent, seen.refusals.at(kUnfinished));
 }
 
+TEST(load_runner, ErrorEventOfAStreamIsRecordedWithItsClaim)
+{
+  options.mix.streamedShare = 1;
+  Listen([](const entry::server_request&, const std::shared_ptr<entry::responder>& aResponder) {
+    aResponder->StartStream(200, { { "Content-Type", "text/event-stream" } });
+    aResponder->Write(kToken);
+    aResponder->Write("event: error\ndata: {\"reason\":\"stream_broken\",\"ran\":\"unknown\"}\n\n");
+    aResponder->Abort();
+  });
+  const load_statistics seen = RunLoad();
+  CHECK_EQUAL(seen.sent, seen.refusals.at(kUnfinished));
+  for (const history::event& event : ReadEvents(path)) {
+    if (event.kind == history::event_kind::refused) {
+      STRCMP_EQUAL("unknown", event.ran.c_str());
+    }
+  }
+}
+
 TEST(load_runner, UnknownOutcomeIsSentAgainThroughTheNextRouterWithTheSameKey)
 {
   options.mix.models.clear();
--- a/src/load/tests/streamtexttests.cpp
+++ b/src/load/tests/streamtexttests.cpp
@@ -40,6 +40,7 @@
 {
   stream_text failed;
   failed.Feed("event: error\ndata: {\"reason\":\"upstream_lost\"}\n\n");
+  STRCMP_EQUAL("{\"reason\":\"upstream_lost\"}", failed.ErrorData().c_str());
   failed.Feed(kStream);
   CHECK_FALSE(failed.IsWhole());
   stream_text longer;
