Choice of upstream: ignore back-offs when most upstreams have failed

Cause: with all upstreams in back-off the one whose back-off ended first got every request of its router. Above half, ejection says more about the service than about one upstream, and only crowds the rest.

--- a/bench/routingscenarios.cpp
+++ b/bench/routingscenarios.cpp
@@ -175,7 +175,7 @@
 constexpr time_point kStormEnd{ 65000 };
 
 model_options
-StormOptions(model_retries aRetries, std::uint64_t aSeed)
+StormOptions(model_retries aRetries, double aPart, std::uint64_t aSeed)
 {
   model_options options;
   options.seed = aSeed;
@@ -184,7 +184,7 @@
   options.end = kStormEnd;
   options.customers = { { "all", 0.95 * kCapacity, 1 } };
   for (std::size_t group = 0; group < options.groups; ++group) {
-    options.faults.push_back({ group, model_fault::effect::failing, 0.5, kStormFrom, kStormTo });
+    options.faults.push_back({ group, model_fault::effect::failing, aPart, kStormFrom, kStormTo });
   }
   return options;
 }
@@ -229,10 +229,14 @@
 void
 RunRetryStormScenario(std::uint64_t aSeed)
 {
-  fmt::print("retry storm: half of all attempts fail after running for 20 s at 95% load, seed {}\n",
-             aSeed);
-  for (const named_retries& kind : kRetries) {
-    PrintStorm(kind.name, RunModel(StormOptions(kind.retries, aSeed)));
+  for (const double part : { 0.5, 0.9 }) {
+    fmt::print(
+      "retry storm: {:.0f}% of attempts fail after running for 20 s at 95% load, seed {}\n",
+      100 * part,
+      aSeed);
+    for (const named_retries& kind : kRetries) {
+      PrintStorm(kind.name, RunModel(StormOptions(kind.retries, part, aSeed)));
+    }
   }
 }
 
--- a/bench/routingscenarios.h
+++ b/bench/routingscenarios.h
@@ -13,7 +13,7 @@
 void
 RunOverloadScenario(std::uint64_t aSeed);
 
-/// Half of the attempts fail for a while at high load, for each kind of retries.
+/// Half, then nine tenths of the attempts fail for a while at high load, for each kind of retries.
 void
 RunRetryStormScenario(std::uint64_t aSeed);
 
--- a/src/routing/internal/upstreampool.cpp
+++ b/src/routing/internal/upstreampool.cpp
@@ -35,6 +35,8 @@
 constexpr double kSignWeight = 0.05;
 constexpr duration kFirstBackoff = 500_ms;
 constexpr duration kLongestBackoff = 8_s;
+/// With more than one in so many listed upstreams ejected, ejection is ignored.
+constexpr std::size_t kEjectionCap = 2;
 /// Back-off after a refusal, lest an upstream that refuses at once attracts all requests.
 constexpr duration kRefusalBackoff = 200_ms;
 
@@ -324,6 +326,18 @@
   }
 }
 
+void
+upstream_pool::ReviewEjections(time_point aNow)
+{
+  const auto ejected = std::count_if(mListedSlots.begin(), mListedSlots.end(), [&](auto aSlot) {
+    return aNow < mSlots[aSlot].ejectedUntil;
+  });
+  const bool ignore = static_cast<std::size_t>(ejected) * kEjectionCap > mListedCount;
+  for (const std::uint32_t slot : mListedSlots) {
+    mSlots[slot].ignoreEjection = ignore;
+  }
+}
+
 double
 upstream_pool::MedianMsPerToken() const
 {
@@ -394,6 +408,7 @@
   AgeReports(aNow);
   FindStalled(aNow);
   DecideProbation();
+  ReviewEjections(aNow);
   return Announce(aNow);
 }
 
--- a/src/routing/tests/upstreamchoosertests.cpp
+++ b/src/routing/tests/upstreamchoosertests.cpp
@@ -269,6 +269,18 @@
   STRCMP_EQUAL("g00", choice.target->id.value.c_str());
 }
 
+TEST(upstream_chooser, WhenMostHaveFailedTheyShareTheRequestsAgain)
+{
+  chooser.Pool().Update(Candidates(4), kStart);
+  for (const std::size_t slot : { 0, 1, 2 }) {
+    const dispatch_ticket ticket = chooser.Pool().Start(slot, kStart);
+    chooser.Pool().Finish(ticket, { attempt_outcome::failed, 0 }, kStart);
+  }
+  CHECK_EQUAL(50, Spread(50, {}, kStart)["g03"]);
+  chooser.Pool().Maintain(kStart);
+  CHECK_EQUAL(4, Spread(200, {}, kStart).size());
+}
+
 TEST(upstream_chooser, NoChoiceNamesItsReason)
 {
   CHECK(chooser.Choose({}, kStart).why == choice_reason::none_eligible);
--- a/src/routing/upstreampool.h
+++ b/src/routing/upstreampool.h
@@ -54,13 +54,15 @@
   bool listed = false;
   bool ownZone = false;
   bool probation = false;
+  /// So many upstreams failed that ejection would only crowd the rest.
+  bool ignoreEjection = false;
 
   /// True when the upstream may get requests.
   [[nodiscard]] bool Eligible(time_point aNow) const { return listed && aNow < freshUntil; }
   /// True when it may get requests and is in good health.
   [[nodiscard]] bool Healthy(time_point aNow) const
   {
-    return Eligible(aNow) && !probation && aNow >= ejectedUntil;
+    return Eligible(aNow) && !probation && (ignoreEjection || aNow >= ejectedUntil);
   }
 };
 
@@ -150,6 +152,7 @@
   void Sample(const running_dispatch& aRunning, std::uint32_t aTokens, time_point aNow);
   void NoteOutcome(std::size_t aSlot, attempt_outcome aOutcome, time_point aNow);
   void FindStalled(time_point aNow);
+  void ReviewEjections(time_point aNow);
   [[nodiscard]] double MedianMsPerToken() const;
   void DecideProbation();
   std::vector<health_change> Announce(time_point aNow);
