--- a/src/routing/internal/poisontracker.cpp
+++ b/src/routing/internal/poisontracker.cpp
@@ -86,22 +86,12 @@
 {
   const bool isolated = Check(aFingerprint, aNow).verdict == poison_verdict::isolate;
   mRunning[aAttempt] = { aFingerprint, aUpstream, isolated };
-  mRunningOn[aUpstream].push_back(aAttempt);
 }
 
 void
 poison_tracker::Ended(const attempt_id& aAttempt)
 {
-  const auto found = mRunning.find(aAttempt);
-  if (found == mRunning.end()) {
-    return;
-  }
-  const auto neighbours = mRunningOn.find(found->second.upstream);
-  std::erase(neighbours->second, aAttempt);
-  if (neighbours->second.empty()) {
-    mRunningOn.erase(neighbours);
-  }
-  mRunning.erase(found);
+  mRunning.erase(aAttempt);
 }
 
 std::vector<peers::suspect_message>
@@ -123,16 +113,15 @@
 std::vector<std::uint64_t>
 poison_tracker::TakeAboard(const upstream_id& aUpstream)
 {
+  // Deaths are rare: looking through all attempts then is cheaper than an index kept by each.
   std::vector<std::uint64_t> aboard;
-  const auto found = mRunningOn.find(aUpstream);
-  if (found == mRunningOn.end()) {
-    return aboard;
-  }
-  for (const attempt_id& attempt : found->second) {
-    aboard.push_back(mRunning.at(attempt).fingerprint);
-    mRunning.erase(attempt);
+  for (auto current = mRunning.begin(); current != mRunning.end();) {
+    const bool lost = current->second.upstream == aUpstream;
+    if (lost) {
+      aboard.push_back(current->second.fingerprint);
+    }
+    current = lost ? mRunning.erase(current) : std::next(current);
   }
-  mRunningOn.erase(found);
   std::sort(aboard.begin(), aboard.end());
   aboard.erase(std::unique(aboard.begin(), aboard.end()), aboard.end());
   return aboard;
--- a/src/routing/poisontracker.h
+++ b/src/routing/poisontracker.h
@@ -127,7 +127,6 @@
   /// Fingerprints by the time of their last change, oldest first.
   std::list<std::uint64_t> mByAge;
   std::unordered_map<attempt_id, running_attempt> mRunning;
-  std::unordered_map<upstream_id, std::vector<attempt_id>> mRunningOn;
   std::deque<recent_death> mRecentDeaths;
 };
 
