--- /dev/null
+++ b/src/app/router/tests/exchangetests.cpp
@@ -0,0 +1,393 @@
+#include "app/router/tests/mocks/fakeengine.h"
+#include "app/router/tests/mocks/routerrig.h"
+#include "base/log.h"
+#include "platform/httpclient.h"
+
+#include <CppUTest/TestHarness.h>
+#include <future>
+#include <thread>
+
+using namespace persimmon;
+using namespace persimmon::router;
+
+namespace {
+
+constexpr int kTokens = 5;
+const std::string kWholeStream = TokenEvent(0) + TokenEvent(1) + TokenEvent(2) + TokenEvent(3) +
+                                 TokenEvent(4) + "data: [DONE]\n\n";
+
+using shared_responder = std::shared_ptr<entry::responder>;
+
+platform::http_request
+Chat(const router_rig& aRig, bool aStreamed)
+{
+  platform::http_request request;
+  request.method = "POST";
+  request.url = "http://" + aRig.Address().value + "/v1/chat/completions";
+  request.headers = { { "Authorization", "Bearer key" } };
+  request.body = fmt::format(
+    R"({{"model":"llm","stream":{},"messages":[{{"role":"user","content":"a"}}]}})", aStreamed);
+  request.timeout = 20_s;
+  return request;
+}
+
+void
+AnswerWhole(const entry::server_request& aRequest, const shared_responder& aResponder)
+{
+  aResponder->Send({ 200, EngineHeaders(aRequest), "whole" });
+}
+
+void
+Refuse(const entry::server_request& aRequest, const shared_responder& aResponder)
+{
+  auto headers = EngineHeaders(aRequest);
+  headers.push_back({ "Persimmon-Ran", "no" });
+  aResponder->Send({ 503, headers, "draining" });
+}
+
+void
+StreamWhole(const entry::server_request& aRequest, const shared_responder& aResponder)
+{
+  aResponder->StartStream(200, EngineHeaders(aRequest));
+  SendTokens(aRequest, *aResponder, kTokens);
+  aResponder->Write("data: [DONE]\n\n");
+  aResponder->FinishStream();
+}
+
+/// Makes the first call of any upstream behave in one way and later ones in another.
+router_rig::handler
+FirstThen(std::shared_ptr<std::atomic<int>> aCalls,
+          router_rig::handler aFirst,
+          router_rig::handler aThen)
+{
+  return [calls = std::move(aCalls), first = std::move(aFirst), then = std::move(aThen)](
+           entry::server_request aRequest, shared_responder aResponder) {
+    if (aRequest.path == "/state") {
+      aResponder->Send({ 200, {}, "{}" });
+      return;
+    }
+    (calls->fetch_add(1) == 0 ? first : then)(std::move(aRequest), std::move(aResponder));
+  };
+}
+
+std::string
+ReasonOf(const platform::http_response& aResponse)
+{
+  return nlohmann::json::parse(aResponse.body).value("reason", "");
+}
+
+std::string
+MemberOf(const platform::http_response& aResponse, const char* aName)
+{
+  return nlohmann::json::parse(aResponse.body).value(aName, "");
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(exchange)
+{
+  platform::http_client client;
+  std::shared_ptr<std::atomic<int>> calls = std::make_shared<std::atomic<int>>(0);
+
+  void setup() override { StartLog("test", log_level::error); }
+
+  std::vector<router_rig::handler> Two(const router_rig::handler& aFirst,
+                                       const router_rig::handler& aThen) const
+  {
+    return { FirstThen(calls, aFirst, aThen), FirstThen(calls, aFirst, aThen) };
+  }
+};
+// clang-format on
+
+TEST(exchange, AnswerToAnotherAttemptIsDiscarded)
+{
+  const router_rig rig(Two(
+    [](const entry::server_request& aRequest, const shared_responder& aResponder) {
+      auto headers = EngineHeaders(aRequest);
+      headers.front().value = "another";
+      aResponder->Send({ 200, headers, "foreign" });
+    },
+    AnswerWhole));
+  const auto response = client.Send(Chat(rig, false));
+  CHECK_EQUAL(200, response->status);
+  STRCMP_EQUAL("whole", response->body.c_str());
+  CHECK_EQUAL(2, calls->load());
+}
+
+TEST(exchange, AnswerThatIsCutOffIsNotDelivered)
+{
+  const router_rig rig(Two(
+    [](const entry::server_request& aRequest, const shared_responder& aResponder) {
+      aResponder->StartStream(200, EngineHeaders(aRequest));
+      aResponder->Write("half of it");
+      aResponder->Abort();
+    },
+    AnswerWhole));
+  const auto response = client.Send(Chat(rig, false));
+  STRCMP_EQUAL("whole", response->body.c_str());
+}
+
+TEST(exchange, UpstreamThatDiesBeforeTheFirstByteIsReplaced)
+{
+  const router_rig rig(Two(
+    [](const entry::server_request&, const shared_responder& aResponder) { aResponder->Abort(); },
+    StreamWhole));
+  const auto response = client.Send(Chat(rig, true));
+  CHECK(response->body == kWholeStream);
+}
+
+TEST(exchange, StreamGoesOnElsewhereWithEveryTokenOnce)
+{
+  const router_rig rig(Two(
+    [](const entry::server_request& aRequest, const shared_responder& aResponder) {
+      aResponder->StartStream(200, EngineHeaders(aRequest));
+      SendTokens(aRequest, *aResponder, 3);
+      aResponder->Write("data: ha");
+      aResponder->Abort();
+    },
+    StreamWhole));
+  const auto response = client.Send(Chat(rig, true));
+  CHECK(response->body == kWholeStream);
+  CHECK_EQUAL(2, calls->load());
+}
+
+TEST(exchange, StreamThatCannotGoOnEndsInAnErrorAndACutConnection)
+{
+  std::string seen;
+  const auto cut = [](const entry::server_request& aRequest, const shared_responder& aResponder) {
+    aResponder->StartStream(200, EngineHeaders(aRequest, false));
+    SendTokens(aRequest, *aResponder, 3);
+    aResponder->Abort();
+  };
+  const router_rig rig(Two(cut, cut));
+  std::promise<upstream::call_outcome> done;
+  upstream::upstream_loop loop;
+  upstream::upstream_call call;
+  const platform::http_request request = Chat(rig, true);
+  call.address = rig.Address();
+  call.method = "POST";
+  call.target = "/v1/chat/completions";
+  call.headers = { { "Authorization", "Bearer key" } };
+  call.body = request.body;
+  loop.Start(std::move(call),
+             { [](const upstream::response_head&) {},
+               [&seen](std::string_view aBytes) { seen += aBytes; },
+               [&done](const upstream::call_outcome& aOutcome) { done.set_value(aOutcome); } });
+  CHECK(done.get_future().get().end == upstream::call_end::maybe_sent);
+  STRCMP_CONTAINS("event: error\n", seen.c_str());
+  STRCMP_CONTAINS("\"attempt_ran\":\"unknown\"", seen.c_str());
+  CHECK(seen.find("[DONE]") == std::string::npos);
+}
+
+TEST(exchange, StreamThatEndsCleanlyWithoutItsMarkIsNotFinished)
+{
+  const auto endEarly = [](const entry::server_request& aRequest,
+                           const shared_responder& aResponder) {
+    aResponder->StartStream(200, EngineHeaders(aRequest, false));
+    SendTokens(aRequest, *aResponder, 2);
+    aResponder->FinishStream();
+  };
+  const router_rig rig(Two(endEarly, endEarly));
+  CHECK_FALSE(client.Send(Chat(rig, true)).has_value());
+}
+
+TEST(exchange, RefusalWithProofIsReroutedAndReportedTruthfully)
+{
+  const router_rig rerouted(Two(Refuse, AnswerWhole));
+  STRCMP_EQUAL("whole", client.Send(Chat(rerouted, false))->body.c_str());
+
+  const router_rig refused(Two(Refuse, Refuse));
+  const auto response = client.Send(Chat(refused, false));
+  CHECK_EQUAL(503, response->status);
+  STRCMP_EQUAL("no", MemberOf(*response, "ran").c_str());
+}
+
+TEST(exchange, ClosedPortsAreARefusalThatProvesNothingRan)
+{
+  router_rig rig(Two(AnswerWhole, AnswerWhole));
+  rig.Upstreams().Close(rig.UpstreamAddress(0));
+  rig.Upstreams().Close(rig.UpstreamAddress(1));
+  const auto response = client.Send(Chat(rig, false));
+  STRCMP_EQUAL("no", MemberOf(*response, "attempt_ran").c_str());
+  CHECK_EQUAL(0, calls->load());
+}
+
+TEST(exchange, DeadlineEndsTheAttemptAndClaimsNothing)
+{
+  std::promise<void> left;
+  shared_responder held;
+  const auto hang = [&](const entry::server_request&, shared_responder aResponder) {
+    held = std::move(aResponder);
+    held->OnLeave([&left] { left.set_value(); });
+  };
+  const router_rig rig(Two(hang, hang));
+  platform::http_request request = Chat(rig, false);
+  request.headers.push_back({ "Persimmon-Deadline-Ms", "100" });
+  const auto response = client.Send(request);
+  CHECK_EQUAL(504, response->status);
+  STRCMP_EQUAL("unknown", MemberOf(*response, "ran").c_str());
+  left.get_future().wait();
+}
+
+TEST(exchange, CallerWhoLeavesCancelsTheUpstream)
+{
+  std::promise<void> left;
+  shared_responder held;
+  const auto hang = [&](const entry::server_request& aRequest, shared_responder aResponder) {
+    held = std::move(aResponder);
+    held->OnLeave([&left] { left.set_value(); });
+    held->StartStream(200, EngineHeaders(aRequest));
+    held->Write(TokenEvent(0));
+  };
+  const router_rig rig(Two(hang, hang));
+  {
+    platform::http_client leaving;
+    platform::http_request request = Chat(rig, true);
+    request.timeout = 100_ms;
+    CHECK_FALSE(leaving.Send(request).has_value());
+  }
+  left.get_future().wait();
+}
+
+TEST(exchange, LostMemberEndsTheWaitForASilentHead)
+{
+  std::promise<void> started;
+  shared_responder held;
+  router_rig rig({ FirstThen(
+    calls,
+    [&](const entry::server_request&, shared_responder aResponder) {
+      held = std::move(aResponder);
+      started.set_value();
+    },
+    AnswerWhole) });
+  auto answer = std::async(std::launch::async, [&] { return client.Send(Chat(rig, false)); });
+  started.get_future().wait();
+  rig.Registry().TellLost({ { "llm" }, { "g0" }, { 1 } });
+  const auto response = answer.get();
+  CHECK_EQUAL(1, calls->load());
+  CHECK(response->status >= 500);
+  STRCMP_EQUAL("unknown", MemberOf(*response, "attempt_ran").c_str());
+}
+
+TEST(exchange, GroupWithoutAMemberGetsNothing)
+{
+  router_rig rig(Two(AnswerWhole, AnswerWhole));
+  rig.Observe(0, false);
+  rig.Observe(1, false);
+  platform::http_request request = Chat(rig, false);
+  request.headers.push_back({ "Persimmon-Deadline-Ms", "100" });
+  const auto response = client.Send(request);
+  CHECK(response->status >= 500);
+  STRCMP_EQUAL("no", MemberOf(*response, "ran").c_str());
+  CHECK_EQUAL(0, calls->load());
+}
+
+TEST(exchange, CallThatRunsOnceIsNotDispatchedWithoutTheLedger)
+{
+  const router_rig rig(Two(AnswerWhole, AnswerWhole));
+  platform::http_request request = Chat(rig, false);
+  request.url = "http://" + rig.Address().value + "/services/desk/corrections";
+  const auto now = wall_clock().Now();
+  request.headers.push_back(
+    { "Idempotency-Key",
+      fmt::format("{:08x}-{:04x}-7abc-8def-0123456789ab", now.ms >> 16, now.ms & 0xffff) });
+  const auto response = client.Send(request);
+  CHECK_EQUAL(503, response->status);
+  STRCMP_EQUAL("ledger_unavailable", ReasonOf(*response).c_str());
+  STRCMP_EQUAL("no", MemberOf(*response, "attempt_ran").c_str());
+  STRCMP_EQUAL("unknown", MemberOf(*response, "ran").c_str());
+  CHECK_EQUAL(0, calls->load());
+}
+
+TEST(exchange, StopEndsAStreamVisibly)
+{
+  std::promise<void> started;
+  shared_responder held;
+  const auto stream = [&](const entry::server_request& aRequest, shared_responder aResponder) {
+    held = std::move(aResponder);
+    held->StartStream(200, EngineHeaders(aRequest));
+    held->Write(TokenEvent(0));
+    started.set_value();
+  };
+  router_rig rig({ stream });
+  auto answer = std::async(std::launch::async, [&] { return client.Send(Chat(rig, true)); });
+  started.get_future().wait();
+  for (const auto& left : rig.Registry().All()) {
+    left->Post(routing::flow_stop{});
+  }
+  CHECK_FALSE(answer.get().has_value());
+}
+
+TEST(exchange, SlowCallerMakesTheUpstreamWait)
+{
+  constexpr std::size_t kBlock = 64U << 10U;
+  constexpr std::size_t kMostBlocks = 2000;
+  constexpr std::size_t kFull = 1U << 20U;
+  std::promise<bool> waited;
+  std::size_t blocks = 0;
+  shared_responder held;
+  std::promise<void> release;
+  const auto flood = [&](const entry::server_request& aRequest, shared_responder aResponder) {
+    held = std::move(aResponder);
+    held->StartStream(200, EngineHeaders(aRequest));
+    std::thread([&] {
+      const std::string block = "data: " + std::string(kBlock, 'x') + "\n\n";
+      while (blocks < kMostBlocks && held->PendingBytes() < kFull) {
+        held->Write(block);
+        ++blocks;
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      waited.set_value(held->PendingBytes() >= kFull);
+      held->Write("data: [DONE]\n\n");
+      held->FinishStream();
+    }).detach();
+  };
+  const router_rig rig({ flood });
+  upstream::upstream_loop loop;
+  upstream::upstream_call call;
+  call.address = rig.Address();
+  call.method = "POST";
+  call.target = "/v1/chat/completions";
+  call.headers = { { "Authorization", "Bearer key" } };
+  call.body = Chat(rig, true).body;
+  std::promise<upstream::call_outcome> done;
+  std::size_t bytes = 0;
+  upstream::call_id id;
+  loop.Post([&] {
+    id = loop.Start(call,
+                    { [&](const upstream::response_head&) { loop.Pause(id); },
+                      [&](std::string_view aBytes) { bytes += aBytes.size(); },
+                      [&](const upstream::call_outcome& aOutcome) { done.set_value(aOutcome); } });
+  });
+  CHECK(waited.get_future().get());
+  loop.Resume(id);
+  CHECK(done.get_future().get().end == upstream::call_end::whole);
+  CHECK(bytes > blocks * kBlock);
+}
+
+TEST(exchange, RequestThatKillsTwoUpstreamsIsQuarantined)
+{
+  router_rig* rig = nullptr;
+  std::mutex closing;
+  const auto die = [&](std::size_t aIndex) {
+    return [&, aIndex](const entry::server_request&, const shared_responder& aResponder) {
+      calls->fetch_add(1);
+      std::thread([&, aIndex, responder = aResponder] {
+        const std::lock_guard lock(closing);
+        rig->Upstreams().Close(rig->UpstreamAddress(aIndex));
+        responder->Abort();
+      }).detach();
+    };
+  };
+  router_rig deadly({ die(0), die(1), die(2) });
+  rig = &deadly;
+  const auto first = client.Send(Chat(deadly, false));
+  CHECK(first->status >= 500);
+  CHECK_EQUAL(2, calls->load());
+  const auto again = client.Send(Chat(deadly, false));
+  CHECK_EQUAL(422, again->status);
+  STRCMP_EQUAL("request_quarantined", ReasonOf(*again).c_str());
+  CHECK_EQUAL(2, calls->load());
+  const std::lock_guard lock(closing);
+}
