--- a/src/placement/internal/membertracker.cpp
+++ b/src/placement/internal/membertracker.cpp
@@ -21,9 +21,11 @@
 constexpr duration kHeardTimeout{ 1000 };
 constexpr unsigned kRefusalsToLose = 2;
 constexpr unsigned kFailuresToLose = 2;
-/// Losses after which an instance is kept out of groups for a while.
+/// An instance that is lost so often within the window is kept out of groups for a while.
 constexpr unsigned kLossesToExclude = 3;
-constexpr duration kExclusion{ 300'000 };
+constexpr duration kLossWindow{ 600'000 };
+constexpr duration kFlappingExclusion{ 60'000 };
+constexpr duration kStragglerExclusion{ 300'000 };
 /// A member is a straggler when its steps take this many times the median of its group,
 constexpr std::int64_t kStragglerFactor = 3;
 /// in so many reads of its head in a row.
@@ -130,11 +132,11 @@
 {
   const bool restarted = aInstance.state && aInstance.state->life != aState.life;
   if (restarted && !aInstance.lost) {
-    ++aInstance.losses;
+    CountLoss(aInstance, aNow);
   }
   if (aInstance.losses >= kLossesToExclude) {
     aInstance.losses = 0;
-    aInstance.excludedUntil = aNow + kExclusion;
+    aInstance.excludedUntil = aNow + kFlappingExclusion;
   }
   aInstance.state = aState;
   aInstance.stateAsOf = aInstance.readSent;
@@ -155,7 +157,18 @@
   const bool lost = silent || aInstance.refusals >= kRefusalsToLose;
   if (lost && !aInstance.lost) {
     aInstance.lost = true;
-    ++aInstance.losses;
+    CountLoss(aInstance, aNow);
+  }
+}
+
+void
+member_tracker::CountLoss(tracked_instance& aInstance, time_point aNow)
+{
+  if (aNow - aInstance.firstLoss > kLossWindow) {
+    aInstance.losses = 0;
+  }
+  if (aInstance.losses++ == 0) {
+    aInstance.firstLoss = aNow;
   }
 }
 
@@ -225,7 +238,7 @@
     instance->slowSteps = heard.step.ms > limit ? instance->slowSteps + 1 : 0;
     if (instance->slowSteps >= kStragglerReads) {
       instance->slowSteps = 0;
-      instance->excludedUntil = aNow + kExclusion;
+      instance->excludedUntil = aNow + kStragglerExclusion;
     }
   }
 }
--- a/src/placement/membertracker.h
+++ b/src/placement/membertracker.h
@@ -29,7 +29,9 @@
   time_point nextOrder;
   /// Kept out of groups until then, after repeated losses or as a straggler.
   time_point excludedUntil;
+  /// Losses since `firstLoss`.
   unsigned losses = 0;
+  time_point firstLoss;
   /// Slow steps seen in a row by the head.
   unsigned slowSteps = 0;
   bool lost = false;
@@ -69,6 +71,7 @@
 private:
   void Answered(tracked_instance& aInstance, const member_state& aState, time_point aNow);
   void Failed(tracked_instance& aInstance, bool aRefused, time_point aNow);
+  void CountLoss(tracked_instance& aInstance, time_point aNow);
   void LookThroughHead(const member_state& aHead, const domain_table& aTable, time_point aNow);
   void JudgeSteps(const member_state& aHead, time_point aNow);
 
--- a/src/placement/tests/mocks/placementharness.h
+++ b/src/placement/tests/mocks/placementharness.h
@@ -23,6 +23,8 @@
     duration readTimeout{ 1000 };
     duration tick{ 100 };
     duration listLag{ 1000 };
+    /// How long a change takes to wake a watch, at most.
+    duration watchPoll{ 20 };
     /// Probabilities of one call's misfortune.
     double loseReply = 0;
     double delayWrite = 0;
@@ -57,6 +59,8 @@
   std::uint64_t leaseWrites = 0;
   std::uint64_t watchCalls = 0;
   std::uint64_t listCalls = 0;
+  /// Orders that engines were given.
+  std::uint64_t engineChanges = 0;
 
   explicit placement_harness(std::uint64_t aSeed)
     : mRandom(aSeed)
@@ -109,7 +113,7 @@
     aPlacer.paused = false;
     aPlacer.watched = {};
     for (const char* kind : { kServiceKind, kDomainKind, kPlanKind }) {
-      ListAtStart(aPlacer, kind);
+      ListAtStart(aPlacer, aPlacer.life, kind);
     }
     Tick(aPlacer, aPlacer.life);
     Watch(aPlacer, aPlacer.life);
@@ -269,10 +273,17 @@
     });
   }
 
-  void ListAtStart(one_placer& aPlacer, const char* aKind)
+  void ListAtStart(one_placer& aPlacer, std::uint64_t aLife, const char* aKind)
   {
-    auto list = aPlacer.store->List(aKind);
-    Reply(aPlacer, aPlacer.life, net.storeDelay, objects_listed{ aKind, list });
+    RunIn(aPlacer, aLife, [this, &aPlacer, aLife, aKind] {
+      aPlacer.store->down = storeDown;
+      auto list = aPlacer.store->List(aKind);
+      if (list) {
+        Reply(aPlacer, aLife, net.storeDelay, objects_listed{ aKind, list });
+      } else {
+        After(500_ms, [this, &aPlacer, aLife, aKind] { ListAtStart(aPlacer, aLife, aKind); });
+      }
+    });
   }
 
   void Watch(one_placer& aPlacer, std::uint64_t aLife)
@@ -295,7 +306,7 @@
             Reply(aPlacer, aLife, net.storeDelay, changed);
           }
         }
-        After(net.storeDelay * 5, [this, &aPlacer, aLife] { Watch(aPlacer, aLife); });
+        After(net.watchPoll, [this, &aPlacer, aLife] { Watch(aPlacer, aLife); });
       });
     });
   }
@@ -379,6 +390,7 @@
       if (!engine.Answers()) {
         return;
       }
+      ++engineChanges;
       const order_outcome outcome = engine.Accept(aOrder.order, weights, mNow);
       if (!late) {
         Reply(aPlacer,
