--- a/src/placement/domainowner.h
+++ b/src/placement/domainowner.h
@@ -5,6 +5,7 @@
 #include "placement/membertracker.h"
 #include "placement/placementmessages.h"
 #include "placement/placementplan.h"
+#include "placement/placementpolicy.h"
 #include "placement/placementweights.h"
 #include "placement/servicecatalogue.h"
 
@@ -21,6 +22,7 @@
   placement_weights weights;
   /// Longest time for which an order that was sent can still be under way.
   duration longestOrder{ 5000 };
+  placement_policy policy;
 };
 
 /// What a domain's owner is told of the rest of the placer with each event.
--- a/src/placement/internal/domainowner.cpp
+++ b/src/placement/internal/domainowner.cpp
@@ -168,9 +168,9 @@
   if (aView.plan == nullptr) {
     return next;
   }
-  const decision_context context{ aView.documents, *aView.plan,      mMembers,
-                                  mProgress,       mOptions.weights, aNow,
-                                  mSettledAt,      mApplied,         mRandom };
+  const decision_context context{ aView.documents,  *aView.plan,     mMembers, mProgress,
+                                  mOptions.weights, mOptions.policy, aNow,     mSettledAt,
+                                  mApplied,         mRandom };
   return group_decider(context, mTable, aActions).Decide();
 }
 
--- a/src/placement/internal/groupdecider.cpp
+++ b/src/placement/internal/groupdecider.cpp
@@ -178,6 +178,10 @@
 bool
 group_decider::Shrink(group& aGroup)
 {
+  if (!mContext.policy.useSpares) {
+    AwaitReturn(aGroup);
+    return true;
+  }
   const std::size_t before = aGroup.members.size();
   std::string gone;
   std::erase_if(aGroup.members, [&](const group_member& aMember) {
@@ -189,7 +193,24 @@
     aGroup.state = group_state::forming;
     Note(kGroupWithdrawn, aGroup, "lost" + gone);
   }
-  return !aGroup.members.empty();
+  const bool kept = mContext.policy.replaceMembers || aGroup.members.size() == before;
+  return kept && !aGroup.members.empty();
+}
+
+void
+group_decider::AwaitReturn(group& aGroup)
+{
+  for (group_member& member : aGroup.members) {
+    const tracked_instance* instance = mContext.members.Find(member.instance);
+    if (instance == nullptr || !mContext.members.IsLost(member)) {
+      continue;
+    }
+    aGroup.state = group_state::forming;
+    aGroup.loads = 1;
+    if (!instance->lost) {
+      member.life = instance->state->life;
+    }
+  }
 }
 
 bool
@@ -202,7 +223,11 @@
 bool
 group_decider::AdvanceForming(group& aGroup)
 {
-  if (IsComplete(aGroup) && MayLoad(aGroup)) {
+  const bool present =
+    std::none_of(aGroup.members.begin(), aGroup.members.end(), [&](const auto& aMember) {
+      return mContext.members.IsLost(aMember);
+    });
+  if (present && IsComplete(aGroup) && MayLoad(aGroup)) {
     aGroup.state = group_state::loading;
     Note(kGroupLoading, aGroup);
   }
@@ -355,6 +380,9 @@
       free.push_back(&instance);
     }
   }
+  if (!mContext.policy.preferResident) {
+    return free;
+  }
   std::stable_sort(free.begin(), free.end(), [&](const auto* aLeft, const auto* aRight) {
     return IsResident(*aLeft->state, aModel) > IsResident(*aRight->state, aModel);
   });
--- a/src/placement/internal/groupdecider.h
+++ b/src/placement/internal/groupdecider.h
@@ -5,6 +5,7 @@
 #include "placement/membertracker.h"
 #include "placement/placementmessages.h"
 #include "placement/placementplan.h"
+#include "placement/placementpolicy.h"
 #include "placement/placementweights.h"
 #include "placement/servicecatalogue.h"
 
@@ -30,6 +31,7 @@
   const member_tracker& members;
   const std::map<group_id, group_progress>& progress;
   placement_weights weights;
+  placement_policy policy;
   time_point now;
   /// Engines that ignore fencing tokens are believed only when read at or after this moment.
   time_point settledAt;
@@ -58,6 +60,8 @@
   bool AdvanceServing(group& aGroup);
   /// Takes lost members out. Returns false when none are left.
   bool Shrink(group& aGroup);
+  /// Waits for lost members and takes them back in their new lives.
+  void AwaitReturn(group& aGroup);
   void DropExcess();
   void CompleteBroken();
   bool Complete(group& aGroup, const std::vector<group_id>& aLowerRanked);
--- a/src/placement/internal/placercore.cpp
+++ b/src/placement/internal/placercore.cpp
@@ -16,7 +16,7 @@
   : mOptions(std::move(aOptions))
   , mRandom(aSeed)
   , mLease(mOptions.self, mOptions.lease)
-  , mPlanner({ mOptions.self, mOptions.weights, mOptions.loadSlots })
+  , mPlanner({ mOptions.self, mOptions.weights, mOptions.loadSlots, mOptions.policy })
 {
 }
 
@@ -33,7 +33,7 @@
   if (found != mDomains.end()) {
     return found->second;
   }
-  owner_options options{ mOptions.self, mOptions.weights, mOptions.longestOrder };
+  owner_options options{ mOptions.self, mOptions.weights, mOptions.longestOrder, mOptions.policy };
   return mDomains.emplace(aDomain, domain_owner(aDomain, std::move(options), mRandom.Next()))
     .first->second;
 }
--- a/src/placement/internal/planbuilder.cpp
+++ b/src/placement/internal/planbuilder.cpp
@@ -183,6 +183,9 @@
     if (space < aService.Size() || &room == aExcept) {
       continue;
     }
+    if (!mOptions.policy.bestFit) {
+      return &room;
+    }
     const auto inZone = aService.zones.find(room.zone);
     const std::pair key(inZone == aService.zones.end() ? 0 : inZone->second, space);
     if (best == nullptr || key < bestKey) {
--- a/src/placement/placercore.h
+++ b/src/placement/placercore.h
@@ -16,6 +16,7 @@
   std::uint64_t loadSlots = 16;
   /// Longest time for which an order that was sent can still be under way.
   duration longestOrder{ 5000 };
+  placement_policy policy;
 };
 
 /// All decisions of one placer: its lease, the domains that fall to it, and the plan when it is
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -3,6 +3,7 @@
 #include "placement/domaintable.h"
 #include "placement/placementmessages.h"
 #include "placement/placementplan.h"
+#include "placement/placementpolicy.h"
 #include "placement/placementweights.h"
 #include "placement/servicecatalogue.h"
 
@@ -30,6 +31,7 @@
   placement_weights weights;
   /// Instances that may fetch weights at the same time.
   std::uint64_t loadSlots = 16;
+  placement_policy policy;
 };
 
 /// Computes how many groups of each service each domain should have, which serving groups may
--- a/src/placement/tests/mocks/placementharness.h
+++ b/src/placement/tests/mocks/placementharness.h
@@ -38,6 +38,8 @@
     std::unique_ptr<platform::memory_object_store> store;
     bool alive = true;
     bool paused = false;
+    /// Its lists of leases fail, while its writes go through.
+    bool listsFail = false;
     std::uint64_t life = 0;
     std::deque<std::function<void()>> held;
     revision watched;
@@ -45,6 +47,8 @@
 
   /// Called at each order that is sent, before it travels.
   std::function<void(const send_order&, const one_placer&)> onSend;
+  /// Called before an action of a placer is carried out.
+  std::function<void(const placement_action&, one_placer&)> beforeAction;
   /// Called after each change of the world.
   std::function<void()> onStep;
 
@@ -251,8 +255,8 @@
   void Tell(one_placer& aPlacer, std::uint64_t aLife, const placement_event& aEvent)
   {
     RunIn(aPlacer, aLife, [this, &aPlacer, aEvent] {
-      for (placement_action& action : aPlacer.core->Handle(aEvent, mNow)) {
-        Carry(aPlacer, std::move(action));
+      for (const placement_action& action : aPlacer.core->Handle(aEvent, mNow)) {
+        RunIn(aPlacer, aPlacer.life, [this, &aPlacer, action] { Carry(aPlacer, action); });
       }
     });
   }
@@ -328,6 +332,9 @@
   void Carry(one_placer& aPlacer, placement_action aAction)
   {
     const std::uint64_t life = aPlacer.life;
+    if (beforeAction) {
+      beforeAction(aAction, aPlacer);
+    }
     if (const auto* write = std::get_if<write_object>(&aAction)) {
       After(net.storeDelay, [this, &aPlacer, life, write = *write] { Put(aPlacer, life, write); });
     } else if (const auto* drop = std::get_if<delete_object>(&aAction)) {
@@ -342,7 +349,7 @@
       });
     } else if (const auto* list = std::get_if<list_objects>(&aAction)) {
       After(net.storeDelay, [this, &aPlacer, life, kind = list->kind] {
-        aPlacer.store->down = storeDown;
+        aPlacer.store->down = storeDown || aPlacer.listsFail;
         ++storeReads;
         Reply(aPlacer, life, net.storeDelay, objects_listed{ kind, aPlacer.store->List(kind) });
       });
