--- a/src/placement/internal/placercore.cpp
+++ b/src/placement/internal/placercore.cpp
@@ -4,6 +4,7 @@
 #include "placement/placementevents.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace persimmon::placement {
 namespace {
@@ -166,14 +167,18 @@
     for (const group& entry : owner.Table().groups) {
       for (const group_member& member : entry.members) {
         held[member.instance] = domain;
+        mPlaces[member.instance].insert(domain);
       }
     }
   }
   std::map<domain_name, std::set<instance_id>> foreign;
   std::map<domain_name, std::vector<platform::listed_instance>> listed;
   for (const platform::listed_instance& instance : mInstances) {
+    if (instance.domain.Empty()) {
+      continue;
+    }
     listed[instance.domain].push_back(instance);
-    mPlaces[instance.instance] = instance.domain;
+    mPlaces[instance.instance].insert(instance.domain);
     const auto holder = held.find(instance.instance);
     if (holder != held.end() && holder->second != instance.domain) {
       foreign[instance.domain].insert(instance.instance);
@@ -202,35 +207,55 @@
   }
 }
 
-bool
-placer_core::Concerns(const placement_event& aEvent, const domain_owner& aOwner) const
+void
+placer_core::RefreshOwnership(time_point aNow)
 {
-  if (const auto* read = std::get_if<member_read>(&aEvent)) {
-    return aOwner.Members().Find(read->instance) != nullptr;
+  std::vector<placer_id> live = mLease.Live(aNow);
+  const bool holds = mLease.Holds(aNow);
+  if (live == mLive && holds == mHeldBefore && mOwnership.size() == mDomains.size()) {
+    return;
   }
-  if (const auto* order = std::get_if<order_done>(&aEvent)) {
-    return aOwner.Members().Find(order->instance) != nullptr;
+  mLive = std::move(live);
+  mHeldBefore = holds;
+  mOwned = 0;
+  for (const auto& [domain, owner] : mDomains) {
+    const bool owned = holds && RendezvousOwner(domain.value, mLive) == mOptions.self;
+    mOwnership[domain] = owned;
+    mOwned += owned ? 1 : 0;
   }
-  return true;
+}
+
+void
+placer_core::RunOwner(const domain_name& aDomain,
+                      const placement_event& aEvent,
+                      time_point aNow,
+                      placement_actions& aActions)
+{
+  const owner_view view{ mOwnership[aDomain], mLease.OrderUntil(), mLease.Epoch(),
+                         mLease.Length(),     mDocuments,          mPlanner.Plan() };
+  placement_actions actions = Owner(aDomain).Handle(aEvent, view, aNow);
+  std::move(actions.begin(), actions.end(), std::back_inserter(aActions));
 }
 
 void
 placer_core::RunOwners(const placement_event& aEvent, time_point aNow, placement_actions& aActions)
 {
   FollowTables();
-  const std::vector<placer_id> live = mLease.Live(aNow);
-  const bool holds = mLease.Holds(aNow);
-  mOwned = 0;
-  for (auto& [domain, owner] : mDomains) {
-    const bool owned = holds && RendezvousOwner(domain.value, live) == mOptions.self;
-    mOwned += owned ? 1 : 0;
-    if (!Concerns(aEvent, owner)) {
-      continue;
+  RefreshOwnership(aNow);
+  const instance_id* instance = nullptr;
+  if (const auto* read = std::get_if<member_read>(&aEvent)) {
+    instance = &read->instance;
+  } else if (const auto* order = std::get_if<order_done>(&aEvent)) {
+    instance = &order->instance;
+  }
+  if (instance != nullptr) {
+    for (const domain_name& domain : mPlaces[*instance]) {
+      RunOwner(domain, aEvent, aNow, aActions);
     }
-    const owner_view view{ owned,           mLease.OrderUntil(), mLease.Epoch(),
-                           mLease.Length(), mDocuments,          mPlanner.Plan() };
-    const placement_actions actions = owner.Handle(aEvent, view, aNow);
-    aActions.insert(aActions.end(), actions.begin(), actions.end());
+    return;
+  }
+  for (const auto& [domain, owned] : mOwnership) {
+    RunOwner(domain, aEvent, aNow, aActions);
   }
   FollowTables();
 }
@@ -239,7 +264,7 @@
 placer_core::RunPlanner(const placement_event& aEvent, time_point aNow, placement_actions& aActions)
 {
   const bool elected =
-    mLease.Holds(aNow) && RendezvousOwner(kPlannerSubject, mLease.Live(aNow)) == mOptions.self;
+    mLease.Holds(aNow) && RendezvousOwner(kPlannerSubject, mLive) == mOptions.self;
   const planner_view view{ elected, { mDocuments, mTables, mInstances, nullptr } };
   const placement_actions actions = mPlanner.Handle(aEvent, view, aNow);
   aActions.insert(aActions.end(), actions.begin(), actions.end());
--- a/src/placement/placercore.h
+++ b/src/placement/placercore.h
@@ -5,6 +5,7 @@
 #include "placement/planner.h"
 
 #include <map>
+#include <set>
 
 namespace persimmon::placement {
 
@@ -48,17 +49,25 @@
   void TakeInstances(const instances_listed& aEvent);
   void SpreadInstances();
   void RunOwners(const placement_event& aEvent, time_point aNow, placement_actions& aActions);
+  void RunOwner(const domain_name& aDomain,
+                const placement_event& aEvent,
+                time_point aNow,
+                placement_actions& aActions);
+  void RefreshOwnership(time_point aNow);
   void RunPlanner(const placement_event& aEvent, time_point aNow, placement_actions& aActions);
   void FollowTables();
   domain_owner& Owner(const domain_name& aDomain);
-  [[nodiscard]] bool Concerns(const placement_event& aEvent, const domain_owner& aOwner) const;
 
   placer_options mOptions;
   random_source mRandom;
   lease_keeper mLease;
   planner mPlanner;
   std::map<domain_name, domain_owner> mDomains;
-  std::map<instance_id, domain_name> mPlaces;
+  /// The domains that follow an instance: where it is listed and where a table holds it.
+  std::map<instance_id, std::set<domain_name>> mPlaces;
+  std::map<domain_name, bool> mOwnership;
+  std::vector<placer_id> mLive;
+  bool mHeldBefore = false;
   service_catalogue mDocuments;
   table_map mTables;
   std::map<domain_name, revision> mTableVersions;
