--- a/bench/placementcost.cpp
+++ b/bench/placementcost.cpp
@@ -66,7 +66,7 @@
   options.self.value = "p1";
   options.loadSlots = 100'000;
   auto& placer = harness.AddPlacer(options);
-  const std::int64_t groups = aInstances / kInstancesPerDomain * 2;
+  const std::int64_t groups = std::int64_t{ 2 } * (aInstances / kInstancesPerDomain);
   for (int number = 0; number < 4; ++number) {
     harness.PutDocument(Service(number, std::max<std::int64_t>(1, groups / 4)));
   }
--- a/src/placement/tests/placementpropertytests.cpp
+++ b/src/placement/tests/placementpropertytests.cpp
@@ -237,7 +237,8 @@
   /// Whatever a router may hold eligible, by any version of the table, must be whole.
   void CheckHeads()
   {
-    for (const auto& [id, engine] : mHarness.engines) {
+    for (const auto& entry : mHarness.engines) {
+      const fake_engine& engine = entry.second;
       const bool isHead = engine.holdsGroup && engine.order.rank == 0 && engine.Answers();
       const group_version version{ engine.order.group, engine.order.version };
       if (!isHead || engine.State(mHarness.Now()) != engine_state::ready ||
