--- a/src/check/internal/gracefulstops.cpp
+++ b/src/check/internal/gracefulstops.cpp
@@ -15,8 +15,8 @@
 /// Causes that no plan brings about; any other cut is a planned one.
 constexpr std::array<std::string_view, 5> kUnplannedCauses = { "died",
                                                                "crashed",
-                                                               "caller_left",
                                                                "paused",
+                                                               "caller_left",
                                                                kMemberMissing };
 
 /// Refusals by which a caller sees that its answer was broken off.
--- a/src/routing/internal/upstreampool.cpp
+++ b/src/routing/internal/upstreampool.cpp
@@ -8,6 +8,11 @@
 namespace persimmon::routing {
 namespace {
 
+/// A report loses its weight against the mean with this time constant, in milliseconds.
+constexpr double kReportTrustMs = 4000;
+/// Each own dispatch since the report stands for those of so many routers, at most; they see the
+/// same reports and prefixes, so theirs are much like our own.
+constexpr std::size_t kMaxDispatchWeight = 4;
 /// Weight of a new sample in the smoothed latency.
 constexpr double kSampleWeight = 0.2;
 /// The same for an upstream on probation, whose samples are rare.
@@ -41,7 +46,7 @@
 }
 
 void
-upstream_pool::Update(const std::vector<candidate>& aCandidates, time_point /*aNow*/)
+upstream_pool::Update(const std::vector<candidate>& aCandidates, time_point aNow)
 {
   std::vector<bool> seen(mSlots.size(), false);
   for (const candidate& current : aCandidates) {
@@ -54,6 +59,7 @@
   }
   ReleaseUnused(seen);
   Relist();
+  AgeReports(aNow);
 }
 
 std::size_t
@@ -115,6 +121,7 @@
 {
   mOwnZoneSlots.clear();
   mListedSlots.clear();
+  mListedHashes.clear();
   mProbationSlots.clear();
   mTotalLoad = 0;
   for (std::size_t slot = 0; slot < mSlots.size(); ++slot) {
@@ -124,6 +131,7 @@
     }
     const auto number = static_cast<std::uint32_t>(slot);
     mListedSlots.push_back(number);
+    mListedHashes.push_back(current.hash);
     mTotalLoad += current.load;
     if (current.ownZone) {
       mOwnZoneSlots.push_back(number);
@@ -144,33 +152,54 @@
   }
   present.reportedAt = aReport.at;
   mSlots[aSlot].reported = aReport.running + aReport.queued;
+  present.aged = mSlots[aSlot].reported;
   std::erase_if(present.ended,
                 [&](const ended_dispatch& aEnded) { return aEnded.endedAt <= aReport.at; });
   RefreshLoad(aSlot);
 }
 
+void
+upstream_pool::AgeReports(time_point aNow)
+{
+  double sum = 0;
+  for (const std::uint32_t slot : mListedSlots) {
+    sum += mSlots[slot].reported;
+  }
+  const double mean = sum / static_cast<double>(std::max<std::size_t>(1, mListedCount));
+  for (const std::uint32_t slot : mListedSlots) {
+    record& present = mRecords[slot];
+    present.aged = mSlots[slot].reported;
+    if (present.reportedAt.ms != INT64_MIN) {
+      const auto age = static_cast<double>((aNow - present.reportedAt).ms);
+      present.aged = mean + std::exp(-age / kReportTrustMs) * (present.aged - mean);
+    }
+    RefreshLoad(slot);
+  }
+}
+
 void
 upstream_pool::RefreshLoad(std::size_t aSlot)
 {
   const record& present = mRecords[aSlot];
-  std::uint32_t load = mSlots[aSlot].reported;
+  auto since = -static_cast<std::int64_t>(present.ended.size());
   for (const running_dispatch& running : present.running) {
-    load += running.ticket.startedAt >= present.reportedAt ? 1 : 0;
+    since += running.ticket.startedAt >= present.reportedAt ? 1 : 0;
   }
-  const auto ended = static_cast<std::uint32_t>(present.ended.size());
-  load -= std::min(load, ended);
-  if (mSlots[aSlot].listed) {
-    mTotalLoad += load;
-    mTotalLoad -= mSlots[aSlot].load;
+  const auto weight = static_cast<std::int64_t>(std::min(mRouterCount, kMaxDispatchWeight));
+  const auto load = std::max<std::int64_t>(0, std::llround(present.aged) + weight * since);
+  pool_slot& slot = mSlots[aSlot];
+  slot.known = static_cast<std::uint32_t>(std::max<std::int64_t>(0, slot.reported + since));
+  if (slot.listed) {
+    mTotalLoad += static_cast<std::uint64_t>(load) - slot.load;
   }
-  mSlots[aSlot].load = load;
+  slot.load = static_cast<std::uint32_t>(load);
 }
 
 dispatch_ticket
 upstream_pool::Start(std::size_t aSlot, time_point aNow)
 {
   const dispatch_ticket ticket{ aSlot, mNextSerial++, aNow };
-  mRecords[aSlot].running.push_back({ ticket, false });
+  mRecords[aSlot].running.push_back({ ticket, false, {} });
   if (mSlots[aSlot].probation) {
     mRecords[aSlot].lastTest = aNow;
   }
@@ -198,21 +227,22 @@
     return;
   }
   aRunning.heard = true;
+  aRunning.heardAt = aNow;
   const auto span = static_cast<double>((aNow - aRunning.ticket.startedAt).ms);
   mSignDeviationMs += kSignWeight * (std::abs(span - mSignMs) - mSignDeviationMs);
   mSignMs += kSignWeight * (span - mSignMs);
 }
 
 void
-upstream_pool::Sample(std::size_t aSlot,
-                      const dispatch_ticket& aTicket,
-                      std::uint32_t aTokens,
-                      time_point aNow)
+upstream_pool::Sample(const running_dispatch& aRunning, std::uint32_t aTokens, time_point aNow)
 {
-  record& present = mRecords[aSlot];
-  const double value =
-    static_cast<double>((aNow - aTicket.startedAt).ms) / std::max<std::uint32_t>(1, aTokens);
-  const double weight = mSlots[aSlot].probation ? kTestSampleWeight : kSampleWeight;
+  // A stream is measured from its first token, so that waiting in a queue does not count.
+  const time_point from =
+    aTokens > 0 && aRunning.heardAt < aNow ? aRunning.heardAt : aRunning.ticket.startedAt;
+  const double value = static_cast<double>((aNow - from).ms) / std::max<std::uint32_t>(1, aTokens);
+  const std::size_t slot = aRunning.ticket.slot;
+  record& present = mRecords[slot];
+  const double weight = mSlots[slot].probation ? kTestSampleWeight : kSampleWeight;
   present.msPerToken =
     present.samples == 0 ? value : present.msPerToken + weight * (value - present.msPerToken);
   ++present.samples;
@@ -227,7 +257,7 @@
   }
   NoteSign(*running, aNow);
   if (aTokens > 0) {
-    Sample(aTicket.slot, aTicket, aTokens, aNow);
+    Sample(*running, aTokens, aNow);
   }
 }
 
@@ -243,7 +273,7 @@
   record& present = mRecords[aTicket.slot];
   if (aResult.outcome == attempt_outcome::completed) {
     NoteSign(*running, aNow);
-    Sample(aTicket.slot, aTicket, aResult.tokens, aNow);
+    Sample(*running, aResult.tokens, aNow);
   }
   if (aTicket.startedAt < present.reportedAt) {
     present.ended.push_back({ aTicket.startedAt, aNow });
@@ -361,6 +391,7 @@
 std::vector<health_change>
 upstream_pool::Maintain(time_point aNow)
 {
+  AgeReports(aNow);
   FindStalled(aNow);
   DecideProbation();
   return Announce(aNow);
@@ -391,7 +422,7 @@
     const time_point last = mRecords[slot].lastTest;
     const bool rested = last.ms == INT64_MIN || last + kTestInterval <= aNow;
     const bool usable = mSlots[slot].Eligible(aNow) && aNow >= mSlots[slot].ejectedUntil &&
-                        mSlots[slot].load < mLimit;
+                        mSlots[slot].known < mLimit;
     if (rested && usable && (!due || last < mRecords[*due].lastTest)) {
       due = slot;
     }
--- a/src/routing/tests/upstreamchoosertests.cpp
+++ b/src/routing/tests/upstreamchoosertests.cpp
@@ -81,6 +81,20 @@
   CHECK(first.target->id == other.Choose(request, kStart).target->id);
 }
 
+TEST(upstream_chooser, PrefixesSpreadEvenlyOverTheUpstreams)
+{
+  chooser.Pool().Update(Candidates(20), kStart);
+  std::map<std::string, int> owned;
+  for (int number = 0; number < 20000; ++number) {
+    const std::uint64_t prefix = PrefixHash({ "vakt-model" }, fmt::format("prompt {}", number));
+    ++owned[chooser.Choose({ prefix, {}, true }, kStart).target->id.value];
+  }
+  CHECK_EQUAL(20, owned.size());
+  for (const auto& [id, count] : owned) {
+    CHECK(count > 700 && count < 1300);
+  }
+}
+
 TEST(upstream_chooser, OverloadedOwnerOfAPrefixSpillsToTheSameNextOne)
 {
   chooser.Pool().Update(Candidates(4), kStart);
@@ -122,6 +136,30 @@
   CHECK_EQUAL(2, pool.Slots()[0].load);
 }
 
+TEST(upstream_chooser, ReportFadesIntoTheMeanAsItAges)
+{
+  auto candidates = Candidates(2);
+  candidates[0].load = { 20, 0, kStart };
+  candidates[1].load = { 0, 0, kStart };
+  chooser.Pool().Update(candidates, kStart);
+  CHECK_EQUAL(20, chooser.Pool().Slots()[0].load);
+  chooser.Pool().Maintain(kStart + 60_s);
+  CHECK_EQUAL(10, chooser.Pool().Slots()[0].load);
+  CHECK_EQUAL(10, chooser.Pool().Slots()[1].load);
+}
+
+TEST(upstream_chooser, OwnDispatchesStandForOtherRoutersInTheEstimateButNotAgainstTheLimit)
+{
+  chooser.Pool().SetRouterCount(3);
+  chooser.Pool().SetLimit(2);
+  chooser.Pool().Update(Candidates(1), kStart);
+  chooser.Pool().Start(0, kStart);
+  CHECK_EQUAL(3, chooser.Pool().Slots()[0].load);
+  CHECK(chooser.Choose({}, kStart).target != nullptr);
+  chooser.Pool().Start(0, kStart);
+  CHECK(chooser.Choose({}, kStart).why == choice_reason::all_full);
+}
+
 TEST(upstream_chooser, OwnZoneGoesFirstAndSpillsWhenOverloaded)
 {
   chooser.Pool().Update({ Candidate(0, "sud-a"), Candidate(1, "sud-b"), Candidate(2, "sud-c") },
@@ -152,6 +190,36 @@
   CHECK(chooser.Pool().Health(3, kStart + 6_s) == pool_health::good);
 }
 
+TEST(upstream_chooser, StragglerShowsInItsStreamsBeforeTheyEnd)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (std::size_t slot = 0; slot < 10; ++slot) {
+    const dispatch_ticket ticket = chooser.Pool().Start(slot, kStart);
+    chooser.Pool().Progress(ticket, 0, kStart + 100_ms);
+    for (std::int64_t half = 1; half <= 3; ++half) {
+      const auto tokens = static_cast<std::uint32_t>(half * (slot == 6 ? 5 : 25));
+      chooser.Pool().Progress(ticket, tokens, kStart + 100_ms + 500_ms * half);
+    }
+  }
+  chooser.Pool().Maintain(kStart + 1600_ms);
+  CHECK(chooser.Pool().Health(6, kStart + 1600_ms) == pool_health::probation);
+}
+
+TEST(upstream_chooser, WaitingInAQueueDoesNotMakeAStraggler)
+{
+  chooser.Pool().Update(Candidates(10), kStart);
+  for (std::size_t slot = 0; slot < 10; ++slot) {
+    for (int round = 0; round < 4; ++round) {
+      const dispatch_ticket ticket = chooser.Pool().Start(slot, kStart);
+      const time_point first = kStart + (slot == 2 ? 900_ms : 100_ms);
+      chooser.Pool().Progress(ticket, 0, first);
+      chooser.Pool().Finish(ticket, { attempt_outcome::completed, 20 }, first + 300_ms);
+    }
+  }
+  chooser.Pool().Maintain(kStart + 1200_ms);
+  CHECK(chooser.Pool().Health(2, kStart + 1200_ms) == pool_health::good);
+}
+
 TEST(upstream_chooser, AtMostAFifthIsOnProbation)
 {
   chooser.Pool().Update(Candidates(10), kStart);
