Exchange tests: let go of responders before their server ends

A landing run ended in a segmentation fault in exchange.RequestThatKillsTwoUpstreamsIsQuarantined: responders held by the test's threads outlived the fake upstreams' server.

--- a/src/app/router/tests/exchangetests.cpp
+++ b/src/app/router/tests/exchangetests.cpp
@@ -228,6 +228,7 @@
   CHECK_EQUAL(504, response->status);
   STRCMP_EQUAL("unknown", MemberOf(*response, "ran").c_str());
   left.get_future().wait();
+  held.reset();
 }
 
 TEST(exchange, CallerWhoLeavesCancelsTheUpstream)
@@ -248,6 +249,7 @@
     CHECK_FALSE(leaving.Send(request).has_value());
   }
   left.get_future().wait();
+  held.reset();
 }
 
 TEST(exchange, LostMemberEndsTheWaitForASilentHead)
@@ -268,6 +270,7 @@
   CHECK_EQUAL(1, calls->load());
   CHECK(response->status >= 500);
   STRCMP_EQUAL("unknown", MemberOf(*response, "attempt_ran").c_str());
+  held.reset();
 }
 
 TEST(exchange, GroupWithoutAMemberGetsNothing)
@@ -317,6 +320,7 @@
     left->Post(routing::flow_stop{});
   }
   CHECK_FALSE(answer.get().has_value());
+  held.reset();
 }
 
 TEST(exchange, SlowCallerMakesTheUpstreamWait)
@@ -327,11 +331,11 @@
   std::promise<bool> waited;
   std::size_t blocks = 0;
   shared_responder held;
-  std::promise<void> release;
+  std::future<void> flooding;
   const auto flood = [&](const entry::server_request& aRequest, shared_responder aResponder) {
     held = std::move(aResponder);
     held->StartStream(200, EngineHeaders(aRequest));
-    std::thread([&] {
+    flooding = std::async(std::launch::async, [&] {
       const std::string block = "data: " + std::string(kBlock, 'x') + "\n\n";
       while (blocks < kMostBlocks && held->PendingBytes() < kFull) {
         held->Write(block);
@@ -341,7 +345,7 @@
       waited.set_value(held->PendingBytes() >= kFull);
       held->Write("data: [DONE]\n\n");
       held->FinishStream();
-    }).detach();
+    });
   };
   const router_rig rig({ flood });
   upstream::upstream_loop loop;
@@ -363,21 +367,23 @@
   CHECK(waited.get_future().get());
   loop.Resume(id);
   CHECK(done.get_future().get().end == upstream::call_end::whole);
+  flooding.wait();
+  held.reset();
   CHECK(bytes > blocks * kBlock);
 }
 
 TEST(exchange, RequestThatKillsTwoUpstreamsIsQuarantined)
 {
   router_rig* rig = nullptr;
-  std::mutex closing;
+  std::vector<std::future<void>> deaths(3);
   const auto die = [&](std::size_t aIndex) {
     return [&, aIndex](const entry::server_request&, const shared_responder& aResponder) {
       calls->fetch_add(1);
-      std::thread([&, aIndex, responder = aResponder] {
-        const std::lock_guard lock(closing);
+      // A server cannot close its listener from within a handler.
+      deaths[aIndex] = std::async(std::launch::async, [&, aIndex, responder = aResponder] {
         rig->Upstreams().Close(rig->UpstreamAddress(aIndex));
         responder->Abort();
-      }).detach();
+      });
     };
   };
   router_rig deadly({ die(0), die(1), die(2) });
@@ -389,5 +395,6 @@
   CHECK_EQUAL(422, again->status);
   STRCMP_EQUAL("request_quarantined", ReasonOf(*again).c_str());
   CHECK_EQUAL(2, calls->load());
-  const std::lock_guard lock(closing);
+  // Waits for them, and lets go of their responders before the server ends.
+  deaths.clear();
 }
