--- a/src/app/router/deathprober.h
+++ b/src/app/router/deathprober.h
@@ -14,7 +14,7 @@
 class death_prober
 {
 public:
-  explicit death_prober(cluster_board& aBoard);
+  death_prober(cluster_board& aBoard, loop::event_loop& aLoop);
 
   /// aDone is called exactly once, on the prober's thread.
   void Probe(const routing::upstream& aUpstream, std::function<void(bool aDied)> aDone);
--- a/src/app/router/internal/callerfront.cpp
+++ b/src/app/router/internal/callerfront.cpp
@@ -132,14 +132,9 @@
     Refuse(problem, aRequest, *aResponder);
     return;
   }
-  const std::uint64_t number = ++mLastRequest;
-  request_id id{ fmt::format("{}-{}-{}", mContext.router.value, mLife, number) };
-  std::make_shared<exchange>(std::move(id),
-                             std::move(*call),
-                             std::move(aRequest),
-                             std::move(aResponder),
-                             mUpstreams.Loop(number),
-                             mContext)
+  upstream::upstream_loop& loop = mUpstreams.Loop(aRequest.loop);
+  std::make_shared<exchange>(
+    NextRequestId(), std::move(*call), std::move(aRequest), std::move(aResponder), loop, mContext)
     ->Start();
 }
 
--- a/src/app/router/internal/deathprober.cpp
+++ b/src/app/router/internal/deathprober.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-death_prober::death_prober(cluster_board& aBoard)
+death_prober::death_prober(cluster_board& aBoard, loop::event_loop& aLoop)
   : mBoard(aBoard)
+  , mLoop(aLoop)
 {
 }
 
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -413,7 +413,7 @@
   if (aBytes.empty()) {
     return;
   }
-  mResponder->Write(std::string(aBytes));
+  mResponder->Write(aBytes);
   if (!mPaused && mResponder->PendingBytes() > kMaxPendingBytes) {
     mPaused = true;
     mLoop.Pause(mAttempt.call);
--- a/src/app/router/internal/presenceobserver.cpp
+++ b/src/app/router/internal/presenceobserver.cpp
@@ -13,12 +13,14 @@
 
 presence_observer::presence_observer(router_id aSelf,
                                      cluster_board& aBoard,
+                                     loop::event_loop& aLoop,
                                      group_filter aFilter,
                                      observation_sink aSink)
   : mSelf(std::move(aSelf))
   , mBoard(aBoard)
   , mFilter(std::move(aFilter))
   , mSink(std::move(aSink))
+  , mLoop(aLoop)
 {
 }
 
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -9,6 +9,7 @@
 #include "app/router/platformwatcher.h"
 #include "app/router/presenceobserver.h"
 #include "app/router/readiness.h"
+#include "app/router/requestloops.h"
 #include "app/router/routerevents.h"
 #include "entry/httpserver.h"
 #include "upstream/upstreamclient.h"
@@ -35,10 +36,10 @@
 }
 
 entry::server_options
-ServerOptions(const router_settings& aSettings)
+ServerOptions(const router_settings& aSettings, const request_loops& aLoops)
 {
   entry::server_options options;
-  options.threads = aSettings.entryThreads;
+  options.loops = aLoops.Pointers();
   options.maxBodyBytes = aSettings.maxBodyBytes * kReadableBodies;
   return options;
 }
@@ -54,6 +55,9 @@
   }
 
   router_settings settings;
+  request_loops requestLoops{ settings.threads };
+  /// Observations, probes and timers.
+  loop::event_loop controlLoop;
   std::string reason;
   endpoint address;
   readiness ready;
@@ -74,21 +78,22 @@
                          registry.CarryOut(aActions);
                        } };
   mesh_bridge mesh{ settings, board, metrics };
-  death_prober prober{ board };
+  death_prober prober{ board, controlLoop };
   exchange_context context{ settings.id, history, metrics,  decisions,
                             registry,    ledger,  suspects, prober };
-  upstream::upstream_client upstreams{ settings.upstreamThreads };
+  upstream::upstream_client upstreams{ requestLoops.Pointers() };
   caller_front front{ settings.zone, settings.maxBodyBytes, board, ready, upstreams, context };
   presence_observer observer{
     settings.id,
     board,
+    controlLoop,
     [this](const placement::group& aGroup) { return mesh.Observes(aGroup); },
     [this](const peers::presence_message& aPresence) { mesh.Publish(aPresence); }
   };
   lost_upstreams lostUpstreams;
-  upstream::upstream_loop ticker;
+  upstream::upstream_loop ticker{ controlLoop };
   std::unique_ptr<platform_watcher> watcher;
-  entry::http_server server{ ServerOptions(settings) };
+  entry::http_server server{ ServerOptions(settings, requestLoops) };
 
   std::uint64_t ticks = 0;
 
@@ -97,6 +102,8 @@
   void StartWatching();
   bool Listen();
   bool WaitForRequests(duration aLimit) const;
+  /// Ends all threads, so that nothing runs while members are destroyed.
+  void StopThreads();
 };
 
 void
@@ -175,12 +182,24 @@
   return registry.Count() == 0;
 }
 
+void
+router_process::implementation::StopThreads()
+{
+  watcher.reset();
+  mesh.Stop();
+  requestLoops.Stop();
+  controlLoop.Stop();
+}
+
 router_process::router_process(router_settings aSettings)
   : mImplementation(std::make_unique<implementation>(std::move(aSettings)))
 {
 }
 
-router_process::~router_process() = default;
+router_process::~router_process()
+{
+  mImplementation->StopThreads();
+}
 
 bool
 router_process::Start()
@@ -227,7 +246,7 @@
   self.mesh.Stop();
   // Answers that were handed to the connections still have to leave.
   Sleep(kLastAnswers);
-  self.server.Stop();
+  self.StopThreads();
   WriteLog(kRouterStopped, { { "finished", finished ? "true" : "false" } });
 }
 
--- a/src/app/router/internal/routersettings.cpp
+++ b/src/app/router/internal/routersettings.cpp
@@ -46,8 +46,7 @@
   aSettings.Add("mesh-key", "", "key that all members of the mesh share");
   aSettings.Add("history", "", "file to append a history of events to");
   aSettings.Add("log-level", "info", "lowest level that is logged: debug, info, warning, error");
-  aSettings.Add("entry-threads", "2", "threads that talk to callers");
-  aSettings.Add("upstream-threads", "2", "threads that talk to upstreams");
+  aSettings.Add("threads", "2", "threads that carry requests");
   aSettings.Add("max-body-bytes", "8388608", "largest request body");
   aSettings.Add("notice-ms", "500", "time between not ready and refusing requests at a stop");
   aSettings.Add("drain-ms", "60000", "longest time for requests in flight at a stop");
@@ -68,8 +67,7 @@
   result.meshKey = aSettings.Text("mesh-key");
   result.historyPath = aSettings.Text("history");
   result.lowestLevel = ReadLevel(aSettings);
-  result.entryThreads = ReadCount(aSettings, "entry-threads", kMaxThreads);
-  result.upstreamThreads = ReadCount(aSettings, "upstream-threads", kMaxThreads);
+  result.threads = ReadCount(aSettings, "threads", kMaxThreads);
   result.maxBodyBytes = ReadCount(aSettings, "max-body-bytes", kMaxBodyLimit);
   result.noticeTime.ms = aSettings.Number("notice-ms", 0, kMaxStopMs);
   result.drainTime.ms = aSettings.Number("drain-ms", 0, kMaxStopMs);
--- a/src/app/router/presenceobserver.h
+++ b/src/app/router/presenceobserver.h
@@ -19,6 +19,7 @@
 
   presence_observer(router_id aSelf,
                     cluster_board& aBoard,
+                    loop::event_loop& aLoop,
                     group_filter aFilter,
                     observation_sink aSink);
 
@@ -34,7 +35,6 @@
   cluster_board& mBoard;
   group_filter mFilter;
   observation_sink mSink;
-  /// Last, so that it stops before what its handlers use goes.
   upstream::upstream_loop mLoop;
 };
 
--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -23,10 +23,8 @@
   std::string storeUrl;
   std::string historyPath;
   log_level lowestLevel = log_level::info;
-  /// Threads that talk to callers.
-  std::size_t entryThreads = 2;
-  /// Threads that talk to upstreams.
-  std::size_t upstreamThreads = 2;
+  /// Threads that carry requests; each talks to callers and to upstreams.
+  std::size_t threads = 2;
   std::size_t maxBodyBytes = 0;
   /// Time between not being ready and refusing new requests, for the balancer to notice.
   duration noticeTime;
--- a/src/app/router/tests/exchangetests.cpp
+++ b/src/app/router/tests/exchangetests.cpp
@@ -1,6 +1,5 @@
 #include "app/router/tests/mocks/fakeengine.h"
 #include "app/router/tests/mocks/routerrig.h"
-#include "base/log.h"
 #include "platform/httpclient.h"
 
 #include <CppUTest/TestHarness.h>
@@ -31,6 +30,19 @@
   return request;
 }
 
+/// The call of a streaming caller.
+upstream::upstream_call
+StreamCall(const router_rig& aRig)
+{
+  upstream::upstream_call call;
+  call.address = aRig.Address();
+  call.method = "POST";
+  call.target = "/v1/chat/completions";
+  call.headers = { { "Authorization", "Bearer key" } };
+  call.body = Chat(aRig, true).body;
+  return call;
+}
+
 void
 AnswerWhole(const entry::server_request& aRequest, const shared_responder& aResponder)
 {
@@ -90,8 +102,6 @@
   platform::http_client client;
   std::shared_ptr<std::atomic<int>> calls = std::make_shared<std::atomic<int>>(0);
 
-  void setup() override { StartLog("test", log_level::error); }
-
   std::vector<router_rig::handler> Two(const router_rig::handler& aFirst,
                                        const router_rig::handler& aThen) const
   {
@@ -163,14 +173,7 @@
   const router_rig rig(Two(cut, cut));
   std::promise<upstream::call_outcome> done;
   upstream::upstream_loop loop;
-  upstream::upstream_call call;
-  const platform::http_request request = Chat(rig, true);
-  call.address = rig.Address();
-  call.method = "POST";
-  call.target = "/v1/chat/completions";
-  call.headers = { { "Authorization", "Bearer key" } };
-  call.body = request.body;
-  loop.Start(std::move(call),
+  loop.Start(StreamCall(rig),
              { [](const upstream::response_head&) {},
                [&seen](std::string_view aBytes) { seen += aBytes; },
                [&done](const upstream::call_outcome& aOutcome) { done.set_value(aOutcome); } });
@@ -305,21 +308,32 @@
 
 TEST(exchange, StopEndsAStreamVisibly)
 {
-  std::promise<void> started;
   shared_responder held;
   const auto stream = [&](const entry::server_request& aRequest, shared_responder aResponder) {
     held = std::move(aResponder);
     held->StartStream(200, EngineHeaders(aRequest));
     held->Write(TokenEvent(0));
-    started.set_value();
   };
   router_rig rig({ stream });
-  auto answer = std::async(std::launch::async, [&] { return client.Send(Chat(rig, true)); });
+  std::promise<void> started;
+  std::promise<upstream::call_outcome> done;
+  std::string seen;
+  upstream::upstream_loop loop;
+  loop.Start(StreamCall(rig),
+             { [](const upstream::response_head&) {},
+               [&](std::string_view aBytes) {
+                 if (seen.empty()) {
+                   started.set_value();
+                 }
+                 seen += aBytes;
+               },
+               [&done](const upstream::call_outcome& aOutcome) { done.set_value(aOutcome); } });
   started.get_future().wait();
   for (const auto& left : rig.Registry().All()) {
     left->Post(routing::flow_stop{});
   }
-  CHECK_FALSE(answer.get().has_value());
+  CHECK(done.get_future().get().end == upstream::call_end::maybe_sent);
+  STRCMP_CONTAINS("\"reason\":\"stopping\"", seen.c_str());
   held.reset();
 }
 
@@ -349,17 +363,11 @@
   };
   const router_rig rig({ flood });
   upstream::upstream_loop loop;
-  upstream::upstream_call call;
-  call.address = rig.Address();
-  call.method = "POST";
-  call.target = "/v1/chat/completions";
-  call.headers = { { "Authorization", "Bearer key" } };
-  call.body = Chat(rig, true).body;
   std::promise<upstream::call_outcome> done;
   std::size_t bytes = 0;
   upstream::call_id id;
   loop.Post([&] {
-    id = loop.Start(call,
+    id = loop.Start(StreamCall(rig),
                     { [&](const upstream::response_head&) { loop.Pause(id); },
                       [&](std::string_view aBytes) { bytes += aBytes.size(); },
                       [&](const upstream::call_outcome& aOutcome) { done.set_value(aOutcome); } });
--- a/src/app/router/tests/mocks/routerrig.h
+++ b/src/app/router/tests/mocks/routerrig.h
@@ -3,6 +3,7 @@
 #include "app/router/callerfront.h"
 #include "app/router/exchange.h"
 #include "app/router/meshbridge.h"
+#include "app/router/requestloops.h"
 #include "base/hash.h"
 #include "entry/httpserver.h"
 #include "upstream/upstreamclient.h"
@@ -39,6 +40,8 @@
       });
   }
 
+  ~router_rig() { mLoops.Stop(); }
+
   [[nodiscard]] const endpoint& Address() const { return mAddress; }
   [[nodiscard]] const endpoint& UpstreamAddress(std::size_t aIndex) const
   {
@@ -110,6 +113,7 @@
     }
   }
 
+  request_loops mLoops{ 2 };
   readiness mReady;
   std::int64_t mObservations = 0;
   std::vector<endpoint> mAddresses;
@@ -126,13 +130,13 @@
                         [this](const std::vector<routing::admission_action>& aActions) {
                           mRegistry.CarryOut(aActions);
                         } };
-  death_prober mProber{ mBoard };
+  death_prober mProber{ mBoard, *mLoops.Pointers().front() };
   exchange_context mContext{ { "r" },   mHistory, mMetrics,  mDecisions,
                              mRegistry, mLedger,  mSuspects, mProber };
   entry::http_server mUpstreamServer{ entry::server_options{} };
-  upstream::upstream_client mUpstreams{ 2 };
+  upstream::upstream_client mUpstreams{ mLoops.Pointers() };
   caller_front mFront{ { "z" }, 1U << 20U, mBoard, mReady, mUpstreams, mContext };
-  entry::http_server mServer{ entry::server_options{} };
+  entry::http_server mServer{ { .loops = mLoops.Pointers() } };
 };
 
 } // namespace persimmon::router
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -3,27 +3,32 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "entry/responder.h"
+#include "loop/eventloop.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace persimmon::entry {
 
 struct server_options
 {
-  /// Threads that read requests and write answers; all listeners share them.
+  /// Loops of the server's own, each with a thread; all listeners share them.
   std::size_t threads = 2;
   /// Largest body that is read; a connection that sends more is closed.
   std::size_t maxBodyBytes = 16U << 20U;
   /// How long a caller may take none of an answer's bytes before it is given up.
   duration writeTimeout{ 30000 };
+  /// Loops to share instead of own threads; they must have been stopped before the server is.
+  std::vector<loop::event_loop*> loops{};
 };
 
-/// Handles one request on a server thread; must not block.
+/// Handles one request on the thread of its connection's loop; must not block.
 using request_handler = std::function<void(server_request, std::shared_ptr<responder>)>;
 
-/// An HTTP/1.1 server over RESTinio with any number of listeners.
+/// An HTTP/1.1 server over RESTinio with any number of listeners. Each loop accepts for itself, so
+/// that a connection stays on one thread.
 class http_server
 {
 public:
--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -1,13 +1,13 @@
 #include "entry/httpserver.h"
 
 #include "entry/internal/responderimplementation.h"
+#include "loop/internal/eventloopimplementation.h"
 
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 #include <future>
 #include <mutex>
-#include <thread>
 #include <unordered_map>
 
 namespace persimmon::entry {
@@ -20,6 +20,8 @@
 constexpr std::size_t kMaxFieldBytes = 16384;
 constexpr std::size_t kMaxHeaderCount = 100;
 
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
 /// Tells the responders of a connection that it has closed.
 class connection_listener
 {
@@ -63,7 +65,7 @@
   std::unordered_map<restinio::connection_id_t, answer> mAnswers;
 };
 
-struct server_traits : public restinio::default_traits_t
+struct server_traits : public restinio::default_single_thread_traits_t
 {
   using connection_state_listener_t = connection_listener;
 };
@@ -89,30 +91,34 @@
 
 struct http_server::implementation
 {
+  /// One for each loop, all on the same address.
+  using listeners = std::vector<std::unique_ptr<listening_server>>;
+
   server_options options;
-  asio::io_context context;
-  asio::executor_work_guard<asio::io_context::executor_type> guard{ context.get_executor() };
-  std::vector<std::thread> threads;
+  std::vector<std::unique_ptr<loop::event_loop>> ownLoops;
+  std::vector<loop::event_loop*> loops;
   std::mutex mutex;
-  std::unordered_map<endpoint, std::unique_ptr<listening_server>> servers;
+  std::unordered_map<endpoint, listeners> servers;
   std::string reason;
 
   std::unique_ptr<listening_server> MakeServer(const std::string& aAddress,
-                                               std::uint16_t aPort,
-                                               request_handler aHandler,
-                                               std::uint16_t& aBoundPort);
+                                               std::uint16_t& aPort,
+                                               const request_handler& aHandler,
+                                               std::size_t aLoop);
   bool Open(listening_server& aServer);
+  bool IsFree(const std::string& aAddress, std::uint16_t aPort);
 };
 
 std::unique_ptr<listening_server>
 http_server::implementation::MakeServer(const std::string& aAddress,
-                                        std::uint16_t aPort,
-                                        request_handler aHandler,
-                                        std::uint16_t& aBoundPort)
+                                        std::uint16_t& aPort,
+                                        const request_handler& aHandler,
+                                        std::size_t aLoop)
 {
   auto listener = std::make_shared<connection_listener>();
-  auto handle = [listener, handler = std::move(aHandler)](restinio::request_handle_t aRequest) {
+  auto handle = [listener, handler = aHandler, aLoop](restinio::request_handle_t aRequest) {
     server_request request = Convert(*aRequest);
+    request.loop = aLoop;
     const auto connection = aRequest->connection_id();
     auto answer = std::make_shared<responder::implementation>(std::move(aRequest));
     listener->Remember(connection, answer);
@@ -137,11 +143,13 @@
                                 .max_body_size(options.maxBodyBytes))
     .socket_options_setter(
       [](auto& aOptions) { aOptions.set_option(asio::ip::tcp::no_delay{ true }); })
-    .acceptor_options_setter(
-      [](auto& aOptions) { aOptions.set_option(asio::ip::tcp::acceptor::reuse_address{ true }); })
-    .acceptor_post_bind_hook([&aBoundPort](asio::ip::tcp::acceptor& aAcceptor) {
-      aBoundPort = aAcceptor.local_endpoint().port();
-    });
+    .acceptor_options_setter([](auto& aOptions) {
+      aOptions.set_option(asio::ip::tcp::acceptor::reuse_address{ true });
+      aOptions.set_option(reuse_port{ true });
+    })
+    .acceptor_post_bind_hook(
+      [&aPort](asio::ip::tcp::acceptor& aAcceptor) { aPort = aAcceptor.local_endpoint().port(); });
+  asio::io_context& context = loops[aLoop]->Implementation().context;
   return std::make_unique<listening_server>(restinio::external_io_context(context),
                                             std::move(settings));
 }
@@ -162,12 +170,37 @@
   return reason.empty();
 }
 
+/// Sockets that share a port would share it with those of another process as well.
+bool
+http_server::implementation::IsFree(const std::string& aAddress, std::uint16_t aPort)
+{
+  asio::error_code error;
+  const asio::ip::tcp::endpoint wanted(asio::ip::make_address(aAddress, error), aPort);
+  asio::io_context context;
+  asio::ip::tcp::acceptor probe(context);
+  if (!error) {
+    probe.open(wanted.protocol(), error);
+    probe.set_option(asio::ip::tcp::acceptor::reuse_address{ true });
+  }
+  if (!error) {
+    probe.bind(wanted, error);
+  }
+  if (!error) {
+    probe.listen(1, error);
+  }
+  reason = error ? error.message() : "";
+  return !error;
+}
+
 http_server::http_server(const server_options& aOptions)
   : mImplementation(std::make_unique<implementation>())
 {
-  mImplementation->options = aOptions;
-  for (std::size_t i = 0; i < aOptions.threads; ++i) {
-    mImplementation->threads.emplace_back([this] { mImplementation->context.run(); });
+  implementation& self = *mImplementation;
+  self.options = aOptions;
+  self.loops = aOptions.loops;
+  while (self.loops.size() < aOptions.threads && aOptions.loops.empty()) {
+    self.ownLoops.push_back(std::make_unique<loop::event_loop>());
+    self.loops.push_back(self.ownLoops.back().get());
   }
 }
 
@@ -179,19 +212,26 @@
 std::optional<endpoint>
 http_server::Listen(const endpoint& aAddress, request_handler aHandler)
 {
+  implementation& self = *mImplementation;
   const auto parts = SplitEndpoint(aAddress);
-  const std::lock_guard lock(mImplementation->mutex);
+  const std::lock_guard lock(self.mutex);
   if (!parts) {
-    mImplementation->reason = "'" + aAddress.value + "' is not ip:port";
+    self.reason = "'" + aAddress.value + "' is not ip:port";
     return std::nullopt;
   }
-  std::uint16_t port = 0;
-  auto server = mImplementation->MakeServer(parts->first, parts->second, std::move(aHandler), port);
-  if (!mImplementation->Open(*server)) {
+  std::uint16_t port = parts->second;
+  if (!self.IsFree(parts->first, port)) {
     return std::nullopt;
   }
+  implementation::listeners opened;
+  for (std::size_t i = 0; i < self.loops.size(); ++i) {
+    opened.push_back(self.MakeServer(parts->first, port, aHandler, i));
+    if (!self.Open(*opened.back())) {
+      return std::nullopt;
+    }
+  }
   const endpoint bound{ fmt::format("{}:{}", parts->first, port) };
-  mImplementation->servers[bound] = std::move(server);
+  self.servers[bound] = std::move(opened);
   return bound;
 }
 
@@ -203,22 +243,21 @@
   if (found == mImplementation->servers.end()) {
     return;
   }
-  std::promise<void> closed;
-  found->second->close_async([&closed] { closed.set_value(); },
-                             [&closed](const std::exception_ptr&) { closed.set_value(); });
-  closed.get_future().wait();
+  for (const auto& server : found->second) {
+    std::promise<void> closed;
+    server->close_async([&closed] { closed.set_value(); },
+                        [&closed](const std::exception_ptr&) { closed.set_value(); });
+    closed.get_future().wait();
+  }
   mImplementation->servers.erase(found);
 }
 
 void
 http_server::Stop()
 {
-  mImplementation->guard.reset();
-  mImplementation->context.stop();
-  for (std::thread& thread : mImplementation->threads) {
-    thread.join();
+  for (const auto& own : mImplementation->ownLoops) {
+    own->Stop();
   }
-  mImplementation->threads.clear();
   mImplementation->servers.clear();
 }
 
--- a/src/entry/internal/responder.cpp
+++ b/src/entry/internal/responder.cpp
@@ -1,5 +1,7 @@
 #include "entry/internal/responderimplementation.h"
 
+#include <array>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace persimmon::entry {
@@ -34,10 +36,24 @@
   return { restinio::http_status_code_t(static_cast<std::uint16_t>(aStatus)), phrase };
 }
 
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr int kChunkSizeBase = 16;
+/// Hexadecimal digits of a size.
+constexpr std::size_t kLongestChunkHead = 16;
+
 std::string
-ChunkOf(const std::string& aBytes)
+ChunkOf(std::string_view aBytes)
 {
-  return fmt::format("{:x}\r\n{}\r\n", aBytes.size(), aBytes);
+  std::array<char, kLongestChunkHead> head{};
+  const auto written =
+    std::to_chars(head.data(), head.data() + head.size(), aBytes.size(), kChunkSizeBase);
+  std::string chunk;
+  chunk.reserve(head.size() + aBytes.size() + 2 * kLineEnd.size());
+  chunk.append(head.data(), written.ptr);
+  chunk += kLineEnd;
+  chunk += aBytes;
+  chunk += kLineEnd;
+  return chunk;
 }
 
 constexpr const char* kLastChunk = "0\r\n\r\n";
@@ -130,7 +146,7 @@
 }
 
 void
-responder::implementation::Write(const std::string& aBytes)
+responder::implementation::Write(std::string_view aBytes)
 {
   const std::lock_guard writing(mWriteMutex);
   if (!mStreaming || aBytes.empty() || HasEnded()) {
@@ -257,7 +273,7 @@
 }
 
 void
-responder::Write(const std::string& aBytes)
+responder::Write(std::string_view aBytes)
 {
   mImplementation->Write(aBytes);
 }
--- a/src/entry/internal/responderimplementation.h
+++ b/src/entry/internal/responderimplementation.h
@@ -16,7 +16,7 @@
 
   void Send(server_response aResponse);
   void StartStream(int aStatus, const std::vector<server_header>& aHeaders);
-  void Write(const std::string& aBytes);
+  void Write(std::string_view aBytes);
   void FinishStream();
   void Abort();
   [[nodiscard]] std::size_t PendingBytes() const;
--- a/src/entry/responder.h
+++ b/src/entry/responder.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <string>
+#include <string_view>
 
 namespace persimmon::entry {
 
@@ -26,7 +26,7 @@
   /// Sends the status and headers of a streamed response.
   void StartStream(int aStatus, const std::vector<server_header>& aHeaders);
   /// Sends bytes of a streamed response as one chunk.
-  void Write(const std::string& aBytes);
+  void Write(std::string_view aBytes);
   /// Ends a streamed response cleanly.
   void FinishStream();
   /// Closes the connection at once, so that the caller sees the answer as cut off.
--- a/src/entry/serverrequest.h
+++ b/src/entry/serverrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   std::string query;
   std::vector<server_header> headers;
   std::string body;
+  /// Which of the server's loops carries the connection.
+  std::size_t loop = 0;
 
   /// Returns the first header of that name, compared without case; empty when missing.
   [[nodiscard]] std::string Header(const std::string& aName) const;
--- a/src/upstream/internal/upstreamloop.cpp
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -1,24 +1,34 @@
 #include "upstream/upstreamloop.h"
 
+#include "loop/internal/eventloopimplementation.h"
 #include "upstream/internal/activecall.h"
 #include "upstream/internal/curlmulti.h"
 
-#include <asio/executor_work_guard.hpp>
-#include <asio/post.hpp>
 #include <atomic>
-#include <thread>
 
 namespace persimmon::upstream {
 
 struct upstream_loop::implementation
 {
-  asio::io_context context{ 1 };
-  asio::executor_work_guard<asio::io_context::executor_type> guard{ context.get_executor() };
+  /// Null when the loop is shared.
+  std::unique_ptr<loop::event_loop> own;
+  loop::event_loop& loop;
+  asio::io_context& context{ loop.Implementation().context };
   std::unordered_map<call_id, std::unique_ptr<active_call>> calls;
   std::unordered_map<timer_id, asio::steady_timer> timers;
   curl_multi multi{ context, [this](CURL* aHandle, CURLcode aCode) { End(aHandle, aCode); } };
   std::atomic<std::uint64_t> lastId{ 0 };
-  std::thread thread{ [this] { context.run(); } };
+
+  explicit implementation(loop::event_loop& aLoop)
+    : loop(aLoop)
+  {
+  }
+
+  explicit implementation(std::unique_ptr<loop::event_loop> aLoop)
+    : own(std::move(aLoop))
+    , loop(*own)
+  {
+  }
 
   void Begin(std::unique_ptr<active_call> aCall)
   {
@@ -49,8 +59,6 @@
     });
   }
 
-  [[nodiscard]] bool OnLoopThread() const { return thread.get_id() == std::this_thread::get_id(); }
-
   active_call* Find(call_id aId)
   {
     const auto found = calls.find(aId);
@@ -59,15 +67,20 @@
 };
 
 upstream_loop::upstream_loop()
-  : mImplementation(std::make_unique<implementation>())
+  : mImplementation(std::make_unique<implementation>(std::make_unique<loop::event_loop>()))
+{
+}
+
+upstream_loop::upstream_loop(loop::event_loop& aLoop)
+  : mImplementation(std::make_unique<implementation>(aLoop))
 {
 }
 
 upstream_loop::~upstream_loop()
 {
-  mImplementation->guard.reset();
-  mImplementation->context.stop();
-  mImplementation->thread.join();
+  if (mImplementation->own) {
+    mImplementation->own->Stop();
+  }
   for (auto& [id, call] : mImplementation->calls) {
     call->Silence();
     mImplementation->multi.Remove(call->Handle());
@@ -107,7 +120,7 @@
     }
   };
   // Within a handler it takes effect before any more data is told.
-  if (mImplementation->OnLoopThread()) {
+  if (mImplementation->loop.IsCurrent()) {
     pause();
   } else {
     Post(pause);
@@ -128,7 +141,7 @@
 void
 upstream_loop::Post(std::function<void()> aFunction)
 {
-  asio::post(mImplementation->context, std::move(aFunction));
+  mImplementation->loop.Post(std::move(aFunction));
 }
 
 timer_id
--- a/src/upstream/upstreamloop.h
+++ b/src/upstream/upstreamloop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "loop/eventloop.h"
 #include "upstream/callhandlers.h"
 #include "upstream/callid.h"
 #include "upstream/timerid.h"
@@ -11,14 +12,17 @@
 
 namespace persimmon::upstream {
 
-/// One thread with an event loop of its own that carries many calls over libcurl's multi
-/// interface. Every function may be called from any thread; all handlers run on the loop's thread.
-/// Redirects are not followed and proxies not used.
+/// Carries many calls over libcurl's multi interface on one event loop. Every function may be
+/// called from any thread; all handlers run on the loop's thread. Redirects are not followed and
+/// proxies not used.
 class upstream_loop
 {
 public:
+  /// Makes an event loop of its own.
   upstream_loop();
-  /// Drops all calls without a word to their owners and stops the thread.
+  /// Shares a loop, which must have been stopped before this is destroyed.
+  explicit upstream_loop(loop::event_loop& aLoop);
+  /// Drops all calls without a word to their owners.
   ~upstream_loop();
   upstream_loop(const upstream_loop&) = delete;
   upstream_loop& operator=(const upstream_loop&) = delete;
