Choice of upstream: popular prefixes have several owners

Cause: at 625 groups and 109 routers a popular prefix brings the load of dozens of groups; until a report showed it, all routers sent it to one owner. Each router now estimates a prefix's part of the requests from its own and draws one of as many owners as that needs, eight for each upstream's share.

--- a/src/routing/choicepolicies.h
+++ b/src/routing/choicepolicies.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/random.h"
+#include "routing/prefixpopularity.h"
 #include "routing/upstreampool.h"
 
 #include <concepts>
+#include <optional>
 
 namespace persimmon::routing {
 
@@ -21,7 +23,8 @@
 };
 
 /// Prefix affinity with bounded load, else the less loaded of two, own zone first; leaves out
-/// upstreams that failed or are on probation, but for a trickle of tests.
+/// upstreams that failed or are on probation, but for a trickle of tests. A popular prefix has as
+/// many owners as its part of the requests needs, so that it does not depend on load reports.
 class balanced_choice
 {
 public:
@@ -32,6 +35,7 @@
 
 private:
   std::uint64_t mDecisions = 0;
+  prefix_popularity mPopularity;
 };
 
 /// Baseline: any eligible upstream with the same probability.
@@ -44,7 +48,7 @@
                          random_source& aRandom);
 };
 
-/// Baseline: the eligible upstreams in turn.
+/// Baseline: the eligible upstreams in turn, beginning at any of them.
 class round_robin_choice
 {
 public:
@@ -54,7 +58,7 @@
                          random_source& aRandom);
 
 private:
-  std::size_t mNext = 0;
+  std::optional<std::size_t> mNext;
 };
 
 /// Baseline: the eligible upstream with the least load as reported, lag and all.
--- a/src/routing/internal/choicepolicies.cpp
+++ b/src/routing/internal/choicepolicies.cpp
@@ -18,6 +18,11 @@
 /// Bytes of a prompt that decide its affinity.
 constexpr std::size_t kPrefixBytes = 1024;
 
+/// Owners of a popular prefix for each upstream's share of the requests that it makes up.
+constexpr double kOwnersPerShare = 8.0;
+/// Distance between the keys of one prefix's owners; odd, so that all keys differ.
+constexpr std::uint64_t kOwnerStep = 0xd1342543de82ef95ULL;
+
 using slot_list = std::vector<std::uint32_t>;
 
 /// Rendezvous weight of an upstream for a prefix. Both hashes are uniform already, so that one
@@ -50,8 +55,20 @@
   return slot.Healthy(aNow) && slot.known < aPool.Limit();
 }
 
-std::optional<upstream_choice>
-ChooseByAffinity(const upstream_pool& aPool, const choice_request& aRequest, time_point aNow)
+/// The owner of a prefix that takes a request.
+struct prefix_owner
+{
+  std::size_t slot = 0;
+  /// It is the first in rendezvous order; none was passed over for its load.
+  bool first = true;
+};
+
+/// Finds the first upstream in a key's rendezvous order that is not overloaded.
+std::optional<prefix_owner>
+FindOwner(const upstream_pool& aPool,
+          std::uint64_t aKey,
+          const choice_request& aRequest,
+          time_point aNow)
 {
   const std::uint64_t bound = LoadBound(aPool);
   std::uint64_t firstWeight = 0;
@@ -59,7 +76,7 @@
   std::optional<std::size_t> best;
   const std::vector<std::uint64_t>& hashes = aPool.ListedHashes();
   for (std::size_t position = 0; position < hashes.size(); ++position) {
-    const std::uint64_t weight = AffinityWeight(hashes[position], aRequest.prefix);
+    const std::uint64_t weight = AffinityWeight(hashes[position], aKey);
     if (weight <= bestWeight) {
       continue;
     }
@@ -76,8 +93,34 @@
   if (!best) {
     return std::nullopt;
   }
-  const bool first = bestWeight == firstWeight;
-  return Chosen(aPool, *best, first ? choice_reason::affinity : choice_reason::affinity_spill);
+  return prefix_owner{ *best, bestWeight == firstWeight };
+}
+
+/// Number of owners that a prefix needs for its part of the requests.
+std::uint64_t
+OwnersNeeded(double aPart, std::size_t aUpstreams)
+{
+  const double shares = aPart * static_cast<double>(aUpstreams) * kOwnersPerShare;
+  return 1 + std::min(static_cast<std::uint64_t>(shares),
+                      static_cast<std::uint64_t>(std::max<std::size_t>(1, aUpstreams) - 1));
+}
+
+/// Chooses one of a prefix's owners at random; each has a key of its own.
+std::optional<upstream_choice>
+ChooseByAffinity(const upstream_pool& aPool,
+                 const choice_request& aRequest,
+                 std::uint64_t aOwners,
+                 time_point aNow,
+                 random_source& aRandom)
+{
+  const std::uint64_t number = aOwners > 1 ? aRandom.Below(aOwners) : 0;
+  const std::uint64_t key = aRequest.prefix + number * kOwnerStep;
+  const std::optional<prefix_owner> owner = FindOwner(aPool, key, aRequest, aNow);
+  if (!owner) {
+    return std::nullopt;
+  }
+  const choice_reason why = owner->first ? choice_reason::affinity : choice_reason::affinity_spill;
+  return Chosen(aPool, owner->slot, why);
 }
 
 std::optional<std::size_t>
@@ -208,7 +251,10 @@
     }
   }
   if (aRequest.prefix != 0) {
-    const std::optional<upstream_choice> choice = ChooseByAffinity(aPool, aRequest, aNow);
+    const std::uint64_t owners =
+      OwnersNeeded(mPopularity.Note(aRequest.prefix), aPool.ListedCount());
+    const std::optional<upstream_choice> choice =
+      ChooseByAffinity(aPool, aRequest, owners, aNow, aRandom);
     if (choice) {
       return *choice;
     }
@@ -234,13 +280,15 @@
 round_robin_choice::Choose(const upstream_pool& aPool,
                            const choice_request& aRequest,
                            time_point aNow,
-                           random_source& /*aRandom*/)
+                           random_source& aRandom)
 {
   const slot_list slots = BaselineSlots(aPool, aRequest, aNow);
   if (slots.empty()) {
     return {};
   }
-  return Chosen(aPool, slots[mNext++ % slots.size()], choice_reason::round_robin);
+  const std::size_t next = mNext ? *mNext : aRandom.Below(slots.size());
+  mNext = next + 1;
+  return Chosen(aPool, slots[next % slots.size()], choice_reason::round_robin);
 }
 
 upstream_choice
--- a/src/routing/tests/upstreamchoosertests.cpp
+++ b/src/routing/tests/upstreamchoosertests.cpp
@@ -1,6 +1,7 @@
 #include "routing/upstreamchooser.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <map>
 
@@ -118,6 +119,40 @@
   }
 }
 
+TEST(upstream_chooser, PopularPrefixHasSeveralOwnersWithoutAnyLoadReport)
+{
+  chooser.Pool().Update(Candidates(40), kStart);
+  std::map<std::string, int> popular;
+  std::map<std::string, int> rare;
+  for (std::uint64_t number = 0; number < 4000; ++number) {
+    const bool isPopular = number % 4 == 0;
+    const bool isRare = number % 400 == 1;
+    const std::uint64_t prefix = isPopular ? 1 : (isRare ? 2 : 1000 + number);
+    const upstream_choice choice = chooser.Choose({ prefix, {}, false }, kStart);
+    popular[choice.target->id.value] += isPopular ? 1 : 0;
+    rare[choice.target->id.value] += isRare ? 1 : 0;
+  }
+  for (const auto& [id, count] : popular) {
+    CHECK(count <= 250);
+  }
+  CHECK_EQUAL(10, std::max_element(rare.begin(), rare.end(), [](auto& aLeft, auto& aRight) {
+                    return aLeft.second < aRight.second;
+                  })->second);
+}
+
+TEST(upstream_chooser, PopularityFadesAndItsMemoryIsBounded)
+{
+  prefix_popularity popularity;
+  for (int number = 0; number < 1000; ++number) {
+    popularity.Note(1);
+  }
+  CHECK(popularity.Note(1) > 0.9);
+  for (std::uint64_t number = 0; number < 100000; ++number) {
+    popularity.Note(2 + number);
+  }
+  CHECK(popularity.Note(1) < 0.01);
+}
+
 TEST(upstream_chooser, LoadCountsOwnDispatchesAndEndsSinceTheReportOnly)
 {
   chooser.Pool().Update(Candidates(1), kStart);
