Upstream calls: never let libcurl send a call twice

The head closed the reused connection before the first byte of its answer; libcurl sent the request again unasked, and that second try was refused as not run.

The pre-request callback now aborts a second try, so the call ends as maybe_sent.

--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -74,6 +74,8 @@
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &active_call::OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &active_call::OnSend);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
   if (mCall.method == "HEAD") {
     curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
@@ -88,6 +90,17 @@
   }
 }
 
+int
+active_call::OnSend(void* aSelf, char*, char*, int, int)
+{
+  auto& self = *static_cast<active_call*>(aSelf);
+  // libcurl sends a request again when a reused connection dies before the answer. The second try
+  // could be refused as not run although the first one ran.
+  const bool again = self.mSent;
+  self.mSent = true;
+  return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t
 active_call::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -37,6 +37,7 @@
 private:
   static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
+  static int OnSend(void* aSelf, char*, char*, int, int);
   void SetOptions();
   void BuildHeaders();
   void ReadHeaderLine(std::string_view aLine);
@@ -51,6 +52,7 @@
   response_head mHead;
   bool mSilenced = false;
   bool mPaused = false;
+  bool mSent = false;
 };
 
 } // namespace persimmon::upstream
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -85,14 +85,26 @@
   CHECK(Run(loop, CallTo(server.Address(), true)).outcome.end == call_end::maybe_sent);
 }
 
-TEST(upstream_loop, ReusedConnectionThatDiesIsSilentlySentAgain)
+TEST(upstream_loop, ReusedConnectionThatDiesIsNotSentAgain)
 {
   const raw_server server(
     { { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
   Run(loop, CallTo(server.Address(), false));
   const seen_call second = Run(loop, CallTo(server.Address(), false));
-  CHECK(second.outcome.end == call_end::whole);
-  CHECK_EQUAL(3, server.RequestCount());
+  CHECK(second.outcome.end == call_end::maybe_sent);
+  CHECK_EQUAL(2, server.RequestCount());
+}
+
+TEST(upstream_loop, SecondTryThatIsRefusedAsNotRunCannotHideTheFirst)
+{
+  const std::string notRun =
+    "HTTP/1.1 503 Service Unavailable\r\nPersimmon-Ran: no\r\nContent-Length: 0\r\n\r\n";
+  const raw_server server(
+    { { kHello, raw_end::keep }, { "", raw_end::close }, { notRun, raw_end::keep } });
+  Run(loop, CallTo(server.Address(), false));
+  const seen_call second = Run(loop, CallTo(server.Address(), false));
+  STRCMP_EQUAL("", second.head.Header("Persimmon-Ran").c_str());
+  CHECK(second.outcome.end == call_end::maybe_sent);
 }
 
 TEST(upstream_loop, FreshConnectionThatDiesIsNotSentAgain)
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -21,8 +21,9 @@
   duration connectTimeout{ 1000 };
   /// Bounds the whole call; zero means no bound.
   duration timeout;
-  /// Use a connection that no other call has used or will use. The HTTP library resends a request
-  /// silently when a reused connection dies early, so a call that may run only once needs this.
+  /// Use a connection that no other call has used or will use. A reused connection may have died
+  /// unnoticed; the call then ends as maybe_sent although nothing arrived, which a call that may
+  /// run only once cannot afford.
   bool freshConnection = false;
 };
 
