--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -350,28 +350,41 @@
         path = deployment.ROOT / "examples" / MODELS[service] / f"{service}.json"
         return json.loads(path.read_text())
 
-    def apply(self, name, document):
+    def held_version(self, service):
+        """Version of the document that the platform holds; "none" when it cannot be read."""
+        code, output = self.cluster.ctl("get", service)
+        versions = [line.split()[1] for line in output.splitlines() if line.startswith("version ")]
+        return versions[0] if code == 0 and versions else "none"
+
+    def apply(self, name, document, expected):
         path = self.out / f"{name}.json"
         path.write_text(json.dumps(document))
         return subprocess.Popen(
-            [str(deployment.BIN / "persimmonctl"), "apply", str(path), "--store-url", self.cluster.store_url],
+            [str(deployment.BIN / "persimmonctl"), "apply", str(path), "--expect", expected,
+             "--store-url", self.cluster.store_url],
             stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
 
+    def finish_edits(self, what, runs):
+        """Waits for edits and logs how they ended: 0 accepted, 1 not accepted, 3 raced, 5 unknown."""
+        for run in runs:
+            try:
+                run.wait(20)
+            except subprocess.TimeoutExpired:
+                run.kill()
+                run.wait()
+        self.log(f"{what}: edits ended with {[run.returncode for run in runs]}")
+
     def begin_document_race(self, fault):
         """Two operators edit one document at the same time."""
         self.history.write("begin document_race", fault.target)
         runs = []
+        expected = self.held_version(fault.target)
         for editor in (0, 1):
             document = self.document(fault.target)
             document["model"]["version"] = self.version.get(fault.target, document["model"]["version"])
             document["limits"]["queue"] = 64 + (fault.salt + editor) % 128
-            runs.append(self.apply(f"race-{fault.salt}-{editor}", document))
-        for run in runs:
-            try:
-                run.wait(20)
-            except subprocess.TimeoutExpired:
-                run.kill()
-                run.wait()
+            runs.append(self.apply(f"race-{fault.salt}-{editor}", document, expected))
+        self.finish_edits(f"race on {fault.target}", runs)
 
     def end_document_race(self, fault):
         self.history.write("end document_race", fault.target)
@@ -382,12 +395,8 @@
         document = self.document(fault.target)
         document["model"]["version"] = f"v{10 + fault.salt % 1000}"
         self.version[fault.target] = document["model"]["version"]
-        run = self.apply(f"rollout-{fault.salt}", document)
-        try:
-            run.wait(20)
-        except subprocess.TimeoutExpired:
-            run.kill()
-            run.wait()
+        run = self.apply(f"rollout-{fault.salt}", document, self.held_version(fault.target))
+        self.finish_edits(f"rollout of {fault.target}", [run])
 
     def end_rollout(self, fault):
         self.history.write("end rollout", fault.target)
