Upstream: never send a request twice; probe plain services by a connection only

The second sending is now refused by the pre-request callback, so the call ends as maybe sent. The test that showed the silent resend now shows its absence.

--- a/src/app/router/internal/deathprober.cpp
+++ b/src/app/router/internal/deathprober.cpp
@@ -45,6 +45,8 @@
   call.connectTimeout = kProbeTimeout;
   call.timeout = kProbeTimeout;
   call.freshConnection = true;
+  // A plain service would take the question for a call of a customer.
+  call.connectOnly = aUpstream.group.Empty();
   const auto state = std::make_shared<std::string>();
   mLoop.Start(
     std::move(call),
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -70,6 +70,8 @@
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBufferBytes);
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(mCall.connectTimeout.ms));
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(mCall.timeout.ms));
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &active_call::OnRequest);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &active_call::OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &active_call::OnBody);
@@ -82,12 +84,30 @@
     curl_easy_setopt(
       handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(mCall.body.size()));
   }
+  if (mCall.connectOnly) {
+    curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
+  }
   if (mCall.freshConnection) {
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
 }
 
+int
+active_call::OnRequest(void* aSelf,
+                       char* /*aPeer*/,
+                       char* /*aLocal*/,
+                       int /*aPeerPort*/,
+                       int /*aLocalPort*/)
+{
+  auto& self = *static_cast<active_call*>(aSelf);
+  // libcurl sends a request again when a reused connection dies without an answer. What the second
+  // sending is told, such as that it was not run, would be taken for the first as well.
+  const bool again = self.mRequested;
+  self.mRequested = true;
+  return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t
 active_call::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -35,6 +35,7 @@
   void Finish(CURLcode aCode);
 
 private:
+  static int OnRequest(void* aSelf, char* aPeer, char* aLocal, int aPeerPort, int aLocalPort);
   static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
   void SetOptions();
@@ -49,6 +50,7 @@
   std::unique_ptr<curl_slist, curl_list_closer> mHeaders;
   std::unique_ptr<CURL, curl_handle_closer> mHandle;
   response_head mHead;
+  bool mRequested = false;
   bool mSilenced = false;
   bool mPaused = false;
 };
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -78,6 +78,15 @@
   CHECK(outcome.refused);
 }
 
+TEST(upstream_loop, ConnectOnlySendsNothing)
+{
+  const raw_server server({ { kHello, raw_end::keep } });
+  upstream_call call = CallTo(server.Address(), true);
+  call.connectOnly = true;
+  CHECK(Run(loop, std::move(call)).outcome.end == call_end::whole);
+  CHECK_EQUAL(0, server.RequestCount());
+}
+
 TEST(upstream_loop, CutResponseMayHaveBeenSent)
 {
   const raw_server server(
@@ -85,14 +94,14 @@
   CHECK(Run(loop, CallTo(server.Address(), true)).outcome.end == call_end::maybe_sent);
 }
 
-TEST(upstream_loop, ReusedConnectionThatDiesIsSilentlySentAgain)
+TEST(upstream_loop, ReusedConnectionThatDiesIsNotSentAgain)
 {
   const raw_server server(
     { { kHello, raw_end::keep }, { "", raw_end::close }, { kHello, raw_end::keep } });
   Run(loop, CallTo(server.Address(), false));
   const seen_call second = Run(loop, CallTo(server.Address(), false));
-  CHECK(second.outcome.end == call_end::whole);
-  CHECK_EQUAL(3, server.RequestCount());
+  CHECK(second.outcome.end == call_end::maybe_sent);
+  CHECK_EQUAL(2, server.RequestCount());
 }
 
 TEST(upstream_loop, FreshConnectionThatDiesIsNotSentAgain)
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -21,9 +21,11 @@
   duration connectTimeout{ 1000 };
   /// Bounds the whole call; zero means no bound.
   duration timeout;
-  /// Use a connection that no other call has used or will use. The HTTP library resends a request
-  /// silently when a reused connection dies early, so a call that may run only once needs this.
+  /// Use a connection that no other call has used or will use. A reused one may have died
+  /// unnoticed, and then nobody knows whether the call was run; it is never sent twice.
   bool freshConnection = false;
+  /// Only connect and send nothing; the end is whole when the connection was made.
+  bool connectOnly = false;
 };
 
 } // namespace persimmon::upstream
