--- a/src/app/router/internal/meshbridge.cpp
+++ b/src/app/router/internal/meshbridge.cpp
@@ -194,6 +194,14 @@
                                : std::vector<router_id>{ mImplementation->self };
 }
 
+void
+mesh_bridge::BlockPeers(const std::vector<router_id>& aPeers)
+{
+  if (mImplementation->node) {
+    mImplementation->node->BlockPeers(aPeers);
+  }
+}
+
 const std::string&
 mesh_bridge::LastReason() const
 {
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -10,6 +10,7 @@
 #include "app/router/presenceobserver.h"
 #include "app/router/readiness.h"
 #include "app/router/routerevents.h"
+#include "app/router/testcontrol.h"
 #include "entry/httpserver.h"
 #include "upstream/upstreamclient.h"
 
@@ -96,6 +97,7 @@
   void TickEachSecond(time_point aNow);
   void StartWatching();
   bool Listen();
+  bool ListenForTests();
   bool WaitForRequests(duration aLimit) const;
 };
 
@@ -164,6 +166,21 @@
   return true;
 }
 
+bool
+router_process::implementation::ListenForTests()
+{
+  const auto handle = [this](const entry::server_request& aRequest, const auto& aResponder) {
+    HandleTestControl(aRequest, *aResponder, [this](const std::vector<router_id>& aPeers) {
+      mesh.BlockPeers(aPeers);
+    });
+  };
+  if (settings.testControl.Empty() || server.Listen(settings.testControl, handle)) {
+    return true;
+  }
+  reason = server.LastReason();
+  return false;
+}
+
 bool
 router_process::implementation::WaitForRequests(duration aLimit) const
 {
@@ -194,7 +211,7 @@
     self.reason = self.mesh.LastReason();
     return false;
   }
-  if (!self.Listen()) {
+  if (!self.Listen() || !self.ListenForTests()) {
     return false;
   }
   self.StartWatching();
--- a/src/app/router/internal/routersettings.cpp
+++ b/src/app/router/internal/routersettings.cpp
@@ -45,6 +45,7 @@
   aSettings.Add("peers", "", "mesh addresses of other routers, ip:port, between commas");
   aSettings.Add("mesh-key", "", "key that all members of the mesh share");
   aSettings.Add("history", "", "file to append a history of events to");
+  aSettings.Add("test-control", "", "for tests only: address that cuts mesh links, ip:port");
   aSettings.Add("log-level", "info", "lowest level that is logged: debug, info, warning, error");
   aSettings.Add("entry-threads", "2", "threads that talk to callers");
   aSettings.Add("upstream-threads", "2", "threads that talk to upstreams");
@@ -67,6 +68,7 @@
   }
   result.meshKey = aSettings.Text("mesh-key");
   result.historyPath = aSettings.Text("history");
+  result.testControl.value = aSettings.Text("test-control");
   result.lowestLevel = ReadLevel(aSettings);
   result.entryThreads = ReadCount(aSettings, "entry-threads", kMaxThreads);
   result.upstreamThreads = ReadCount(aSettings, "upstream-threads", kMaxThreads);
--- a/src/app/router/meshbridge.h
+++ b/src/app/router/meshbridge.h
@@ -39,6 +39,8 @@
   /// True when a peer has given all documents and tables.
   [[nodiscard]] bool CaughtUp() const;
   [[nodiscard]] std::vector<router_id> Live() const;
+  /// For tests: drops all that comes from or goes to these routers.
+  void BlockPeers(const std::vector<router_id>& aPeers);
   [[nodiscard]] const std::string& LastReason() const;
 
 private:
--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -22,6 +22,8 @@
   std::string meshKey;
   std::string storeUrl;
   std::string historyPath;
+  /// Address for the faults of tests; empty for none.
+  endpoint testControl;
   log_level lowestLevel = log_level::info;
   /// Threads that talk to callers.
   std::size_t entryThreads = 2;
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -70,6 +70,9 @@
     def mesh_address(self, number):
         return self.address(30 + number)
 
+    def test_control_address(self, number):
+        return self.address(100 + number)
+
     def placer_url(self, number):
         return "http://" + self.address(50 + number)
 
@@ -95,13 +98,13 @@
         self.launch("platform", "standin-platform",
                     {"listen": self.address(0), "history": self.out / "platform.jsonl", **flags})
 
-    def start_router(self, number):
+    def start_router(self, number, **flags):
         name = f"router-{number}"
         peers = ",".join(self.mesh_address(i) for i in range(1, self.routers + 1) if i != number)
         self.launch(name, "persimmon-router", {
             "id": name, "zone": ZONES[number % len(ZONES)], "listen": self.router_address(number),
             "mesh-listen": self.mesh_address(number), "peers": peers, "mesh-key": MESH_KEY,
-            "store-url": self.store_url, "history": self.out / f"{name}.jsonl"})
+            "store-url": self.store_url, "history": self.out / f"{name}.jsonl", **flags})
 
     def start_placer(self, number, **flags):
         name = f"placer-{number}"
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -10,6 +10,7 @@
 
 LANES = 2
 SHORTEST_GAP, LONGEST_GAP = 0.3, 2.0
+MEND_SECONDS = 12
 MARKER = "poisonous claim"
 MODELS = {"verifier-llm": "kigali", "vakt-model": "tjaldleid"}
 
@@ -35,6 +36,8 @@
     "service_paused": (2, 0.5, 4),
     "service_slow": (1, 1, 5),
     "service_drops": (3, 2, 8),
+    "mesh_cut": (2, 1, 8),
+    "mesh_split": (2, 1, 8),
     "poison": (2, 1, 4),
     "document_race": (4, 0.5, 2),
     "rollout": (2, 6, 10),
@@ -53,10 +56,10 @@
 
 def subject(kind, target):
     """What a fault takes hold of; two faults on one subject are not in force at once."""
-    for prefix, name in (("store_", "store"), ("replies_", "store"), ("watch_", "store"), ("domain_", "engine"),
+    for prefix, name in (("store_", "store"), ("replies_", "store"), ("mesh_", "mesh"), ("watch_", "store"), ("domain_", "engine"),
                          ("member_", "engine"), ("service_", "service")):
         if kind.startswith(prefix):
-            return name + (target.rsplit("-", 1)[0] if name != "store" else "")
+            return name + (target.rsplit("-", 1)[0] if name in ("engine", "service") else "")
     return target or kind
 
 
@@ -73,6 +76,8 @@
     if kind.startswith("service_"):
         service = rng.choice(plan["services"])
         return f"{service}-{rng.randrange(plan['service_instances'])}"
+    if kind == "mesh_cut":
+        return f"router-{rng.randint(1, plan['routers'])}"
     if kind in ("document_race", "rollout"):
         return rng.choice(sorted(MODELS))
     return ""
@@ -250,6 +255,41 @@
         self.set_fault(self.cluster.store_url, {"stall_watch": False})
         self.history.write("end watch_stalled")
 
+    # The mesh. A router that is killed meanwhile comes back with all its links.
+    def cut(self, faults):
+        """Cuts the links between each router and those that it is given with."""
+        for number, others in faults.items():
+            self.history.write("begin partition", f"router-{number}")
+            url = "http://" + self.cluster.test_control_address(number) + "/control/faults"
+            deployment.call("POST", url, json.dumps({"blocked_peers": [f"router-{other}" for other in others]}), timeout=2)
+
+    def mend(self, numbers):
+        for number in numbers:
+            url = "http://" + self.cluster.test_control_address(number) + "/control/faults"
+            # A router that is stopped by another fault takes the change when it is back.
+            deployment.wait_until(
+                lambda: deployment.call("POST", url, '{"blocked_peers": []}', timeout=1)[0] == 200, MEND_SECONDS)
+            self.history.write("end partition", f"router-{number}")
+
+    def all_routers(self):
+        return list(range(1, self.cluster.routers + 1))
+
+    def begin_mesh_cut(self, fault):
+        number = self.router_number(fault)
+        self.cut({number: [other for other in self.all_routers() if other != number]})
+
+    def end_mesh_cut(self, fault):
+        self.mend([self.router_number(fault)])
+
+    def begin_mesh_split(self, fault):
+        """Cuts the routers into two sides that do not hear each other."""
+        left = [number for number in self.all_routers() if (fault.salt >> number) % 2]
+        right = [number for number in self.all_routers() if number not in left]
+        self.cut({**{number: right for number in left}, **{number: left for number in right}})
+
+    def end_mesh_split(self, fault):
+        self.mend(self.all_routers())
+
     # Instances.
     def begin_member_dead(self, fault):
         self.history.write("begin member_dead", fault.target)
