--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -70,12 +70,12 @@
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBufferBytes);
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(mCall.connectTimeout.ms));
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(mCall.timeout.ms));
-  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &active_call::OnRequest);
-  curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &active_call::OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &active_call::OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &active_call::OnSend);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
   if (mCall.method == "HEAD") {
     curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
@@ -94,17 +94,13 @@
 }
 
 int
-active_call::OnRequest(void* aSelf,
-                       char* /*aPeer*/,
-                       char* /*aLocal*/,
-                       int /*aPeerPort*/,
-                       int /*aLocalPort*/)
+active_call::OnSend(void* aSelf, char*, char*, int, int)
 {
   auto& self = *static_cast<active_call*>(aSelf);
-  // libcurl sends a request again when a reused connection dies without an answer. What the second
-  // sending is told, such as that it was not run, would be taken for the first as well.
-  const bool again = self.mRequested;
-  self.mRequested = true;
+  // libcurl sends a request again when a reused connection dies before the answer. The second try
+  // could be refused as not run although the first one ran.
+  const bool again = self.mSent;
+  self.mSent = true;
   return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -35,9 +35,9 @@
   void Finish(CURLcode aCode);
 
 private:
-  static int OnRequest(void* aSelf, char* aPeer, char* aLocal, int aPeerPort, int aLocalPort);
   static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
+  static int OnSend(void* aSelf, char*, char*, int, int);
   void SetOptions();
   void BuildHeaders();
   void ReadHeaderLine(std::string_view aLine);
@@ -50,9 +50,9 @@
   std::unique_ptr<curl_slist, curl_list_closer> mHeaders;
   std::unique_ptr<CURL, curl_handle_closer> mHandle;
   response_head mHead;
-  bool mRequested = false;
   bool mSilenced = false;
   bool mPaused = false;
+  bool mSent = false;
 };
 
 } // namespace persimmon::upstream
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -104,6 +104,18 @@
   CHECK_EQUAL(2, server.RequestCount());
 }
 
+TEST(upstream_loop, SecondTryThatIsRefusedAsNotRunCannotHideTheFirst)
+{
+  const std::string notRun =
+    "HTTP/1.1 503 Service Unavailable\r\nPersimmon-Ran: no\r\nContent-Length: 0\r\n\r\n";
+  const raw_server server(
+    { { kHello, raw_end::keep }, { "", raw_end::close }, { notRun, raw_end::keep } });
+  Run(loop, CallTo(server.Address(), false));
+  const seen_call second = Run(loop, CallTo(server.Address(), false));
+  STRCMP_EQUAL("", second.head.Header("Persimmon-Ran").c_str());
+  CHECK(second.outcome.end == call_end::maybe_sent);
+}
+
 TEST(upstream_loop, FreshConnectionThatDiesIsNotSentAgain)
 {
   const raw_server server(
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -21,8 +21,9 @@
   duration connectTimeout{ 1000 };
   /// Bounds the whole call; zero means no bound.
   duration timeout;
-  /// Use a connection that no other call has used or will use. A reused one may have died
-  /// unnoticed, and then nobody knows whether the call was run; it is never sent twice.
+  /// Use a connection that no other call has used or will use. A reused connection may have died
+  /// unnoticed; the call then ends as maybe_sent although nothing arrived, which a call that may
+  /// run only once cannot afford.
   bool freshConnection = false;
   /// Only connect and send nothing; the end is whole when the connection was made.
   bool connectOnly = false;
