Ledger: horizon by an announced floor; ungrouped writes by default

Objects were never dropped. A commit whose reply comes after the caller's patience is no longer granted: a router that slept for hours across its commit gives up and closes the record.

Grouping stays for a single writer.

--- a/src/ledger/internal/ledgerlayout.cpp
+++ b/src/ledger/internal/ledgerlayout.cpp
@@ -7,7 +7,7 @@
 namespace persimmon::ledger {
 namespace {
 
-constexpr std::size_t kRecordIdLength = 32;
+constexpr std::size_t kHashLength = 32;
 
 } // namespace
 
@@ -22,7 +22,19 @@
                                        aKey.value,
                                        aService.value,
                                        aCustomer.value);
-  return { Sha256Hex(text).substr(0, kRecordIdLength) };
+  return { Sha256Hex(text).substr(0, kHashLength) };
+}
+
+std::string
+ShortDigest(const std::string& aDigest)
+{
+  return Sha256Hex(aDigest).substr(0, kHashLength);
+}
+
+router_id
+ShortRouterId(const router_id& aRouter)
+{
+  return aRouter.value.size() <= kMaxRouterId ? aRouter : router_id{ Sha256Hex(aRouter.value) };
 }
 
 shard_id
--- a/src/ledger/internal/ledgerserviceimpl.h
+++ b/src/ledger/internal/ledgerserviceimpl.h
@@ -18,22 +18,28 @@
   , mMetrics(aMetrics)
   , mClock(std::move(aClock))
   , mWall(std::move(aWall))
+  , mSweep(random_source(mSettings.seed))
 {
-  mTimers.emplace([this](const shard_id& aShard) { Feed(aShard, tick_event{}); });
+  mSettings.self.router = ShortRouterId(mSettings.self.router);
+  mTimers.emplace();
   for (std::size_t i = 0; i < mSettings.storeThreads; ++i) {
     mThreads.emplace_back(
       [this, store = aMakeStore()]() mutable { RunStoreThread(std::move(store)); });
   }
+  FeedSweep(sweep_tick{});
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
 ledger_service<Store, Clock, Wall>::~ledger_service()
 {
-  mCalls.Close();
+  mJobs.Close();
   for (std::thread& thread : mThreads) {
     thread.join();
   }
   mTimers.reset();
+  for (const early_call& early : mEarlyCalls) {
+    Report(early.caller, {});
+  }
   for (stripe& each : mStripes) {
     for (const auto& [attempt, caller] : each.callers) {
       Report(caller, {});
@@ -43,31 +49,76 @@
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
 void
-ledger_service<Store, Clock, Wall>::Begin(const begin_request& aRequest, begin_callback aDone)
+ledger_service<Store, Clock, Wall>::Begin(const begin_request& aRequest,
+                                          const begin_callback& aDone)
 {
+  waiting_caller caller;
+  caller.began = mClock.Now();
+  caller.done = aDone;
   begin_result refusal;
   const auto key = Check(aRequest, refusal);
   if (!key) {
-    Refuse(refusal, aDone);
+    Refuse(caller, refusal);
     return;
   }
-  waiting_caller caller;
   caller.pass.attempt = { mSettings.self, mNextAttempt++ };
   caller.pass.record = RecordOf(key->key, aRequest.service, aRequest.customer);
   caller.pass.shard = ShardOf(*key, caller.pass.record);
-  caller.began = mClock.Now();
   caller.keyAge = mWall.Now() - key->madeAt;
-  caller.done = std::move(aDone);
-  const ticket pass = caller.pass;
+  const duration patience = std::min(aRequest.patience, kLongestPatience);
   const begin_event event{
-    pass.attempt, pass.record, aRequest.digest, caller.began + aRequest.patience
+    caller.pass.attempt, caller.pass.record, ShortDigest(aRequest.digest), caller.began + patience
   };
+  {
+    const std::lock_guard lock(mSweepMutex);
+    mEarlyCalls.push_back({ std::move(caller), event });
+  }
+  FeedSweep(sweep_tick{ true });
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::AdmitEarlyCalls()
+{
+  std::vector<early_call> ready;
+  bool fresh = false;
+  {
+    const std::lock_guard lock(mSweepMutex);
+    fresh = mSweep.IsFresh(mClock.Now());
+    if (fresh || mSweep.IsIdle()) {
+      ready.swap(mEarlyCalls);
+    }
+  }
+  for (early_call& early : ready) {
+    if (fresh) {
+      Admit(std::move(early.caller), early.event);
+    } else {
+      Refuse(early.caller,
+             { begin_verdict::store_unavailable, ran_state::unknown, {}, kRetryFloor });
+    }
+  }
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Admit(waiting_caller aCaller, const begin_event& aEvent)
+{
+  const ticket pass = aCaller.pass;
+  bool accepted = false;
+  {
+    const std::lock_guard lock(mSweepMutex);
+    accepted = mSweep.Accepts(pass.shard.slice);
+  }
+  if (!accepted) {
+    Refuse(aCaller, { begin_verdict::key_too_old, ran_state::unknown, {}, {} });
+    return;
+  }
   stripe& home = StripeOf(pass.shard);
   {
     const std::lock_guard lock(home.mutex);
-    home.callers.emplace(pass.attempt, std::move(caller));
+    home.callers.emplace(pass.attempt, std::move(aCaller));
   }
-  Feed(pass.shard, event);
+  Feed(pass.shard, aEvent);
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
@@ -148,12 +199,10 @@
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
 void
-ledger_service<Store, Clock, Wall>::Refuse(const begin_result& aResult, const begin_callback& aDone)
+ledger_service<Store, Clock, Wall>::Refuse(const waiting_caller& aCaller,
+                                           const begin_result& aResult)
 {
-  waiting_caller caller;
-  caller.began = mClock.Now();
-  caller.done = aDone;
-  Report(caller, { aResult, {} });
+  Report(aCaller, { aResult, {} });
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
@@ -183,14 +232,15 @@
 {
   for (shard_action& action : aActions) {
     if (std::holds_alternative<read_action>(action)) {
-      mCalls.Push({ aShard, std::nullopt });
+      mJobs.Push([this, aShard](Store& aStore) { Read(aStore, aShard); });
     } else if (auto* write = std::get_if<write_action>(&action)) {
       mMetrics.Count(kIntentsWrittenTotal, {}, static_cast<double>(write->intents));
-      mCalls.Push({ aShard, std::move(*write) });
+      mJobs.Push(
+        [this, aShard, call = std::move(*write)](Store& aStore) { Write(aStore, aShard, call); });
     } else if (const auto* verdict = std::get_if<verdict_action>(&action)) {
       Perform(aShard, *verdict);
     } else if (const auto* wake = std::get_if<wake_action>(&action)) {
-      mTimers->Add(wake->at, aShard);
+      mTimers->Add(wake->at, [this, aShard] { Feed(aShard, tick_event{}); });
     } else if (const auto* unreadable = std::get_if<unreadable_action>(&action)) {
       WriteLog(kObjectUnreadable,
                { { "object", ObjectOf(aShard).name }, { "detail", unreadable->why.detail } });
@@ -255,52 +305,129 @@
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
 void
-ledger_service<Store, Clock, Wall>::RunStoreThread(Store aStore)
+ledger_service<Store, Clock, Wall>::FeedSweep(const sweep_event& aEvent)
 {
-  while (const auto call = mCalls.Pop()) {
-    const shard_event event = Call(aStore, *call);
-    Feed(call->shard, event);
+  std::vector<sweep_action> actions;
+  {
+    const std::lock_guard lock(mSweepMutex);
+    actions = mSweep.Handle(aEvent, mClock.Now(), mWall.Now());
   }
+  for (const sweep_action& action : actions) {
+    Perform(action);
+  }
+  AdmitEarlyCalls();
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
-shard_event
-ledger_service<Store, Clock, Wall>::Call(Store& aStore, const store_call& aCall)
+void
+ledger_service<Store, Clock, Wall>::Perform(const sweep_action& aAction)
 {
-  return aCall.write ? CallWrite(aStore, aCall) : CallRead(aStore, aCall);
+  if (std::holds_alternative<sweep_read>(aAction)) {
+    mJobs.Push([this](Store& aStore) { ReadSweep(aStore); });
+  } else if (const auto* write = std::get_if<sweep_write>(&aAction)) {
+    mJobs.Push([this, call = *write](Store& aStore) { WriteSweep(aStore, call); });
+  } else if (const auto* drop = std::get_if<drop_slice>(&aAction)) {
+    mJobs.Push([this, slice = drop->slice](Store& aStore) { DropSlice(aStore, slice); });
+  } else if (const auto* wake = std::get_if<sweep_wake>(&aAction)) {
+    mTimers->Add(wake->at, [this] { FeedSweep(sweep_tick{}); });
+  }
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
-shard_event
-ledger_service<Store, Clock, Wall>::CallRead(Store& aStore, const store_call& aCall)
+void
+ledger_service<Store, Clock, Wall>::RunStoreThread(Store aStore)
 {
+  while (const auto job = mJobs.Pop()) {
+    (*job)(aStore);
+  }
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::Read(Store& aStore, const shard_id& aShard)
+{
+  const platform::object_key key = ObjectOf(aShard);
   read_event result;
-  result.object = aStore.Get(ObjectOf(aCall.shard));
+  result.object = aStore.Get(key);
   if (!result.object) {
     result.error = aStore.LastReason().code;
   }
-  CountCall("read", result.error, aCall.shard);
-  return result;
+  CountCall("read", result.error, key);
+  Feed(aShard, result);
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
-shard_event
-ledger_service<Store, Clock, Wall>::CallWrite(Store& aStore, const store_call& aCall)
+void
+ledger_service<Store, Clock, Wall>::Write(Store& aStore,
+                                          const shard_id& aShard,
+                                          const write_action& aWrite)
 {
+  const platform::object_key key = ObjectOf(aShard);
   write_event result;
-  result.version = aStore.Put(ObjectOf(aCall.shard), aCall.write->value, aCall.write->condition);
+  result.version = aStore.Put(key, aWrite.value, aWrite.condition);
   if (!result.version) {
     result.error = aStore.LastReason().code;
   }
-  CountCall("write", result.error, aCall.shard);
-  return result;
+  CountCall("write", result.error, key);
+  Feed(aShard, result);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::ReadSweep(Store& aStore)
+{
+  sweep_read_done result;
+  result.object = aStore.Get(SweepObject());
+  if (!result.object) {
+    result.error = aStore.LastReason().code;
+  }
+  CountCall("sweep_read", result.error, SweepObject());
+  FeedSweep(result);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::WriteSweep(Store& aStore, const sweep_write& aWrite)
+{
+  sweep_write_done result;
+  result.version = aStore.Put(SweepObject(), aWrite.value, aWrite.condition);
+  if (!result.version) {
+    result.error = aStore.LastReason().code;
+  }
+  CountCall("sweep_write", result.error, SweepObject());
+  FeedSweep(result);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::DropSlice(Store& aStore, std::int64_t aSlice)
+{
+  slice_dropped result{ aSlice, true };
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    const bool gone = DropObject(aStore, ObjectOf({ aSlice, shard }));
+    result.gone = result.gone && gone;
+  }
+  WriteLog(kSliceDropped,
+           { { "slice", fmt::format("{}", aSlice) }, { "gone", result.gone ? "yes" : "no" } });
+  FeedSweep(result);
+}
+
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+bool
+ledger_service<Store, Clock, Wall>::DropObject(Store& aStore, const platform::object_key& aKey)
+{
+  const auto object = aStore.Get(aKey);
+  const bool deleted = object && aStore.Delete(aKey, object->version);
+  const platform::store_error error = aStore.LastReason().code;
+  CountCall("drop", error, aKey);
+  return deleted || error == platform::store_error::not_found;
 }
 
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
 void
 ledger_service<Store, Clock, Wall>::CountCall(const char* aKind,
                                               platform::store_error aError,
-                                              const shard_id& aShard)
+                                              const platform::object_key& aKey)
 {
   const char* name = platform::StoreErrorName(aError);
   mMetrics.Count(kStoreCallsTotal, { { "kind", aKind }, { "result", name } });
@@ -309,8 +436,7 @@
                      aError == platform::store_error::not_found ||
                      aError == platform::store_error::conflict;
   if (!usual) {
-    WriteLog(kStoreCallFailed,
-             { { "object", ObjectOf(aShard).name }, { "call", aKind }, { "error", name } });
+    WriteLog(kStoreCallFailed, { { "object", aKey.name }, { "call", aKind }, { "error", name } });
   }
 }
 
--- a/src/ledger/internal/ledgershard.cpp
+++ b/src/ledger/internal/ledgershard.cpp
@@ -79,6 +79,8 @@
   if (!std::holds_alternative<tick_event>(aEvent)) {
     mLastUse = aNow;
   }
+  // First, so that a router that was paused grants nothing that its caller no longer waits for.
+  GiveUpOverdue(aNow, actions);
   if (const auto* begin = std::get_if<begin_event>(&aEvent)) {
     OnBegin(*begin, aNow, actions);
   } else if (const auto* close = std::get_if<close_event>(&aEvent)) {
@@ -88,7 +90,6 @@
   } else if (const auto* write = std::get_if<write_event>(&aEvent)) {
     OnWrite(*write, aNow, actions);
   }
-  GiveUpOverdue(aNow, actions);
   Advance(aNow, actions);
   return actions;
 }
--- a/src/ledger/internal/timerqueue.cpp
+++ b/src/ledger/internal/timerqueue.cpp
@@ -15,10 +15,9 @@
 
 struct timer_queue::implementation
 {
-  callback call;
   std::mutex mutex;
   std::condition_variable changed;
-  std::multimap<time_point, shard_id> timers;
+  std::multimap<time_point, callback> timers;
   bool stopping = false;
   std::thread thread;
 
@@ -32,10 +31,10 @@
         Sleep(lock, now);
         continue;
       }
-      const shard_id shard = first->second;
+      const callback call = std::move(first->second);
       timers.erase(first);
       lock.unlock();
-      call(shard);
+      call();
       lock.lock();
     }
   }
@@ -51,10 +50,9 @@
   }
 };
 
-timer_queue::timer_queue(callback aCallback)
+timer_queue::timer_queue()
   : mImplementation(std::make_unique<implementation>())
 {
-  mImplementation->call = std::move(aCallback);
   mImplementation->thread = std::thread([state = mImplementation.get()] { state->Run(); });
 }
 
@@ -69,10 +67,10 @@
 }
 
 void
-timer_queue::Add(time_point aAt, const shard_id& aShard)
+timer_queue::Add(time_point aAt, callback aCallback)
 {
   const std::lock_guard lock(mImplementation->mutex);
-  mImplementation->timers.emplace(aAt, aShard);
+  mImplementation->timers.emplace(aAt, std::move(aCallback));
   mImplementation->changed.notify_all();
 }
 
--- a/src/ledger/ledgerlayout.h
+++ b/src/ledger/ledgerlayout.h
@@ -46,6 +46,14 @@
 record_id
 RecordOf(const idempotency_key& aKey, const service_name& aService, const customer_name& aCustomer);
 
+/// Returns a hash of bounded length of a body's digest.
+std::string
+ShortDigest(const std::string& aDigest);
+
+/// Returns a router id, or a hash of one that is too long for a record.
+router_id
+ShortRouterId(const router_id& aRouter);
+
 /// Returns the object of a record; it depends on the key alone, never on a clock.
 shard_id
 ShardOf(const parsed_key& aKey, const record_id& aRecord);
--- a/src/ledger/ledgerservice.h
+++ b/src/ledger/ledgerservice.h
@@ -6,6 +6,7 @@
 #include "ledger/ledgerevents.h"
 #include "ledger/ledgermetrics.h"
 #include "ledger/ledgershard.h"
+#include "ledger/ledgersweep.h"
 #include "ledger/timerqueue.h"
 #include "platform/objectstore.h"
 
@@ -56,7 +57,7 @@
 
   /// Commits an intent; aDone is called exactly once. Only a reply with a ticket allows a dispatch,
   /// and only one.
-  void Begin(const begin_request& aRequest, begin_callback aDone);
+  void Begin(const begin_request& aRequest, const begin_callback& aDone);
   /// Records how a granted call ended. not_run only with proof that the upstream did not run it;
   /// it lets the caller use the key again. Returns at once; the store is written later.
   void Close(const ticket& aTicket, close_outcome aOutcome);
@@ -81,13 +82,15 @@
     std::uint64_t uses = 0;
   };
 
-  struct store_call
+  /// A call that came while the floor was not known.
+  struct early_call
   {
-    shard_id shard;
-    /// None for a read.
-    std::optional<write_action> write;
+    waiting_caller caller;
+    begin_event event;
   };
 
+  using store_job = std::function<void(Store&)>;
+
   static constexpr std::size_t kStripes = 16;
   /// An open intent of an older key is reported as unknown instead of in progress.
   static constexpr duration kLongestCall = 600_s;
@@ -95,22 +98,32 @@
   static constexpr duration kKeepIdle = 15_s;
   static constexpr std::uint64_t kUsesPerCleanUp = 256;
   static constexpr duration kFlushPoll = 5_ms;
+  /// Bounds how long a call may be on its way; see ledger_sweep.
+  static constexpr duration kLongestPatience = 30_s;
+  static constexpr duration kRetryFloor = 2_s;
 
   stripe& StripeOf(const shard_id& aShard);
   ledger_shard& ShardIn(stripe& aStripe, const shard_id& aShard);
   void CleanUp(stripe& aStripe, time_point aNow);
   std::optional<parsed_key> Check(const begin_request& aRequest, begin_result& aRefusal) const;
-  void Refuse(const begin_result& aResult, const begin_callback& aDone);
+  void Refuse(const waiting_caller& aCaller, const begin_result& aResult);
+  void Admit(waiting_caller aCaller, const begin_event& aEvent);
   void Feed(const shard_id& aShard, const shard_event& aEvent);
   void Perform(const shard_id& aShard, std::vector<shard_action> aActions);
   void Perform(const shard_id& aShard, const verdict_action& aAction);
   void Perform(const shard_id& aShard, const dropped_close_action& aAction);
+  void FeedSweep(const sweep_event& aEvent);
+  void Perform(const sweep_action& aAction);
+  void AdmitEarlyCalls();
   void Report(const waiting_caller& aCaller, const begin_reply& aReply);
   void RunStoreThread(Store aStore);
-  shard_event Call(Store& aStore, const store_call& aCall);
-  shard_event CallRead(Store& aStore, const store_call& aCall);
-  shard_event CallWrite(Store& aStore, const store_call& aCall);
-  void CountCall(const char* aKind, platform::store_error aError, const shard_id& aShard);
+  void Read(Store& aStore, const shard_id& aShard);
+  void Write(Store& aStore, const shard_id& aShard, const write_action& aWrite);
+  void ReadSweep(Store& aStore);
+  void WriteSweep(Store& aStore, const sweep_write& aWrite);
+  void DropSlice(Store& aStore, std::int64_t aSlice);
+  bool DropObject(Store& aStore, const platform::object_key& aKey);
+  void CountCall(const char* aKind, platform::store_error aError, const platform::object_key& aKey);
 
   ledger_settings mSettings;
   metrics_registry& mMetrics;
@@ -119,7 +132,10 @@
   std::atomic<std::uint64_t> mNextAttempt{ 1 };
   std::atomic<std::size_t> mOpenCloses{ 0 };
   std::array<stripe, kStripes> mStripes;
-  blocking_queue<store_call> mCalls;
+  std::mutex mSweepMutex;
+  ledger_sweep mSweep;
+  std::vector<early_call> mEarlyCalls;
+  blocking_queue<store_job> mJobs;
   std::optional<timer_queue> mTimers;
   std::vector<std::thread> mThreads;
 };
--- a/src/ledger/ledgershard.h
+++ b/src/ledger/ledgershard.h
@@ -14,20 +14,24 @@
 
 namespace persimmon::ledger {
 
-/// When a shard writes.
+/// When a shard writes. The defaults suit objects that several routers write; grouping pays where
+/// one router writes an object for all others.
 struct commit_rules
 {
   /// How long a close may wait for an intent's write to join.
   duration closeLinger{ 1000 };
   /// Intents that are written without waiting for more.
-  std::size_t enoughIntents = 2;
+  std::size_t enoughIntents = 1;
   /// How long after the start of the last write fewer intents wait for more; one that comes later
   /// is written at once.
-  duration loneInterval{ 25 };
+  duration loneInterval{ 0 };
   /// Least time between the starts of two writes.
-  duration shortestInterval{ 4 };
+  duration shortestInterval{ 0 };
 };
 
+/// Rules that group intents two by two.
+constexpr commit_rules kGroupedCommits{ { 1000 }, 2, { 25 }, { 4 } };
+
 /// An attempt asks to be committed. Answered by exactly one verdict_action.
 struct begin_event
 {
--- a/src/ledger/timerqueue.h
+++ b/src/ledger/timerqueue.h
@@ -1,24 +1,23 @@
 #pragma once
 
 #include "base/clock.h"
-#include "ledger/ledgerlayout.h"
 
 #include <functional>
 #include <memory>
 
 namespace persimmon::ledger {
 
-/// Calls back at given times of the boot clock, on a thread of its own.
+/// Calls functions at given times of the boot clock, on a thread of its own.
 class timer_queue
 {
 public:
-  using callback = std::function<void(const shard_id&)>;
+  using callback = std::function<void()>;
 
-  explicit timer_queue(callback aCallback);
+  timer_queue();
   /// Ends the thread; timers still set are forgotten.
   ~timer_queue();
 
-  void Add(time_point aAt, const shard_id& aShard);
+  void Add(time_point aAt, callback aCallback);
 
 private:
   struct implementation;
