--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -84,6 +84,9 @@
     curl_easy_setopt(
       handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(mCall.body.size()));
   }
+  if (mCall.connectOnly) {
+    curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
+  }
   if (mCall.freshConnection) {
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
