--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -11,6 +11,7 @@
 #include "app/router/readiness.h"
 #include "app/router/requestloops.h"
 #include "app/router/routerevents.h"
+#include "app/router/testcontrol.h"
 #include "entry/httpserver.h"
 #include "upstream/upstreamclient.h"
 
@@ -101,6 +102,7 @@
   void TickEachSecond(time_point aNow);
   void StartWatching();
   bool Listen();
+  bool ListenForTests();
   bool WaitForRequests(duration aLimit) const;
   /// Ends all threads, so that nothing runs while members are destroyed.
   void StopThreads();
@@ -171,6 +173,21 @@
   return true;
 }
 
+bool
+router_process::implementation::ListenForTests()
+{
+  const auto handle = [this](const entry::server_request& aRequest, const auto& aResponder) {
+    HandleTestControl(aRequest, *aResponder, [this](const std::vector<router_id>& aPeers) {
+      mesh.BlockPeers(aPeers);
+    });
+  };
+  if (settings.testControl.Empty() || server.Listen(settings.testControl, handle)) {
+    return true;
+  }
+  reason = server.LastReason();
+  return false;
+}
+
 bool
 router_process::implementation::WaitForRequests(duration aLimit) const
 {
@@ -213,7 +230,7 @@
     self.reason = self.mesh.LastReason();
     return false;
   }
-  if (!self.Listen()) {
+  if (!self.Listen() || !self.ListenForTests()) {
     return false;
   }
   self.StartWatching();
