--- a/bench/placementscenarios.cpp
+++ b/bench/placementscenarios.cpp
@@ -3,6 +3,7 @@
 #include "placementmeter.h"
 
 #include <cstdio>
+#include <future>
 
 namespace persimmon::bench {
 namespace {
@@ -14,6 +15,9 @@
 constexpr duration kScript{ 2'400'000 };
 /// From an instance's failure to its next life.
 constexpr duration kRestart{ 180'000 };
+constexpr int kPlacers = 2;
+/// The weight store of the run serves one load after the other: one group's loads at a time.
+constexpr std::uint64_t kLoadSlots = 4;
 
 struct deployment
 {
@@ -76,9 +80,15 @@
         mHarness.AddInstances("fabric-" + std::to_string(++index), zone, 10);
       }
     }
-    for (int number = 1; number <= 3; ++number) {
+    for (auto& [id, engine] : mHarness.engines) {
+      engine.releaseEmpties = true;
+    }
+    mHarness.net.tick = 200_ms;
+    mHarness.net.watchPoll = 50_ms;
+    for (int number = 1; number <= kPlacers; ++number) {
       placer_options options;
       options.self.value = "p" + std::to_string(number);
+      options.loadSlots = kLoadSlots;
       options.weights = aDeployment.weights;
       options.policy = aPolicy;
       mHarness.AddPlacer(options);
@@ -88,6 +98,15 @@
     }
   }
 
+  struct phase
+  {
+    const char* name;
+    placement_cost before;
+  };
+
+  /// The parts of the script with the cost at their beginning.
+  [[nodiscard]] const std::vector<phase>& Phases() const { return mPhases; }
+
   placement_cost Run()
   {
     mHarness.RunFor(kWarmUp);
@@ -107,21 +126,34 @@
   }
 
   void Schedule()
+  {
+    Begin(0_s, "a member twice", [this] { LoseInTurn(); });
+    Begin(300_s, "a straggler", [this] { Straggle(); });
+    Begin(560_s, "a dark domain", [this] { Darken("fabric-2"); });
+    Begin(900_s, "store down", [this] { StoreOutage(); });
+    Begin(1200_s, "two members", [this] { LoseTwo(); });
+    Begin(1500_s, "a new version", [this] { ChangeVersion(); });
+    Begin(2100_s, "a leaving one", [this] { Leave(); });
+  }
+
+  void Begin(duration aAfter, const char* aName, std::function<void()> aStep)
+  {
+    mHarness.After(aAfter, [this, aName, step = std::move(aStep)] {
+      mPhases.push_back({ aName, mMeter.Cost() });
+      step();
+    });
+  }
+
+  void LoseInTurn()
   {
     mHarness.After(60_s, [this] { Lose(Engine("fabric-1-000")); });
     mHarness.After(150_s, [this] { Lose(Engine("fabric-3-003")); });
-    mHarness.After(300_s, [this] { Straggle(); });
-    mHarness.After(560_s, [this] { Darken("fabric-2"); });
-    mHarness.After(900_s, [this] { StoreOutage(); });
-    mHarness.After(1200_s, [this] { LoseTwo(); });
-    mHarness.After(1500_s, [this] { ChangeVersion(); });
-    mHarness.After(2100_s, [this] { Leave(); });
   }
 
   void Straggle()
   {
-    Engine("fabric-5-001").stepMs = 100;
-    mHarness.After(200_s, [this] { Engine("fabric-5-001").stepMs = 20; });
+    Engine("fabric-3-001").stepMs = 100;
+    mHarness.After(200_s, [this] { Engine("fabric-3-001").stepMs = 20; });
   }
 
   void Darken(const std::string& aDomain)
@@ -163,8 +195,37 @@
   const deployment& mDeployment;
   placement_harness mHarness;
   placement_meter mMeter;
+  std::vector<phase> mPhases;
 };
 
+struct script_result
+{
+  placement_cost cost;
+  std::vector<scripted_run::phase> phases;
+};
+
+script_result
+RunScript(const deployment& aDeployment, const placement_policy& aPolicy, std::uint64_t aSeed)
+{
+  scripted_run run(aDeployment, aPolicy, aSeed);
+  const placement_cost cost = run.Run();
+  return { cost, run.Phases() };
+}
+
+void
+PrintPhases(const script_result& aResult)
+{
+  for (std::size_t index = 0; index < aResult.phases.size(); ++index) {
+    const bool last = index + 1 == aResult.phases.size();
+    const placement_cost& after = last ? aResult.cost : aResult.phases[index + 1].before;
+    const placement_cost& before = aResult.phases[index].before;
+    std::printf("  %-18s down %6.0f  stranded %6.0f\n",
+                aResult.phases[index].name,
+                after.groupSecondsDown - before.groupSecondsDown,
+                after.strandedSeconds - before.strandedSeconds);
+  }
+}
+
 } // namespace
 
 void
@@ -182,8 +243,15 @@
               "writes",
               "loads");
   for (const deployment& where : Deployments()) {
+    std::vector<std::future<script_result>> results;
     for (const named_policy& policy : Policies()) {
-      const placement_cost cost = scripted_run(where, policy.policy, aSeed).Run();
+      results.push_back(
+        std::async(std::launch::async, RunScript, std::cref(where), policy.policy, aSeed));
+    }
+    for (std::size_t index = 0; index < results.size(); ++index) {
+      const named_policy policy = Policies()[index];
+      const script_result result = results[index].get();
+      const placement_cost& cost = result.cost;
       const double weighed = where.weights.downtime * cost.groupSecondsDown +
                              where.weights.stranded * cost.strandedSeconds;
       std::printf("%-10s %-22s %10.0f %10.0f %10.0f %10.0f %8llu %8llu\n",
@@ -195,6 +263,7 @@
                   weighed,
                   static_cast<unsigned long long>(cost.storeWrites),
                   static_cast<unsigned long long>(cost.weightLoads));
+      PrintPhases(result);
     }
   }
 }
@@ -202,14 +271,14 @@
 void
 RunStoreCalls(std::uint64_t aSeed)
 {
-  constexpr int kPlacers = 9;
+  constexpr int kRegionPlacers = 9;
   constexpr duration kHour{ 3'600'000 };
   placement_harness harness(aSeed);
   for (int domain = 1; domain <= 6; ++domain) {
     harness.AddInstances(
       "fabric-" + std::to_string(domain), "zone-" + std::to_string(domain / 2), 10);
   }
-  for (int number = 0; number < kPlacers; ++number) {
+  for (int number = 0; number < kRegionPlacers; ++number) {
     placer_options options;
     options.self.value = "p" + std::to_string(number);
     harness.AddPlacer(options);
@@ -223,11 +292,11 @@
   std::printf(
     "store calls in an hour without failures, %d placers, 60 instances: %llu lease writes, "
     "%llu reads (lists of leases), %llu other writes; a watch of 30 s each adds %d\n",
-    kPlacers,
+    kRegionPlacers,
     static_cast<unsigned long long>(harness.leaseWrites - leases),
     static_cast<unsigned long long>(harness.storeReads - reads),
     static_cast<unsigned long long>(harness.storeWrites - writes),
-    kPlacers * 120);
+    kRegionPlacers * 120);
   const std::uint64_t before = harness.storeWrites;
   const std::uint64_t watches = harness.watchCalls;
   harness.Kill(harness.engines.at({ "fabric-1-000" }));
--- a/src/placement/domainowner.h
+++ b/src/placement/domainowner.h
@@ -63,6 +63,7 @@
 
 private:
   void OnRead(const object_read& aEvent, time_point aNow);
+  void OnMemberRead(const member_read& aEvent, time_point aNow, placement_actions& aActions);
   void OnWritten(const object_written& aEvent, time_point aNow, placement_actions& aActions);
   void Step(const owner_view& aView, time_point aNow, placement_actions& aActions);
   void Write(domain_table aNext, time_point aNow, placement_actions& aActions);
--- a/src/placement/internal/domainowner.cpp
+++ b/src/placement/internal/domainowner.cpp
@@ -89,7 +89,7 @@
   } else if (const auto* written = std::get_if<object_written>(&aEvent)) {
     OnWritten(*written, aNow, actions);
   } else if (const auto* member = std::get_if<member_read>(&aEvent)) {
-    mMembers.OnRead(*member, mTable, aNow);
+    OnMemberRead(*member, aNow, actions);
   } else if (const auto* order = std::get_if<order_done>(&aEvent)) {
     mMembers.OnOrderDone(*order, aNow);
     mMustRead = mMustRead || order->outcome == order_outcome::stale_token;
@@ -156,6 +156,20 @@
   }
 }
 
+void
+domain_owner::OnMemberRead(const member_read& aEvent, time_point aNow, placement_actions& aActions)
+{
+  const tracked_instance* instance = mMembers.Find(aEvent.instance);
+  const bool wasLost = instance != nullptr && instance->lost;
+  if (mMembers.OnRead(aEvent, mTable, aNow) && instance->lost != wasLost) {
+    aActions.emplace_back(log_decision{ instance->lost ? kInstanceLost : kInstanceBack,
+                                        mDomain.value,
+                                        {},
+                                        {},
+                                        aEvent.instance.value });
+  }
+}
+
 domain_table
 domain_owner::Decide(const owner_view& aView, time_point aNow, placement_actions& aActions)
 {
--- a/src/placement/internal/groupdecider.cpp
+++ b/src/placement/internal/groupdecider.cpp
@@ -376,7 +376,10 @@
 {
   std::vector<const tracked_instance*> free;
   for (const auto& [id, instance] : mContext.members.All()) {
-    if (mContext.members.IsFree(id, mContext.now) && !IsAssigned(mNext, id)) {
+    // A group that is formed anew starts from instances that were released.
+    const bool released = mContext.policy.replaceMembers ||
+                          (instance.state.has_value() && instance.state->group.Empty());
+    if (released && mContext.members.IsFree(id, mContext.now) && !IsAssigned(mNext, id)) {
       free.push_back(&instance);
     }
   }
--- a/src/placement/placementevents.h
+++ b/src/placement/placementevents.h
@@ -14,7 +14,6 @@
 inline constexpr log_event kGroupLoading{ 3011, "group_loading", log_level::info };
 inline constexpr log_event kGroupServing{ 3012, "group_serving", log_level::info };
 inline constexpr log_event kGroupRepaired{ 3013, "group_repaired", log_level::warning };
-inline constexpr log_event kGroupWaiting{ 3014, "group_waiting", log_level::warning };
 inline constexpr log_event kGroupDropped{ 3015, "group_dropped", log_level::warning };
 inline constexpr log_event kGroupDraining{ 3016, "group_draining", log_level::info };
 inline constexpr log_event kGroupWithdrawn{ 3017, "group_withdrawn", log_level::warning };
@@ -35,11 +34,11 @@
 inline constexpr log_event kAdminFailed{ 3053, "admin_failed", log_level::error };
 
 inline constexpr std::array kPlacementEvents = {
-  kLeaseGained,    kLeaseLost,     kDomainTaken,  kDomainLeft,      kGroupFormed,   kGroupLoading,
-  kGroupServing,   kGroupRepaired, kGroupWaiting, kGroupDropped,    kGroupDraining, kGroupWithdrawn,
-  kGroupChanged,   kOrderSent,     kOrderFailed,  kInstanceLost,    kInstanceBack,  kTableUnsettled,
-  kTableRefused,   kPlanChanged,   kServiceUnmet, kDocumentRefused, kPlacerStarted, kPlacerStopping,
-  kAdminListening, kAdminFailed,
+  kLeaseGained,     kLeaseLost,      kDomainTaken,    kDomainLeft,     kGroupFormed,
+  kGroupLoading,    kGroupServing,   kGroupRepaired,  kGroupDropped,   kGroupDraining,
+  kGroupWithdrawn,  kGroupChanged,   kOrderSent,      kOrderFailed,    kInstanceLost,
+  kInstanceBack,    kTableUnsettled, kTableRefused,   kPlanChanged,    kServiceUnmet,
+  kDocumentRefused, kPlacerStarted,  kPlacerStopping, kAdminListening, kAdminFailed,
 };
 
 } // namespace persimmon::placement
--- a/src/placement/tests/mocks/fakeengine.h
+++ b/src/placement/tests/mocks/fakeengine.h
@@ -36,6 +36,8 @@
   bool holdsGroup = false;
   bool draining = false;
   bool leaving = false;
+  /// A release drops the weights too.
+  bool releaseEmpties = false;
   time_point readyAt;
   std::uint64_t inFlight = 0;
   std::int64_t stepMs = 20;
@@ -66,6 +68,9 @@
     if (aOrder.kind == order_kind::release) {
       holdsGroup = false;
       draining = false;
+      if (releaseEmpties) {
+        resident.clear();
+      }
     } else if (aOrder.kind == order_kind::drain) {
       draining = holdsGroup;
     } else {
