--- a/src/placement/internal/planbuilder.cpp
+++ b/src/placement/internal/planbuilder.cpp
@@ -122,6 +122,7 @@
                      (planned.IsServing() && members < service.Size()) || planned.ending || moves;
   if (moves) {
     mPlan.moves.push_back(aGroup.id);
+    service.leaves = &aRoom;
   }
   if (!planned.outdated && members < service.Size()) {
     service.broken.push_back(planned);
@@ -173,14 +174,45 @@
   }
 }
 
+std::uint64_t
+plan_builder::CountPlanned(const planned_service& aService, const domain_room& aRoom) const
+{
+  const auto here = [&](const planned_group& aGroup) { return aGroup.room == &aRoom; };
+  const auto added = mShares.find({ aService.document->service, aRoom.name });
+  const auto groups = std::count_if(aService.kept.begin(), aService.kept.end(), here) +
+                      std::count_if(aService.outdated.begin(), aService.outdated.end(), here);
+  return static_cast<std::uint64_t>(groups) + (added == mShares.end() ? 0 : added->second);
+}
+
 domain_room*
-plan_builder::BestRoom(const planned_service& aService, bool aNow, const domain_room* aExcept)
+plan_builder::PromisedRoom(const planned_service& aService, bool aNow)
+{
+  if (mInput.previous == nullptr) {
+    return nullptr;
+  }
+  for (const service_share& share : mInput.previous->shares) {
+    const auto found = mRooms.find(share.domain);
+    if (share.service != aService.document->service || found == mRooms.end()) {
+      continue;
+    }
+    domain_room& room = found->second;
+    const std::int64_t space = aNow ? room.Now() : room.Later();
+    const bool promised = CountPlanned(aService, room) < share.groups;
+    if (promised && space >= aService.Size() && &room != aService.leaves) {
+      return &room;
+    }
+  }
+  return nullptr;
+}
+
+domain_room*
+plan_builder::BestRoom(const planned_service& aService, bool aNow)
 {
   domain_room* best = nullptr;
   std::pair<std::int64_t, std::int64_t> bestKey;
   for (auto& [name, room] : mRooms) {
     const std::int64_t space = aNow ? room.Now() : room.Later();
-    if (space < aService.Size() || &room == aExcept) {
+    if (space < aService.Size() || &room == aService.leaves) {
       continue;
     }
     if (!mOptions.policy.bestFit) {
@@ -209,9 +241,12 @@
 bool
 plan_builder::Place(planned_service& aService, bool aNowOnly)
 {
-  domain_room* room = BestRoom(aService, true, nullptr);
+  domain_room* room = PromisedRoom(aService, aNowOnly);
+  if (room == nullptr) {
+    room = BestRoom(aService, true);
+  }
   if (room == nullptr && !aNowOnly) {
-    room = BestRoom(aService, false, nullptr);
+    room = BestRoom(aService, false);
   }
   if (room != nullptr) {
     Give(aService, *room);
@@ -324,7 +359,9 @@
       for (const planned_group& kept : service.kept) {
         const bool opens = kept.IsServing() && service.Size() < waiting.Size() &&
                            kept.room->Now() + kept.usableMembers >= waiting.Size();
-        domain_room* target = opens ? BestRoom(service, true, kept.room) : nullptr;
+        service.leaves = kept.room;
+        domain_room* target = opens ? BestRoom(service, true) : nullptr;
+        service.leaves = nullptr;
         if (target != nullptr) {
           mPlan.moves.push_back(kept.entry->id);
           Give(service, *target);
--- a/src/placement/internal/planbuilder.h
+++ b/src/placement/internal/planbuilder.h
@@ -52,6 +52,8 @@
   /// Groups that the plan adds.
   std::int64_t added = 0;
   std::map<zone_name, std::int64_t> zones;
+  /// The domain that a group of the service is moved out of; it takes no new one meanwhile.
+  const domain_room* leaves = nullptr;
 
   [[nodiscard]] std::int64_t Size() const { return document->capacity.instancesPerReplica; }
   [[nodiscard]] std::int64_t Wanted() const { return document->capacity.replicas; }
@@ -86,7 +88,12 @@
 
   void Stop(planned_service& aService, planned_group& aGroup);
   bool Place(planned_service& aService, bool aNowOnly);
-  domain_room* BestRoom(const planned_service& aService, bool aNow, const domain_room* aExcept);
+  /// Finds a domain that the plan in force gives a group which does not exist yet. Without it, a
+  /// plan made between two tables' changes would place the same group twice.
+  domain_room* PromisedRoom(const planned_service& aService, bool aNow);
+  [[nodiscard]] std::uint64_t CountPlanned(const planned_service& aService,
+                                           const domain_room& aRoom) const;
+  domain_room* BestRoom(const planned_service& aService, bool aNow);
   void Give(planned_service& aService, domain_room& aRoom);
   [[nodiscard]] std::int64_t CountServing(const planned_service& aService) const;
   [[nodiscard]] std::int64_t CountForming(const planned_service& aService) const;
