--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -78,6 +78,15 @@
   CHECK(outcome.refused);
 }
 
+TEST(upstream_loop, ConnectOnlySendsNothing)
+{
+  const raw_server server({ { kHello, raw_end::keep } });
+  upstream_call call = CallTo(server.Address(), true);
+  call.connectOnly = true;
+  CHECK(Run(loop, std::move(call)).outcome.end == call_end::whole);
+  CHECK_EQUAL(0, server.RequestCount());
+}
+
 TEST(upstream_loop, CutResponseMayHaveBeenSent)
 {
   const raw_server server(
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -25,6 +25,8 @@
   /// unnoticed; the call then ends as maybe_sent although nothing arrived, which a call that may
   /// run only once cannot afford.
   bool freshConnection = false;
+  /// Only connect and send nothing; the end is whole when the connection was made.
+  bool connectOnly = false;
 };
 
 } // namespace persimmon::upstream
