--- a/src/app/router/internal/clusterboard.cpp
+++ b/src/app/router/internal/clusterboard.cpp
@@ -26,6 +26,20 @@
   return std::nullopt;
 }
 
+const char*
+HealthName(routing::pool_health aHealth)
+{
+  switch (aHealth) {
+    case routing::pool_health::good:
+      return "good";
+    case routing::pool_health::probation:
+      return "probation";
+    case routing::pool_health::ejected:
+      return "ejected";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 cluster_board::cluster_board(router_id aSelf,
@@ -86,8 +100,8 @@
       WriteLog(routing::kUpstreamHealthChanged,
                { { "service", service->Name().value },
                  { "upstream", change.id.value },
-                 { "before", std::to_string(static_cast<int>(change.before)) },
-                 { "after", std::to_string(static_cast<int>(change.after)) } });
+                 { "before", HealthName(change.before) },
+                 { "after", HealthName(change.after) } });
     }
   }
 }
@@ -127,8 +141,10 @@
   event.object = object->kind + "/" + object->name;
   event.revision = object->version.value;
   mHistory.Write(std::move(event));
-  WriteLog(object->kind == "service" ? routing::kDocumentApplied : routing::kTableApplied,
-           { { "name", object->name }, { "revision", std::to_string(object->version.value) } });
+  const bool document = object->kind == "service";
+  WriteLog(document ? routing::kDocumentApplied : routing::kTableApplied,
+           { { document ? "service" : "domain", object->name },
+             { "revision", std::to_string(object->version.value) } });
 }
 
 void
@@ -136,9 +152,10 @@
 {
   if (const auto object = ObjectOf(aMessage)) {
     WriteLog(routing::kObjectMalformed,
-             { { "object", object->kind + "/" + object->name },
+             { { "kind", object->kind },
+               { "name", object->name },
                { "revision", std::to_string(object->version.value) },
-               { "problem", mView.LastReason() } });
+               { "detail", mView.LastReason() } });
   }
 }
 
--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -210,7 +210,7 @@
 }
 
 std::optional<endpoint>
-http_server::Listen(const endpoint& aAddress, request_handler aHandler)
+http_server::Listen(const endpoint& aAddress, const request_handler& aHandler)
 {
   implementation& self = *mImplementation;
   const auto parts = SplitEndpoint(aAddress);
