--- a/src/app/ctlmain.cpp
+++ b/src/app/ctlmain.cpp
@@ -187,7 +187,12 @@
     }
   }
   for (const platform::stored_object& object : notes->objects) {
-    aInput.notes.push_back({ object.key.name, object.value });
+    json_problem problem;
+    if (auto note = ctl::ParsePlacementNote(object.value, problem)) {
+      aInput.notes.push_back(std::move(*note));
+    } else {
+      std::cerr << "status/" << object.key.name << ": " << problem.Text() << "\n";
+    }
   }
   aInput.instances = std::move(*instances);
   return true;
--- a/src/ctl/internal/statusreport.cpp
+++ b/src/ctl/internal/statusreport.cpp
@@ -112,6 +112,26 @@
 
 } // namespace
 
+std::optional<placement_note>
+ParsePlacementNote(std::string_view aText, json_problem& aProblem)
+{
+  const auto value = ParseJson(aText, aProblem);
+  if (!value) {
+    return std::nullopt;
+  }
+  json_reader reader(*value, "$", aProblem);
+  reader.AllowUnknown();
+  placement_note note;
+  note.service.value = reader.Text("service");
+  note.wanted = reader.Number("wanted", 0, INT64_MAX);
+  note.placed = reader.Number("placed", 0, INT64_MAX);
+  note.why = reader.TextOr("why", "");
+  if (!reader.Finish()) {
+    return std::nullopt;
+  }
+  return note;
+}
+
 std::string
 RenderStatus(const status_input& aInput)
 {
@@ -121,7 +141,14 @@
   AppendDomains(aInput, out);
   AppendInstances(aInput, out);
   for (const placement_note& note : aInput.notes) {
-    fmt::format_to(out, "Note on {}: {}\n", note.name, note.text);
+    if (!note.why.empty()) {
+      fmt::format_to(out,
+                     "Not met: {} has {} of {} groups placed: {}\n",
+                     note.service.value,
+                     note.placed,
+                     note.wanted,
+                     note.why);
+    }
   }
   return text;
 }
--- a/src/ctl/statusreport.h
+++ b/src/ctl/statusreport.h
@@ -5,18 +5,28 @@
 #include "placement/domaintable.h"
 #include "platform/instancelist.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmon::ctl {
 
-/// A status object that placers write about a service that cannot be satisfied.
+/// What the planner says of a service whose document cannot be met.
 struct placement_note
 {
-  std::string name;
-  std::string text;
+  service_name service;
+  std::int64_t wanted = 0;
+  std::int64_t placed = 0;
+  /// Empty when the document is met again.
+  std::string why;
 };
 
+/// Parses the value of a `status` object.
+std::optional<placement_note>
+ParsePlacementNote(std::string_view aText, json_problem& aProblem);
+
 /// All that `persimmonctl status` shows.
 struct status_input
 {
--- a/src/ctl/tests/statustests.cpp
+++ b/src/ctl/tests/statustests.cpp
@@ -37,3 +37,17 @@
   CHECK(status.has_value());
   CHECK(status->documents.at({ "a" }) == revision{ 4 });
 }
+
+TEST(status, ShowsWhyADocumentIsNotMet)
+{
+  json_problem problem;
+  status_input input;
+  input.notes.push_back(*ParsePlacementNote(
+    R"({"service":"a","wanted":3,"placed":1,"why":"fabric-1 lacks 2 instances"})", problem));
+  input.notes.push_back(
+    *ParsePlacementNote(R"({"service":"b","wanted":0,"placed":0,"why":""})", problem));
+  const std::string report = RenderStatus(input);
+  STRCMP_CONTAINS("Not met: a has 1 of 3 groups placed: fabric-1 lacks 2 instances",
+                  report.c_str());
+  CHECK(report.find("Not met: b") == std::string::npos);
+}
