--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -6,6 +6,7 @@
 #include "peers/peersmetrics.h"
 #include "peers/wireframe.h"
 
+#include <atomic>
 #include <charconv>
 #include <future>
 #include <map>
@@ -51,7 +52,7 @@
   std::unique_ptr<websocket_transport> transport;
   std::string reason;
   steady_clock clock;
-  bool running = false;
+  std::atomic<bool> running = false;
 
   // The core changes on the transport's thread only; other threads read it under the lock.
   mutable std::mutex mutex;
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -2,6 +2,7 @@
 own on ports counted from a base, so that several deployments can run side by side."""
 import http.client
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -10,7 +11,7 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BIN = ROOT / "build" / "bin"
+BIN = pathlib.Path(os.environ.get("PERSIMMON_BIN", ROOT / "build" / "bin"))
 ZONES = ["nyarugenge", "gasabo", "kicukiro"]
 MESH_KEY = "demo-mesh-key"
 STOP_SECONDS = 15
