--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -11,6 +11,7 @@
 LANES = 2
 SHORTEST_GAP, LONGEST_GAP = 0.3, 2.0
 MEND_SECONDS = 12
+EDIT_SECONDS = 15
 MARKER = "poisonous claim"
 MODELS = {"verifier-llm": "kigali", "vakt-model": "tjaldleid"}
 
@@ -129,7 +130,7 @@
         self.cluster, self.history, self.log, self.out = cluster, history, log, out
         self.lock = threading.Lock()
         self.plans = {}
-        self.expected_deaths = set()
+        self.broken = set()
         self.version = {}
 
     def begin(self, fault):
@@ -198,7 +199,7 @@
         code = self.cluster.wait_for(fault.target, time.monotonic() + deployment.STOP_SECONDS)
         if code != 0:
             self.log(f"PROBLEM {fault.target} ended its planned stop with {code}")
-            self.expected_deaths.add(f"{fault.target} stopped with {code}")
+            self.broken.add(f"{fault.target} stopped with {code}")
 
     def end_router_stopped(self, fault):
         self.restart(fault.target)
@@ -390,28 +391,48 @@
         path = deployment.ROOT / "examples" / MODELS[service] / f"{service}.json"
         return json.loads(path.read_text())
 
-    def apply(self, name, document):
-        path = self.out / f"{name}.json"
-        path.write_text(json.dumps(document))
-        return subprocess.Popen(
-            [str(deployment.BIN / "persimmonctl"), "apply", str(path), "--store-url", self.cluster.store_url],
-            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    def version_of(self, service):
+        """Returns the version that an operator would edit; nothing while the platform cannot be read."""
+        status, headers, _ = deployment.call("GET", f"{self.cluster.store_url}/objects/service/{service}", timeout=2)
+        return headers.get("ETag", "").strip('"') if status == 200 else None
+
+    def edit(self, name, documents):
+        """Applies several edits of one version at the same time; returns how each ended."""
+        service = documents[0]["service"]
+        version = deployment.wait_until(lambda: self.version_of(service), EDIT_SECONDS)
+        if not version:
+            return ["not read"]
+        runs = []
+        for editor, document in enumerate(documents):
+            path = self.out / f"{name}-{editor}.json"
+            path.write_text(json.dumps(document))
+            runs.append(subprocess.Popen(
+                [str(deployment.BIN / "persimmonctl"), "apply", str(path), "--expect", version,
+                 "--store-url", self.cluster.store_url], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL))
+        return [self.end_of(run) for run in runs]
+
+    @staticmethod
+    def end_of(run):
+        try:
+            return run.wait(EDIT_SECONDS)
+        except subprocess.TimeoutExpired:
+            run.kill()
+            run.wait()
+            return "did not end"
 
     def begin_document_race(self, fault):
         """Two operators edit one document at the same time."""
         self.history.write("begin document_race", fault.target)
-        runs = []
+        documents = []
         for editor in (0, 1):
             document = self.document(fault.target)
             document["model"]["version"] = self.version.get(fault.target, document["model"]["version"])
             document["limits"]["queue"] = 64 + (fault.salt + editor) % 128
-            runs.append(self.apply(f"race-{fault.salt}-{editor}", document))
-        for run in runs:
-            try:
-                run.wait(20)
-            except subprocess.TimeoutExpired:
-                run.kill()
-                run.wait()
+            documents.append(document)
+        ends = self.edit(f"race-{fault.salt}", documents)
+        self.log(f"race on {fault.target} ended with {ends}")
+        if ends.count(0) > 1:
+            self.broken.add(f"both edits of {fault.target} from one version were accepted")
 
     def end_document_race(self, fault):
         self.history.write("end document_race", fault.target)
@@ -421,13 +442,10 @@
         self.history.write("begin rollout", fault.target)
         document = self.document(fault.target)
         document["model"]["version"] = f"v{10 + fault.salt % 1000}"
-        self.version[fault.target] = document["model"]["version"]
-        run = self.apply(f"rollout-{fault.salt}", document)
-        try:
-            run.wait(20)
-        except subprocess.TimeoutExpired:
-            run.kill()
-            run.wait()
+        ends = self.edit(f"rollout-{fault.salt}", [document])
+        self.log(f"rollout of {fault.target} ended with {ends}")
+        if ends == [0]:
+            self.version[fault.target] = document["model"]["version"]
 
     def end_rollout(self, fault):
         self.history.write("end rollout", fault.target)
