--- a/standins/engine/engineinstance.cpp
+++ b/standins/engine/engineinstance.cpp
@@ -16,6 +16,7 @@
 // Causes of a cut as HISTORY.md names them.
 constexpr const char* kMemberMissing = "member_missing";
 constexpr const char* kMemberChanged = "member_changed";
+constexpr const char* kPaused = "paused";
 constexpr const char* kCrashed = "crashed";
 constexpr const char* kCallerLeft = "caller_left";
 
@@ -368,7 +369,7 @@
 {
   std::vector<engine_output> outputs;
   if (aPause > mOptions.memberTimeout && mMembers.size() > 1) {
-    DropAll(kMemberMissing, outputs);
+    DropAll(kPaused, outputs);
   }
   return outputs;
 }
