--- a/src/peers/internal/meshcorefacts.cpp
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -11,7 +11,11 @@
 constexpr int kDifferencesBeforeRepair = 2;
 /// An origin that spoke and then was silent for this long may have lost its path.
 constexpr duration kStarvation{ 1700 };
-constexpr duration kAppliedSettle = 5_s;
+/// A router's hash goes out when nothing was applied for this long, or this long after the first.
+constexpr duration kAppliedSettle = 1_s;
+constexpr duration kAppliedLongest = 5_s;
+/// Versions applied within one interval that are told one by one.
+constexpr std::size_t kMostSingleVersions = 8;
 constexpr std::int64_t kStampStepMs = 50;
 /// Stands for all origins in a graft.
 constexpr const char* kAllOrigins = "*";
@@ -419,8 +423,10 @@
   if (facts.Offer(fact, now) != offer_result::newer) {
     return;
   }
-  if (const auto* applied = std::get_if<applied_message>(&aEvent.message)) {
+  const auto* applied = std::get_if<applied_message>(&aEvent.message);
+  if (applied != nullptr && applied->router == options.self) {
     UpdateOwnHash(*applied);
+    return;
   }
   Accepted(fact, std::nullopt);
 }
@@ -428,9 +434,6 @@
 void
 mesh_core::implementation::UpdateOwnHash(const applied_message& aMessage)
 {
-  if (aMessage.router != options.self) {
-    return;
-  }
   const subject_id subject = SubjectOf(aMessage.what, aMessage.name);
   applied_hash_record& own = appliedHashes[options.self];
   own.router = options.self;
@@ -440,8 +443,24 @@
   }
   mOwnApplied[subject] = aMessage.version.value;
   own.hash ^= HashOfVersion(subject, aMessage.version.value);
+  if (!mAppliedChanged) {
+    mAppliedFirstAt = now;
+  }
   mAppliedChanged = true;
   mAppliedChangedAt = now;
+  mAppliedUnsent.push_back(SubjectOf(aMessage));
+}
+
+void
+mesh_core::implementation::SpreadOwnApplied()
+{
+  // Many at once, as after a start, are told by the hash alone.
+  if (mAppliedUnsent.size() <= kMostSingleVersions) {
+    for (const subject_id subject : mAppliedUnsent) {
+      QueueForOthers(*facts.Find(subject), std::nullopt);
+    }
+  }
+  mAppliedUnsent.clear();
 }
 
 bool
@@ -483,7 +502,9 @@
 void
 mesh_core::implementation::SettleAppliedHash()
 {
-  if (!mAppliedChanged || now - mAppliedChangedAt < kAppliedSettle) {
+  const bool settled =
+    now - mAppliedChangedAt >= kAppliedSettle || now - mAppliedFirstAt >= kAppliedLongest;
+  if (!mAppliedChanged || !settled) {
     return;
   }
   mAppliedChanged = false;
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -101,6 +101,7 @@
   void GraftStarved();
   void AskForWanted();
   void Repair(link_state& aLink);
+  void SpreadOwnApplied();
   void UpdateOwnHash(const applied_message& aMessage);
   void SettleAppliedHash();
   void SpreadAppliedHash(const router_id& aRouter, std::optional<link_id> aExcept);
@@ -138,6 +139,8 @@
   time_point mNextUpkeep;
   std::uint64_t mLastStamp = 0;
   time_point mAppliedChangedAt;
+  time_point mAppliedFirstAt;
+  std::vector<subject_id> mAppliedUnsent;
   bool mAppliedChanged = false;
   std::unordered_map<subject_id, std::uint64_t> mOwnApplied;
   std::unordered_map<subject_id, time_point> mPresenceSent;
--- a/src/peers/internal/meshcoresending.cpp
+++ b/src/peers/internal/meshcoresending.cpp
@@ -77,6 +77,7 @@
   mBudget += options.bytesPerSecond * (now - mBudgetAt).ms / 1000;
   mBudget = std::min(mBudget, options.burstBytes);
   mBudgetAt = now;
+  SpreadOwnApplied();
   SettleAppliedHash();
   const auto bulkStart = static_cast<std::size_t>(message_worth::presence);
   const std::size_t end = aBulk ? kWorthCount : bulkStart;
@@ -120,7 +121,8 @@
 mesh_core::implementation::SendWaiting(link_state& aLink, std::size_t aWorth)
 {
   if (const auto subject = aLink.facts[aWorth].Take()) {
-    if (const mesh_fact* fact = facts.Find(*subject)) {
+    const mesh_fact* fact = facts.Find(*subject);
+    if (fact != nullptr && aLink.prunedByPeer.count(OriginOf(fact->message)) == 0) {
       Spend(aLink, RenderFact(aLink, *fact));
     }
     return true;
--- a/src/peers/tests/mocks/memorymesh.h
+++ b/src/peers/tests/mocks/memorymesh.h
@@ -80,6 +80,9 @@
     return std::nullopt;
   }
 
+  /// Calls a function after a span of simulated time.
+  void At(duration aSpan, std::function<void()> aWhat) { After(aSpan, std::move(aWhat)); }
+
   void Feed(std::size_t aNode, const mesh_event& aEvent)
   {
     node& target = mNodes[aNode];
