--- a/bench/meshbench.cpp
+++ b/bench/meshbench.cpp
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <fmt/format.h>
 #include <malloc.h>
+#include <numeric>
 
 using namespace persimmon;
 using namespace persimmon::bench;
@@ -102,8 +103,12 @@
 {
   const mesh_counters counters =
     aWorkload.Mesh().Core(aRouter).Status(aWorkload.Mesh().Now()).counters;
-  return { counters.bytesSent,         counters.bodyBytesSent, counters.framesSent,
-           counters.messagesDelivered, counters.duplicates,    counters.waiting };
+  return { counters.bytesSent,
+           counters.bodyBytesSent,
+           counters.framesSent,
+           counters.messagesDelivered,
+           counters.duplicates,
+           std::accumulate(counters.waiting.begin(), counters.waiting.end(), std::uint64_t{ 0 }) };
 }
 
 void
@@ -142,6 +147,16 @@
     copies +=
       news > 0 ? (news + static_cast<double>(after.duplicates - before[i].duplicates)) / news : 0;
     waiting += static_cast<double>(after.waiting);
+    if (std::getenv("DBG") && i < 3) {
+      const auto c = workload.Mesh().Core(i).Status(workload.Mesh().Now()).counters;
+      for (size_t w = 0; w < kWorthCount; ++w)
+        fmt::print(stderr,
+                   "router {} worth {} bytes {} waiting {}\n",
+                   i,
+                   w,
+                   c.bytesByWorth[w],
+                   c.waiting[w]);
+    }
   }
   const auto routers = static_cast<double>(aOptions.routers);
   fmt::print("| {} | {} | {:.0f} | {:.0f} | {:.0f} | {:.1f} | {:.2f} | {:.0f} | {} | {} | {:.2f} | "
--- a/src/peers/internal/meshcore.cpp
+++ b/src/peers/internal/meshcore.cpp
@@ -50,8 +50,8 @@
   mesh_status status;
   status.counters = mImplementation->counters;
   for (const auto& [id, link] : mImplementation->links) {
-    for (const auto& waiting : link.facts) {
-      status.counters.waiting += waiting.Size();
+    for (std::size_t worth = 0; worth < kWorthCount; ++worth) {
+      status.counters.waiting[worth] += link.facts[worth].Size();
     }
     if (link.greeted) {
       status.peers.push_back({ link.peer, link.outgoing, link.leaf, aNow - link.lastHeard });
--- a/src/peers/internal/meshcorefacts.cpp
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -11,6 +11,9 @@
 constexpr int kDifferencesBeforeRepair = 2;
 /// An origin that spoke and then was silent for this long may have lost its path.
 constexpr duration kStarvation{ 1700 };
+/// Times in a row that another link must be faster than an origin's path to take its place; a
+/// hasty change could close a circle.
+constexpr int kOvertakesBeforeSwitch = 3;
 /// A router's hash goes out when nothing was applied for this long, or this long after the first.
 constexpr duration kAppliedSettle = 1_s;
 constexpr duration kAppliedLongest = 5_s;
@@ -290,7 +293,15 @@
     return;
   }
   origin_state& origin = mOrigins[aOrigin];
-  origin.parent = aFrom;
+  const bool orphan = links.find(origin.parent) == links.end();
+  if (orphan) {
+    origin.parent = aFrom;
+  }
+  if (origin.parent == aFrom) {
+    origin.overtakes = 0;
+  } else if (links.at(aFrom).prunedByUs.count(aOrigin) == 0) {
+    origin.challenger = aFrom;
+  }
   if (aPeriodic) {
     origin.heard = now;
     origin.periodic = true;
@@ -300,9 +311,20 @@
 void
 mesh_core::implementation::TookDuplicate(link_state& aLink, const router_id& aOrigin)
 {
-  const auto origin = mOrigins.find(aOrigin);
-  const bool parent = origin == mOrigins.end() || origin->second.parent == aLink.id;
-  if (aOrigin.Empty() || parent || !aLink.prunedByUs.insert(aOrigin).second) {
+  const auto found = mOrigins.find(aOrigin);
+  if (aOrigin.Empty() || found == mOrigins.end()) {
+    return;
+  }
+  origin_state& origin = found->second;
+  if (origin.parent == aLink.id) {
+    ++origin.overtakes;
+    if (origin.overtakes < kOvertakesBeforeSwitch || links.count(origin.challenger) == 0) {
+      return;
+    }
+    origin.parent = origin.challenger;
+    origin.overtakes = 0;
+  }
+  if (!aLink.prunedByUs.insert(aOrigin).second) {
     return;
   }
   Append(aLink, aLink.codec.Render(aOrigin, record_kind::prune, aLink.frame));
@@ -333,7 +355,9 @@
   }
   facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
     const router_id from = OriginOf(aFact.message);
-    if (!from.Empty() && (all || from == *origin)) {
+    // Versions applied are told by the origin's hash below.
+    const bool single = !std::holds_alternative<applied_message>(aFact.message);
+    if (single && !from.Empty() && (all || from == *origin)) {
       Queue(aLink, aSubject, aFact);
     }
   });
@@ -380,7 +404,7 @@
     }
   }
   for (const router_id& origin : starved) {
-    mOrigins[origin].periodic = false;
+    mOrigins.erase(origin);
     GraftOrigin(origin);
   }
 }
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -51,6 +51,9 @@
   struct origin_state
   {
     link_id parent;
+    /// A link that brought news before the parent did, and how often in a row.
+    link_id challenger;
+    int overtakes = 0;
     /// It sends presence, which comes again and again.
     bool periodic = false;
     time_point heard;
--- a/src/peers/internal/meshcoresending.cpp
+++ b/src/peers/internal/meshcoresending.cpp
@@ -111,9 +111,11 @@
 {
   const std::size_t names = aLink.frame.names.size();
   const std::size_t frames = counters.framesSent;
+  const std::int64_t before = mBudget;
   const bool sent = SendWaiting(aLink, aWorth);
   const std::size_t first = counters.framesSent == frames ? names : 0;
   mBudget -= static_cast<std::int64_t>(SizeOfNames(aLink.frame, first));
+  counters.bytesByWorth[aWorth] += static_cast<std::uint64_t>(before - mBudget);
   return sent;
 }
 
--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <numeric>
 #include <set>
 
 namespace persimmon::peers {
@@ -281,7 +282,9 @@
   count(kMeshDuplicates, counters.duplicates, counted.duplicates);
   count(kMeshUnknown, counters.unknownRecords, counted.unknownRecords);
   count(kMeshBadFrames, counters.badFrames, counted.badFrames);
-  metrics->Set(kMeshWaiting, static_cast<double>(counters.waiting));
+  const auto waiting =
+    std::accumulate(counters.waiting.begin(), counters.waiting.end(), std::uint64_t{ 0 });
+  metrics->Set(kMeshWaiting, static_cast<double>(waiting));
   metrics->Set(kMeshPeers, static_cast<double>(status.peers.size()));
   metrics->Set(kMeshLive, static_cast<double>(live));
   counted = counters;
--- a/src/peers/meshstatus.h
+++ b/src/peers/meshstatus.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "peers/factstore.h"
 #include "peers/member.h"
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -31,8 +33,10 @@
   std::uint64_t duplicates = 0;
   std::uint64_t unknownRecords = 0;
   std::uint64_t badFrames = 0;
-  /// Messages that wait because the byte budget is used up, at present.
-  std::uint64_t waiting = 0;
+  /// Bytes of records within the budget, by message_worth.
+  std::array<std::uint64_t, kWorthCount> bytesByWorth{};
+  /// Messages that wait for the next frame or for the budget at present, by message_worth.
+  std::array<std::uint64_t, kWorthCount> waiting{};
 };
 
 /// State of the mesh as one process sees it.
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -194,7 +194,7 @@
            got.end();
   };
   CHECK(mesh.RunUntil(1_s, heard).has_value());
-  CHECK(mesh.Core(0).Status(mesh.Now()).counters.waiting > 1000);
+  CHECK(mesh.Core(0).Status(mesh.Now()).counters.waiting.back() > 1000);
 }
 
 TEST(mesh_core, SteadyPresenceStaysWithinTheBudget)
