--- a/src/peers/internal/meshcorefacts.cpp
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -15,8 +15,10 @@
 /// hasty change could close a circle.
 constexpr int kOvertakesBeforeSwitch = 3;
 /// A router's hash goes out when nothing was applied for this long, or this long after the first.
-constexpr duration kAppliedSettle = 1_s;
-constexpr duration kAppliedLongest = 5_s;
+constexpr duration kAppliedSettle = 5_s;
+constexpr duration kAppliedLongest = 15_s;
+/// The same after many versions at once, which are not told one by one.
+constexpr duration kManyAppliedSettle = 1_s;
 /// Versions applied within one interval that are told one by one.
 constexpr std::size_t kMostSingleVersions = 8;
 constexpr std::int64_t kStampStepMs = 50;
@@ -479,10 +481,12 @@
 mesh_core::implementation::SpreadOwnApplied()
 {
   // Many at once, as after a start, are told by the hash alone.
-  if (mAppliedUnsent.size() <= kMostSingleVersions) {
-    for (const subject_id subject : mAppliedUnsent) {
-      QueueForOthers(*facts.Find(subject), std::nullopt);
-    }
+  if (mAppliedUnsent.size() > kMostSingleVersions) {
+    mAppliedMany = true;
+    mAppliedUnsent.clear();
+  }
+  for (const subject_id subject : mAppliedUnsent) {
+    QueueForOthers(*facts.Find(subject), std::nullopt);
   }
   mAppliedUnsent.clear();
 }
@@ -526,12 +530,14 @@
 void
 mesh_core::implementation::SettleAppliedHash()
 {
+  const duration settle = mAppliedMany ? kManyAppliedSettle : kAppliedSettle;
   const bool settled =
-    now - mAppliedChangedAt >= kAppliedSettle || now - mAppliedFirstAt >= kAppliedLongest;
+    now - mAppliedChangedAt >= settle || now - mAppliedFirstAt >= kAppliedLongest;
   if (!mAppliedChanged || !settled) {
     return;
   }
   mAppliedChanged = false;
+  mAppliedMany = false;
   applied_hash_record& own = appliedHashes[options.self];
   own.stamp =
     std::max(own.stamp + 1, options.life + static_cast<std::uint64_t>((now - mStartedAt).ms));
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -145,6 +145,7 @@
   time_point mAppliedFirstAt;
   std::vector<subject_id> mAppliedUnsent;
   bool mAppliedChanged = false;
+  bool mAppliedMany = false;
   std::unordered_map<subject_id, std::uint64_t> mOwnApplied;
   std::unordered_map<subject_id, time_point> mPresenceSent;
 };
--- a/src/peers/meshoptions.h
+++ b/src/peers/meshoptions.h
@@ -28,8 +28,8 @@
   /// Bytes that messages may take a second on all links together; bodies that a peer asked for and
   /// the upkeep of links come on top and are counted apart.
   std::int64_t bytesPerSecond = 3000;
-  /// Bytes that may go out at once after a quiet time.
-  std::int64_t burstBytes = 16384;
+  /// Bytes that may go out at once after a quiet time, as after a start or a partition.
+  std::int64_t burstBytes = 65536;
   /// Interval of urgent frames: versions, leaving marks, suspects, members.
   duration urgentInterval{ 50 };
   /// Interval of all other frames.
