--- a/src/peers/internal/linkstate.h
+++ b/src/peers/internal/linkstate.h
@@ -39,7 +39,7 @@
   /// Summaries in a row that showed a difference.
   int differences = 0;
   time_point lastRepair;
-  bool hasSummary = false;
+  std::size_t summaries = 0;
 
   void Forget(subject_id aSubject)
   {
--- a/src/peers/internal/meshcorefacts.cpp
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -22,6 +22,7 @@
 /// Versions applied within one interval that are told one by one.
 constexpr std::size_t kMostSingleVersions = 8;
 constexpr std::int64_t kStampStepMs = 50;
+constexpr std::uint64_t kHashStampStepMs = 1000;
 /// Stands for all origins in a graft.
 constexpr const char* kAllOrigins = "*";
 
@@ -111,42 +112,58 @@
   if (summary->listed && summary->hash == facts.Hash()) {
     caughtUp = true;
   }
+  ++aLink.summaries;
   const bool same = summary->hash == facts.Hash() && summary->members == members.Hash();
   aLink.differences = same ? 0 : aLink.differences + 1;
-  const bool first = !aLink.hasSummary;
-  aLink.hasSummary = true;
+  // The dialling side tells first; the other then knows what is left to tell.
+  const bool first = aLink.summaries == (aLink.outgoing ? 1 : 2);
   const bool lasting =
     aLink.differences >= kDifferencesBeforeRepair && now - aLink.lastRepair > kRepairInterval;
+  if (first) {
+    SendMarks(aLink);
+  }
   if (first || lasting) {
-    Repair(aLink);
-    if (summary->members == members.Hash()) {
-      return true;
-    }
-    for (const auto& [id, entry] : members.All()) {
-      if (entry.state != member_state::dead) {
-        aLink.members.Add(id);
-      }
-    }
-    for (const auto& [router, hash] : appliedHashes) {
-      aLink.appliedHashes.Add(router);
-    }
+    Repair(aLink, *summary);
   }
   return true;
 }
 
 void
-mesh_core::implementation::Repair(link_state& aLink)
+mesh_core::implementation::SendMarks(link_state& aLink)
 {
-  const bool first = aLink.lastRepair == time_point{};
-  aLink.lastRepair = now;
-  aLink.differences = 0;
   facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
     const bool mark = std::holds_alternative<leaving_message>(aFact.message) ||
                       std::holds_alternative<suspect_message>(aFact.message);
-    if (IsVersioned(aFact.message) || (first && mark)) {
+    if (mark) {
       Queue(aLink, aSubject, aFact);
     }
   });
+  if (!aLink.outgoing) {
+    for (const auto& [router, hash] : appliedHashes) {
+      aLink.appliedHashes.Add(router);
+    }
+  }
+}
+
+void
+mesh_core::implementation::Repair(link_state& aLink, const summary_record& aSummary)
+{
+  aLink.lastRepair = now;
+  aLink.differences = 0;
+  if (aSummary.hash != facts.Hash()) {
+    facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
+      if (IsVersioned(aFact.message)) {
+        Queue(aLink, aSubject, aFact);
+      }
+    });
+  }
+  if (aSummary.members != members.Hash()) {
+    for (const auto& [id, entry] : members.All()) {
+      if (entry.state != member_state::dead) {
+        aLink.members.Add(id);
+      }
+    }
+  }
 }
 
 bool
@@ -539,8 +556,8 @@
   mAppliedChanged = false;
   mAppliedMany = false;
   applied_hash_record& own = appliedHashes[options.self];
-  own.stamp =
-    std::max(own.stamp + 1, options.life + static_cast<std::uint64_t>((now - mStartedAt).ms));
+  const std::uint64_t age = options.life + static_cast<std::uint64_t>((now - mStartedAt).ms);
+  own.stamp = std::max(own.stamp + 1, age / kHashStampStepMs);
   SpreadAppliedHash(options.self, std::nullopt);
 }
 
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -103,7 +103,10 @@
   void GraftOrphans(link_id aClosed);
   void GraftStarved();
   void AskForWanted();
-  void Repair(link_state& aLink);
+  /// Tells a new peer the marks and versions applied that are known here.
+  void SendMarks(link_state& aLink);
+  /// Tells a peer whatever the summaries show a difference in.
+  void Repair(link_state& aLink, const summary_record& aSummary);
   void SpreadOwnApplied();
   void UpdateOwnHash(const applied_message& aMessage);
   void SettleAppliedHash();
--- a/src/peers/internal/meshcorelinks.cpp
+++ b/src/peers/internal/meshcorelinks.cpp
@@ -126,6 +126,10 @@
   const bool reborn = known != nullptr && known->life < aUpdate.life;
   const auto news = members.Merge(aUpdate, now);
   if (news && aUpdate.id == options.self) {
+    // Those who thought this router gone may have missed what it applied.
+    mAppliedChanged = !mOwnApplied.empty();
+    mAppliedFirstAt = now;
+    mAppliedChangedAt = now;
     SpreadMember(*news, std::nullopt);
     return;
   }
