--- a/src/peers/internal/meshcorefacts.cpp
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -9,8 +9,10 @@
 constexpr duration kRepairInterval = 5_s;
 /// Differences in a row before a difference counts as more than messages under way.
 constexpr int kDifferencesBeforeRepair = 2;
-/// An origin that spoke and then was silent for this long may have lost its path.
-constexpr duration kStarvation{ 1700 };
+/// A group that had evidence and then none for this long may have lost its observers' paths.
+constexpr duration kStarvation = 2500_ms;
+/// A group without evidence for this long is gone.
+constexpr duration kGroupRetention = 10_s;
 /// Times in a row that another link must be faster than an origin's path to take its place; a
 /// hasty change could close a circle.
 constexpr int kOvertakesBeforeSwitch = 3;
@@ -253,7 +255,10 @@
   switch (facts.Offer(*fact, now)) {
     case offer_result::newer:
       aLink.Forget(subject);
-      HeardOrigin(origin, aLink.id, std::holds_alternative<presence_message>(fact->message));
+      HeardOrigin(origin, aLink.id);
+      if (const auto* presence = std::get_if<presence_message>(&fact->message)) {
+        NoteGroup(*presence, fact->observedAt);
+      }
       ++counters.messagesDelivered;
       actions.push_back(deliver_message{ fact->message, aLink.peer });
       Accepted(*fact, aLink.id);
@@ -319,7 +324,7 @@
 }
 
 void
-mesh_core::implementation::HeardOrigin(const router_id& aOrigin, link_id aFrom, bool aPeriodic)
+mesh_core::implementation::HeardOrigin(const router_id& aOrigin, link_id aFrom)
 {
   if (aOrigin.Empty()) {
     return;
@@ -334,10 +339,6 @@
   } else if (links.at(aFrom).prunedByUs.count(aOrigin) == 0) {
     origin.challenger = aFrom;
   }
-  if (aPeriodic) {
-    origin.heard = now;
-    origin.periodic = true;
-  }
 }
 
 void
@@ -429,15 +430,28 @@
 void
 mesh_core::implementation::GraftStarved()
 {
-  std::vector<router_id> starved;
-  for (const auto& [origin, state] : mOrigins) {
-    if (state.periodic && now - state.heard > kStarvation) {
-      starved.push_back(origin);
+  std::erase_if(mGroups, [this](const auto& aEntry) {
+    return now - aEntry.second.observedAt > kGroupRetention;
+  });
+  for (auto& [group, state] : mGroups) {
+    const bool starved = now - state.observedAt > kStarvation;
+    if (starved && now - state.graftedAt > kGroupRetention && state.observer != options.self) {
+      state.graftedAt = now;
+      mOrigins.erase(state.observer);
+      GraftOrigin(state.observer);
     }
   }
-  for (const router_id& origin : starved) {
-    mOrigins.erase(origin);
-    GraftOrigin(origin);
+}
+
+void
+mesh_core::implementation::NoteGroup(const presence_message& aMessage, time_point aObservedAt)
+{
+  group_evidence& state = mGroups[aMessage.group];
+  if (aObservedAt >= state.observedAt) {
+    state.observedAt = aObservedAt;
+    state.observer = aMessage.observer;
+    state.whole = aMessage.whole;
+    state.version = aMessage.version;
   }
 }
 
@@ -452,15 +466,13 @@
 bool
 mesh_core::implementation::IsPresenceNeeded(const presence_message& aMessage) const
 {
-  const subject_id subject = SubjectOf(aMessage);
-  const auto sent = mPresenceSent.find(subject);
-  const mesh_fact* known = facts.Find(subject);
-  if (sent == mPresenceSent.end() || known == nullptr) {
+  const auto found = mGroups.find(aMessage.group);
+  if (found == mGroups.end()) {
     return true;
   }
-  const auto& before = std::get<presence_message>(known->message);
-  const bool changed = before.whole != aMessage.whole || before.version != aMessage.version;
-  return changed || now - sent->second >= options.presenceInterval;
+  const group_evidence& state = found->second;
+  const bool changed = state.whole != aMessage.whole || state.version != aMessage.version;
+  return changed || now - state.observedAt >= options.presenceInterval;
 }
 
 void
@@ -471,7 +483,7 @@
     if (!IsPresenceNeeded(*presence)) {
       return;
     }
-    mPresenceSent[SubjectOf(*presence)] = now;
+    NoteGroup(*presence, fact.observedAt);
     fact.version = NextStamp();
   } else if (std::holds_alternative<share_message>(aEvent.message)) {
     fact.version = NextStamp();
@@ -545,7 +557,7 @@
   appliedHashes[update->router] = *update;
   CompareHash(*update);
   aLink.appliedHashes.Remove(update->router);
-  HeardOrigin(update->router, aLink.id, false);
+  HeardOrigin(update->router, aLink.id);
   SpreadAppliedHash(update->router, aLink.id);
   return true;
 }
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -57,9 +57,16 @@
     /// A link that brought news before the parent did, and how often in a row.
     link_id challenger;
     int overtakes = 0;
-    /// It sends presence, which comes again and again.
-    bool periodic = false;
-    time_point heard;
+  };
+
+  /// The newest evidence of a group from any observer.
+  struct group_evidence
+  {
+    time_point observedAt;
+    router_id observer;
+    bool whole = false;
+    generation version;
+    time_point graftedAt;
   };
 
   // Links and members.
@@ -100,7 +107,8 @@
   void Accepted(const mesh_fact& aFact, std::optional<link_id> aFrom);
   void Queue(link_state& aLink, subject_id aSubject, const mesh_fact& aFact);
   void QueueForOthers(const mesh_fact& aFact, std::optional<link_id> aFrom);
-  void HeardOrigin(const router_id& aOrigin, link_id aFrom, bool aPeriodic);
+  void HeardOrigin(const router_id& aOrigin, link_id aFrom);
+  void NoteGroup(const presence_message& aMessage, time_point aObservedAt);
   void TookDuplicate(link_state& aLink, const router_id& aOrigin);
   void GraftOrigin(const router_id& aOrigin);
   void GraftOrphans(link_id aClosed);
@@ -159,7 +167,7 @@
   bool mAppliedChanged = false;
   bool mAppliedMany = false;
   std::unordered_map<subject_id, std::uint64_t> mOwnApplied;
-  std::unordered_map<subject_id, time_point> mPresenceSent;
+  std::unordered_map<group_id, group_evidence> mGroups;
 };
 
 } // namespace persimmon::peers
--- a/src/peers/meshoptions.h
+++ b/src/peers/meshoptions.h
@@ -43,9 +43,9 @@
   /// How long a document announced by a peer may take to come by the own watch before it is asked
   /// for, while the platform answers.
   duration pullGrace{ 300 };
-  /// Shortest interval between two presence messages of one observer on one group when nothing
-  /// but load has changed.
-  duration presenceInterval{ 900 };
+  /// Age of a group's newest evidence, from whichever observer, below which an observer sends
+  /// nothing unless the group's state has changed.
+  duration presenceInterval{ 700 };
 };
 
 } // namespace persimmon::peers
