--- a/bench/meshworkload.cpp
+++ b/bench/meshworkload.cpp
@@ -93,7 +93,7 @@
   const document_message document{ { SubjectName(subject) },
                                    { mRevision },
                                    std::string(mOptions.documentBytes, 'x') };
-  const applied_message version{
+  applied_message version{
     {}, applied_message::subject::document, SubjectName(subject), { mRevision }
   };
   const std::size_t reached = mOptions.oneReachesStore ? 1 : mMesh.Size();
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -129,6 +129,7 @@
   std::uint64_t NextStamp();
 
   // Sending.
+  /// Adds a record to the link's frame and charges the budget, bodies aside.
   void Append(link_state& aLink, wire_record aRecord);
   void SendFrame(link_state& aLink);
   /// Sends the frames that answer what just came.
@@ -142,7 +143,6 @@
   bool SendWaiting(link_state& aLink, std::size_t aWorth);
   bool SendMember(link_state& aLink);
   bool SendAppliedHash(link_state& aLink);
-  void Spend(link_state& aLink, wire_record aRecord);
 
   random_source mRandom;
   dialer mDialer;
--- a/src/peers/internal/meshcoresending.cpp
+++ b/src/peers/internal/meshcoresending.cpp
@@ -44,6 +44,8 @@
     // Names that this record introduced go out with the frame before it.
     SendFrame(aLink);
   }
+  const bool body = aRecord.kind == static_cast<std::uint64_t>(record_kind::body);
+  mBudget -= body ? 0 : static_cast<std::int64_t>(size);
   aLink.frame.records.push_back(std::move(aRecord));
   aLink.frameBytes += size;
 }
@@ -125,7 +127,7 @@
   if (const auto subject = aLink.facts[aWorth].Take()) {
     const mesh_fact* fact = facts.Find(*subject);
     if (fact != nullptr && aLink.prunedByPeer.count(OriginOf(fact->message)) == 0) {
-      Spend(aLink, RenderFact(aLink, *fact));
+      Append(aLink, RenderFact(aLink, *fact));
     }
     return true;
   }
@@ -140,7 +142,7 @@
 {
   if (const auto router = aLink.members.Take()) {
     if (const member* entry = members.Find(*router)) {
-      Spend(aLink, aLink.codec.Render(*entry, aLink.frame));
+      Append(aLink, aLink.codec.Render(*entry, aLink.frame));
     }
     return true;
   }
@@ -153,7 +155,7 @@
   if (const auto router = aLink.appliedHashes.Take()) {
     const auto hash = appliedHashes.find(*router);
     if (hash != appliedHashes.end()) {
-      Spend(aLink, aLink.codec.Render(hash->second, aLink.frame));
+      Append(aLink, aLink.codec.Render(hash->second, aLink.frame));
     }
     return true;
   }
@@ -169,11 +171,4 @@
   return aLink.codec.Render(aFact, now, aLink.frame);
 }
 
-void
-mesh_core::implementation::Spend(link_state& aLink, wire_record aRecord)
-{
-  mBudget -= static_cast<std::int64_t>(EncodedSize(aRecord));
-  Append(aLink, std::move(aRecord));
-}
-
 } // namespace persimmon::peers
--- a/src/peers/meshoptions.h
+++ b/src/peers/meshoptions.h
@@ -25,8 +25,8 @@
 
   /// Links that a router opens.
   std::size_t peers = 3;
-  /// Bytes that messages may take a second on all links together; bodies that a peer asked for and
-  /// the upkeep of links come on top and are counted apart.
+  /// Bytes that may be sent a second on all links together; bodies that a peer asked for come on
+  /// top and are counted apart.
   std::int64_t bytesPerSecond = 3000;
   /// Bytes that may go out at once after a quiet time, as after a start or a partition.
   std::int64_t burstBytes = 65536;
