--- a/src/check/internal/membertimeline.cpp
+++ b/src/check/internal/membertimeline.cpp
@@ -7,7 +7,7 @@
 
 using condition = member_phase::condition;
 
-/// Returns the condition that a report tells of; aBefore is what the instance was until then.
+/// Returns the condition that a report tells of; aBeforePause is what a paused instance was.
 condition
 ConditionOf(const std::string& aDetail, condition aBeforePause)
 {
--- a/src/check/tests/gracefulstopstests.cpp
+++ b/src/check/tests/gracefulstopstests.cpp
@@ -12,7 +12,7 @@
 {"kind":"ordered","at":5,"instance":"i0","group":"g","generation":1,"detail":"drain"}
 )";
 
-const std::string kMissing =
+const std::string kLost =
   R"({"kind":"cut","at":300,"attempt":"a","instance":"i0","group":"g","generation":1,"detail":"member_missing"}
 )";
 
@@ -46,7 +46,7 @@
   const verdict found = CheckGracefulStops(
     MadeHistory(kWorking +
                 R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"detail":"idle"}
-)" + kMissing));
+)" + kLost));
   CHECK_EQUAL(1, found.violations.size());
 }
 
@@ -55,7 +55,7 @@
   const verdict found = CheckGracefulStops(MadeHistory(
     kWorking +
     R"({"kind":"membership","at":10,"instance":"i1","incarnation":1,"group":"g","generation":1,"detail":"died"}
-)" + kMissing));
+)" + kLost));
   CHECK(found.violations.empty());
 }
 
--- a/src/check/tests/wholegroupstests.cpp
+++ b/src/check/tests/wholegroupstests.cpp
@@ -66,7 +66,7 @@
   CHECK_EQUAL(1, found.violations.size());
 }
 
-TEST(whole_groups, MemberThatResumesFromAPauseCountsAgain)
+TEST(whole_groups, MemberThatWakesFromAPauseCountsAgain)
 {
   const verdict found = CheckAfter(
     R"({"kind":"membership","at":100,"instance":"i1","incarnation":3,"group":"g","generation":1,"detail":"paused"}
--- a/src/ledger/tests/ledgershardtests.cpp
+++ b/src/ledger/tests/ledgershardtests.cpp
@@ -49,6 +49,45 @@
   LONGS_EQUAL(1, world.Writes());
 }
 
+TEST(ledger_shard, LoneIntentSoonAfterAWriteWaitsForAnotherWhenGrouped)
+{
+  ledger_world grouped(1, 1, kGroupedCommits);
+  grouped.Begin(0, "k");
+  grouped.Run();
+  grouped.Advance(kGroupedCommits.shortestInterval);
+  const attempt_ref lone = grouped.Begin(0, "a");
+  CHECK_FALSE(grouped.HasCall(0));
+  const attempt_ref companion = grouped.Begin(0, "b");
+  CHECK(grouped.HasCall(0));
+  grouped.Run();
+  CHECK(grouped.Verdict(lone) == begin_verdict::granted);
+  CHECK(grouped.Verdict(companion) == begin_verdict::granted);
+  LONGS_EQUAL(2, grouped.Writes());
+}
+
+TEST(ledger_shard, ObjectThatOthersWriteIsReadBeforeTheWrite)
+{
+  for (int i = 0; i < 5; ++i) {
+    world.Begin(static_cast<std::size_t>(i % 2), "k" + std::to_string(i));
+    world.Run();
+    world.Advance(1_s);
+  }
+  // The first write of each router could not know of the other.
+  LONGS_EQUAL(5, world.Writes());
+  CHECK(world.Conflicts() <= 1);
+}
+
+TEST(ledger_shard, ObjectOfOneWriterIsReadOnce)
+{
+  for (int i = 0; i < 5; ++i) {
+    world.Begin(0, "k" + std::to_string(i));
+    world.Run();
+    world.Advance(1_s);
+  }
+  LONGS_EQUAL(5, world.Writes());
+  LONGS_EQUAL(1, world.Reads());
+}
+
 TEST(ledger_shard, RepeatOfADoneCallGetsItsAnswer)
 {
   const stored_answer answer{ 200, "text/plain", "tent 12" };
@@ -139,7 +178,10 @@
   world.Close(attempt, record_state::not_run);
   world.Settle();
   world.down = false;
-  CHECK(Repeat(1).verdict == begin_verdict::in_progress);
+  const attempt_ref early = world.Begin(1, "k");
+  world.TakeEffect(1);
+  world.Reply(1);
+  CHECK(world.Verdict(early) == begin_verdict::in_progress);
   world.Settle();
   CHECK(Repeat(1).verdict == begin_verdict::granted);
 }
@@ -163,6 +205,19 @@
   }
 }
 
+TEST(ledger_shard, RouterPausedAcrossItsCommitGrantsNothingAfterThePatience)
+{
+  const attempt_ref attempt = world.Begin(0, "k", "d", 100_ms);
+  world.TakeEffect(0);
+  world.Reply(0);
+  world.TakeEffect(0);
+  world.now = world.now + 3600_s;
+  world.Reply(0);
+  CHECK(world.Verdict(attempt) == begin_verdict::store_unavailable);
+  world.Settle();
+  CHECK(world.Table().Find({ "k" })->state == record_state::not_run);
+}
+
 TEST(ledger_shard, IntentOfAKilledRouterStaysUnknown)
 {
   world.Dispatch(Granted(0));
--- a/src/ledger/tests/mocks/ledgerworld.h
+++ b/src/ledger/tests/mocks/ledgerworld.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace persimmon::ledger {
@@ -23,8 +24,9 @@
     bool closed = false;
   };
 
-  explicit ledger_world(std::size_t aRouters, std::uint64_t aSeed = 1)
+  explicit ledger_world(std::size_t aRouters, std::uint64_t aSeed = 1, commit_rules aRules = {})
     : mSeed(aSeed)
+    , mRules(aRules)
   {
     for (std::size_t i = 0; i < aRouters; ++i) {
       mRouters.push_back(NewLife(i));
@@ -136,10 +138,10 @@
     return mRouters[attempts.at(aAttempt).router].writer == aAttempt.writer;
   }
 
-  /// Carries everything out without faults until nothing is under way.
+  /// Carries everything out without faults until nothing is under way and no wake is near.
   void Run()
   {
-    constexpr int kRounds = 200;
+    constexpr int kRounds = 2000;
     for (int round = 0; round < kRounds; ++round) {
       bool quiet = true;
       for (std::size_t i = 0; i < mRouters.size(); ++i) {
@@ -149,7 +151,7 @@
           Reply(i);
         }
       }
-      if (quiet) {
+      if (quiet && !AdvanceToNearWake()) {
         return;
       }
     }
@@ -186,6 +188,7 @@
   }
   [[nodiscard]] std::uint64_t Writes() const { return mContent.writes; }
   [[nodiscard]] std::uint64_t Reads() const { return mContent.reads; }
+  [[nodiscard]] std::uint64_t Conflicts() const { return mConflicts; }
   [[nodiscard]] bool Idle(std::size_t aRouter) const { return mRouters[aRouter].shard.Idle(); }
 
   /// Puts something into the object that no router can read.
@@ -215,7 +218,7 @@
   router NewLife(std::size_t aIndex)
   {
     const writer_identity writer{ { "r" + std::to_string(aIndex) }, ++mLives };
-    return { writer, ledger_shard({}, random_source(mSeed + mLives)), {} };
+    return { writer, ledger_shard(mRules, random_source(mSeed + mLives)), {} };
   }
 
   shard_event Execute(const store_call& aCall)
@@ -225,9 +228,22 @@
       return read_event{ object, object ? platform::store_error::none : mStore.LastReason().code };
     }
     const auto version = mStore.Put(ObjectOf({}), aCall.write->value, aCall.write->condition);
+    mConflicts += mStore.LastReason().code == platform::store_error::conflict ? 1 : 0;
     return write_event{ version, version ? platform::store_error::none : mStore.LastReason().code };
   }
 
+  /// Waits for a wake that is only a write interval away.
+  bool AdvanceToNearWake()
+  {
+    const time_point near = now + kGroupedCommits.loneInterval;
+    mWakes.erase(mWakes.begin(), mWakes.upper_bound(now));
+    if (mWakes.empty() || *mWakes.begin() > near) {
+      return false;
+    }
+    Advance(*mWakes.begin() - now);
+    return true;
+  }
+
   void Feed(std::size_t aRouter, const shard_event& aEvent)
   {
     for (const shard_action& action : mRouters[aRouter].shard.Handle(aEvent, now)) {
@@ -238,6 +254,8 @@
         mRouters[aRouter].call->write = *write;
       } else if (const auto* verdict = std::get_if<verdict_action>(&action)) {
         Judge(attempts[verdict->attempt], verdict->result);
+      } else if (const auto* wake = std::get_if<wake_action>(&action)) {
+        mWakes.insert(wake->at);
       }
     }
   }
@@ -252,12 +270,15 @@
   }
 
   std::uint64_t mSeed;
+  commit_rules mRules;
   std::uint64_t mLives = 0;
   std::uint64_t mAttempts = 0;
+  std::uint64_t mConflicts = 0;
   platform::memory_object_store::content mContent;
   platform::memory_object_store mStore{ mContent };
   std::vector<router> mRouters;
   std::vector<store_call> mDelayed;
+  std::set<time_point> mWakes;
 };
 
 } // namespace persimmon::ledger
--- a/src/placement/tests/mocks/placementharness.h
+++ b/src/placement/tests/mocks/placementharness.h
@@ -23,6 +23,8 @@
     duration readTimeout{ 1000 };
     duration tick{ 100 };
     duration listLag{ 1000 };
+    /// How long a change takes to wake a watch, at most.
+    duration watchPoll{ 20 };
     /// Probabilities of one call's misfortune.
     double loseReply = 0;
     double delayWrite = 0;
@@ -36,6 +38,8 @@
     std::unique_ptr<platform::memory_object_store> store;
     bool alive = true;
     bool paused = false;
+    /// Its lists of leases fail, while its writes go through.
+    bool listsFail = false;
     std::uint64_t life = 0;
     std::deque<std::function<void()>> held;
     revision watched;
@@ -43,6 +47,8 @@
 
   /// Called at each order that is sent, before it travels.
   std::function<void(const send_order&, const one_placer&)> onSend;
+  /// Called before an action of a placer is carried out.
+  std::function<void(const placement_action&, one_placer&)> beforeAction;
   /// Called after each change of the world.
   std::function<void()> onStep;
 
@@ -57,6 +63,8 @@
   std::uint64_t leaseWrites = 0;
   std::uint64_t watchCalls = 0;
   std::uint64_t listCalls = 0;
+  /// Orders that engines were given.
+  std::uint64_t engineChanges = 0;
 
   explicit placement_harness(std::uint64_t aSeed)
     : mRandom(aSeed)
@@ -109,7 +117,7 @@
     aPlacer.paused = false;
     aPlacer.watched = {};
     for (const char* kind : { kServiceKind, kDomainKind, kPlanKind }) {
-      ListAtStart(aPlacer, kind);
+      ListAtStart(aPlacer, aPlacer.life, kind);
     }
     Tick(aPlacer, aPlacer.life);
     Watch(aPlacer, aPlacer.life);
@@ -247,8 +255,8 @@
   void Tell(one_placer& aPlacer, std::uint64_t aLife, const placement_event& aEvent)
   {
     RunIn(aPlacer, aLife, [this, &aPlacer, aEvent] {
-      for (placement_action& action : aPlacer.core->Handle(aEvent, mNow)) {
-        Carry(aPlacer, std::move(action));
+      for (const placement_action& action : aPlacer.core->Handle(aEvent, mNow)) {
+        RunIn(aPlacer, aPlacer.life, [this, &aPlacer, action] { Carry(aPlacer, action); });
       }
     });
   }
@@ -269,10 +277,17 @@
     });
   }
 
-  void ListAtStart(one_placer& aPlacer, const char* aKind)
+  void ListAtStart(one_placer& aPlacer, std::uint64_t aLife, const char* aKind)
   {
-    auto list = aPlacer.store->List(aKind);
-    Reply(aPlacer, aPlacer.life, net.storeDelay, objects_listed{ aKind, list });
+    RunIn(aPlacer, aLife, [this, &aPlacer, aLife, aKind] {
+      aPlacer.store->down = storeDown;
+      auto list = aPlacer.store->List(aKind);
+      if (list) {
+        Reply(aPlacer, aLife, net.storeDelay, objects_listed{ aKind, list });
+      } else {
+        After(500_ms, [this, &aPlacer, aLife, aKind] { ListAtStart(aPlacer, aLife, aKind); });
+      }
+    });
   }
 
   void Watch(one_placer& aPlacer, std::uint64_t aLife)
@@ -295,7 +310,7 @@
             Reply(aPlacer, aLife, net.storeDelay, changed);
           }
         }
-        After(net.storeDelay * 5, [this, &aPlacer, aLife] { Watch(aPlacer, aLife); });
+        After(net.watchPoll, [this, &aPlacer, aLife] { Watch(aPlacer, aLife); });
       });
     });
   }
@@ -317,6 +332,9 @@
   void Carry(one_placer& aPlacer, placement_action aAction)
   {
     const std::uint64_t life = aPlacer.life;
+    if (beforeAction) {
+      beforeAction(aAction, aPlacer);
+    }
     if (const auto* write = std::get_if<write_object>(&aAction)) {
       After(net.storeDelay, [this, &aPlacer, life, write = *write] { Put(aPlacer, life, write); });
     } else if (const auto* drop = std::get_if<delete_object>(&aAction)) {
@@ -331,7 +349,7 @@
       });
     } else if (const auto* list = std::get_if<list_objects>(&aAction)) {
       After(net.storeDelay, [this, &aPlacer, life, kind = list->kind] {
-        aPlacer.store->down = storeDown;
+        aPlacer.store->down = storeDown || aPlacer.listsFail;
         ++storeReads;
         Reply(aPlacer, life, net.storeDelay, objects_listed{ kind, aPlacer.store->List(kind) });
       });
@@ -379,6 +397,7 @@
       if (!engine.Answers()) {
         return;
       }
+      ++engineChanges;
       const order_outcome outcome = engine.Accept(aOrder.order, weights, mNow);
       if (!late) {
         Reply(aPlacer,
