--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -37,6 +37,9 @@
   mesh_counters counters;
   bool caughtUp = false;
   std::map<router_id, applied_hash_record> appliedHashes;
+  /// By router, the last accepted fact at a time when its hash showed that it applied everything
+  /// that was held here.
+  std::map<router_id, std::uint64_t> covered;
 
 private:
   /// A version that was announced and is not held.
@@ -51,9 +54,19 @@
   struct origin_state
   {
     link_id parent;
-    /// It sends presence, which comes again and again.
-    bool periodic = false;
-    time_point heard;
+    /// A link that brought news before the parent did, and how often in a row.
+    link_id challenger;
+    int overtakes = 0;
+  };
+
+  /// The newest evidence of a group from any observer.
+  struct group_evidence
+  {
+    time_point observedAt;
+    router_id observer;
+    bool whole = false;
+    generation version;
+    time_point graftedAt;
   };
 
   // Links and members.
@@ -94,20 +107,29 @@
   void Accepted(const mesh_fact& aFact, std::optional<link_id> aFrom);
   void Queue(link_state& aLink, subject_id aSubject, const mesh_fact& aFact);
   void QueueForOthers(const mesh_fact& aFact, std::optional<link_id> aFrom);
-  void HeardOrigin(const router_id& aOrigin, link_id aFrom, bool aPeriodic);
+  void HeardOrigin(const router_id& aOrigin, link_id aFrom);
+  void NoteGroup(const presence_message& aMessage, time_point aObservedAt);
   void TookDuplicate(link_state& aLink, const router_id& aOrigin);
   void GraftOrigin(const router_id& aOrigin);
   void GraftOrphans(link_id aClosed);
   void GraftStarved();
   void AskForWanted();
-  void Repair(link_state& aLink);
+  /// Tells a new peer the marks and versions applied that are known here.
+  void SendMarks(link_state& aLink);
+  /// Tells a peer whatever the summaries show a difference in.
+  void Repair(link_state& aLink, const summary_record& aSummary);
+  void SpreadOwnApplied();
   void UpdateOwnHash(const applied_message& aMessage);
+  void CompareHash(const applied_hash_record& aRecord);
   void SettleAppliedHash();
+  /// Drops single versions that a router's hash covers.
+  void ExpireApplied();
   void SpreadAppliedHash(const router_id& aRouter, std::optional<link_id> aExcept);
   bool IsPresenceNeeded(const presence_message& aMessage) const;
   std::uint64_t NextStamp();
 
   // Sending.
+  /// Adds a record to the link's frame and charges the budget, bodies aside.
   void Append(link_state& aLink, wire_record aRecord);
   void SendFrame(link_state& aLink);
   /// Sends the frames that answer what just came.
@@ -119,7 +141,8 @@
   /// Puts the first thing that waits into the link's frame and charges the budget.
   bool SendOne(link_state& aLink, std::size_t aWorth);
   bool SendWaiting(link_state& aLink, std::size_t aWorth);
-  void Spend(link_state& aLink, wire_record aRecord);
+  bool SendMember(link_state& aLink);
+  bool SendAppliedHash(link_state& aLink);
 
   random_source mRandom;
   dialer mDialer;
@@ -136,11 +159,15 @@
   time_point mNextBulk;
   time_point mNextProbe;
   time_point mNextUpkeep;
+  time_point mNextExpiry;
   std::uint64_t mLastStamp = 0;
   time_point mAppliedChangedAt;
+  time_point mAppliedFirstAt;
+  std::vector<subject_id> mAppliedUnsent;
   bool mAppliedChanged = false;
+  bool mAppliedMany = false;
   std::unordered_map<subject_id, std::uint64_t> mOwnApplied;
-  std::unordered_map<subject_id, time_point> mPresenceSent;
+  std::unordered_map<group_id, group_evidence> mGroups;
 };
 
 } // namespace persimmon::peers
