--- a/src/app/placermain.cpp
+++ b/src/app/placermain.cpp
@@ -64,6 +64,9 @@
   options.core.loadSlots =
     static_cast<std::uint64_t>(aSettings.Number("load-slots", 1, kMostLoadSlots));
   options.storeUrl = aSettings.Text("store-url");
+  options.zone.value = aSettings.Text("zone");
+  options.router.value = aSettings.Text("router");
+  options.meshKey = aSettings.Text("mesh-key");
   options.adminListen.value = aSettings.Text("admin-listen");
   return options;
 }
--- a/src/app/placershell.cpp
+++ b/src/app/placershell.cpp
@@ -3,11 +3,13 @@
 #include "app/workqueue.h"
 #include "base/random.h"
 #include "entry/httpserver.h"
+#include "peers/meshnode.h"
 #include "placement/placementevents.h"
 #include "placement/placementmetrics.h"
 #include "platform/httpclient.h"
 #include "platform/httpobjectstore.h"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -71,6 +73,7 @@
   /// Used by the watching thread alone, but for Cancel().
   std::optional<platform::http_object_store> watchStore;
   std::unique_ptr<entry::http_server> server;
+  std::unique_ptr<peers::mesh_node> mesh;
   std::mutex statusMutex;
   std::string status = "{}";
   bool ready = false;
@@ -106,6 +109,7 @@
       const auto now = std::chrono::steady_clock::now();
       if (now >= nextTick) {
         nextTick = now + kTick;
+        FollowRouters();
         Handle(time_passed{});
       }
       if (now >= nextStatus) {
@@ -115,6 +119,47 @@
     }
   }
 
+  static bool HasDraining(const domain_table& aTable)
+  {
+    return std::any_of(aTable.groups.begin(), aTable.groups.end(), [](const group& aGroup) {
+      return aGroup.state == group_state::draining;
+    });
+  }
+
+  /// Tells the core which tables every live router applies, where a drain waits for it.
+  void FollowRouters()
+  {
+    if (!mesh) {
+      return;
+    }
+    std::vector<table_applied> applied;
+    for (const auto& [domain, owner] : core.Domains()) {
+      if (!HasDraining(owner.Table())) {
+        continue;
+      }
+      const auto force =
+        mesh->InForce(peers::applied_message::subject::table, domain.value, owner.Version());
+      if (force.live > 0 && force.inForce == force.live) {
+        applied.push_back({ domain, owner.Version() });
+      }
+    }
+    for (table_applied& event : applied) {
+      Handle(std::move(event));
+    }
+  }
+
+  bool JoinMesh()
+  {
+    if (options.router.Empty()) {
+      return true;
+    }
+    mesh = std::make_unique<peers::mesh_node>(
+      peers::mesh_node_settings{
+        { options.core.self.value }, options.zone, {}, { options.router }, options.meshKey, true },
+      &metrics);
+    return mesh->Start().has_value();
+  }
+
   void Handle(const placement_event& aEvent)
   {
     const auto before = std::chrono::steady_clock::now();
@@ -388,6 +433,10 @@
   if (!self.Listen()) {
     return false;
   }
+  if (!self.JoinMesh()) {
+    WriteLog(kMeshFailed, { { "detail", self.mesh->LastReason() } });
+    return false;
+  }
   self.Run(1, [&self] { self.CallStore(self.leaseCalls); });
   self.Run(kStoreThreads, [&self] { self.CallStore(self.storeCalls); });
   self.watchStore.emplace(self.Store());
@@ -418,6 +467,9 @@
   if (self.server) {
     self.server->Stop();
   }
+  if (self.mesh) {
+    self.mesh->Stop();
+  }
   if (self.watchStore) {
     self.watchStore->Cancel();
   }
--- a/src/app/placershell.h
+++ b/src/app/placershell.h
@@ -13,6 +13,10 @@
   placement::placer_options core;
   /// `http://ip:port` of the platform.
   std::string storeUrl;
+  zone_name zone;
+  /// Mesh address of the local router; empty for none. Drains then wait a fixed time for routers.
+  endpoint router;
+  std::string meshKey;
   /// Address of the HTTP listener for /ready, /metrics and /status; empty for none.
   endpoint adminListen;
 };
--- a/src/placement/placementevents.h
+++ b/src/placement/placementevents.h
@@ -32,13 +32,14 @@
 inline constexpr log_event kPlacerStopping{ 3051, "placer_stopping", log_level::info };
 inline constexpr log_event kAdminListening{ 3052, "admin_listening", log_level::info };
 inline constexpr log_event kAdminFailed{ 3053, "admin_failed", log_level::error };
+inline constexpr log_event kMeshFailed{ 3054, "mesh_failed", log_level::error };
 
 inline constexpr std::array kPlacementEvents = {
-  kLeaseGained,     kLeaseLost,      kDomainTaken,    kDomainLeft,     kGroupFormed,
-  kGroupLoading,    kGroupServing,   kGroupRepaired,  kGroupDropped,   kGroupDraining,
-  kGroupWithdrawn,  kGroupChanged,   kOrderSent,      kOrderFailed,    kInstanceLost,
-  kInstanceBack,    kTableUnsettled, kTableRefused,   kPlanChanged,    kServiceUnmet,
-  kDocumentRefused, kPlacerStarted,  kPlacerStopping, kAdminListening, kAdminFailed,
+  kLeaseGained,  kLeaseLost,     kDomainTaken,     kDomainLeft,    kGroupFormed,    kGroupLoading,
+  kGroupServing, kGroupRepaired, kGroupDropped,    kGroupDraining, kGroupWithdrawn, kGroupChanged,
+  kOrderSent,    kOrderFailed,   kInstanceLost,    kInstanceBack,  kTableUnsettled, kTableRefused,
+  kPlanChanged,  kServiceUnmet,  kDocumentRefused, kPlacerStarted, kPlacerStopping, kAdminListening,
+  kAdminFailed,  kMeshFailed,
 };
 
 } // namespace persimmon::placement
