--- /dev/null
+++ b/src/routing/tests/routingpropertytests.cpp
@@ -0,0 +1,164 @@
+#include "base/random.h"
+#include "routing/admission.h"
+#include "routing/clusterview.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+
+using namespace persimmon;
+using namespace persimmon::routing;
+
+namespace {
+
+constexpr time_point kStart{ 100000 };
+constexpr int kSeeds = 50;
+constexpr int kSteps = 400;
+
+/// What a sequence of events has made true, kept in the plainest way.
+struct expected_group
+{
+  std::uint64_t revision = 0;
+  std::uint64_t generation = 0;
+  bool serving = false;
+  std::set<std::uint64_t> leavingLives;
+  std::uint64_t life = 0;
+  /// Observations as (time, whole) by generation.
+  std::map<std::uint64_t, std::map<std::int64_t, bool>> seen;
+};
+
+bool
+MayBeEligible(const expected_group& aGroup, time_point aNow)
+{
+  if (!aGroup.serving || aGroup.leavingLives.contains(aGroup.life)) {
+    return false;
+  }
+  const auto seen = aGroup.seen.find(aGroup.generation);
+  if (seen == aGroup.seen.end()) {
+    return false;
+  }
+  const auto newest = *seen->second.rbegin();
+  return newest.second && newest.first + kEvidenceLifetime.ms > aNow.ms;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(routing_properties){};
+// clang-format on
+
+TEST(routing_properties, NoGroupIsEligibleWithoutTableStateFreshEvidenceAndStayingMembers)
+{
+  int eligible = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    random_source random(static_cast<std::uint64_t>(seed));
+    cluster_view view;
+    expected_group expected;
+    time_point now = kStart;
+    for (int step = 0; step < kSteps; ++step) {
+      now = now + duration{ static_cast<std::int64_t>(random.Below(400)) };
+      const std::uint64_t generation = random.Below(3) + expected.generation;
+      switch (random.Below(8)) {
+        case 0: {
+          placement::domain_table table;
+          table.domain.value = "d1";
+          placement::group group;
+          group.id.value = "g1";
+          group.service.value = "s1";
+          group.model = { "m", "", "v1" };
+          group.version.value = generation;
+          const bool serving = random.Chance(0.8);
+          group.state =
+            serving ? placement::group_state::serving : placement::group_state::draining;
+          const std::uint64_t life = expected.life + random.Below(2);
+          group.members = { { { "i1" }, { "127.0.0.1:1" }, { life } } };
+          table.groups = { group };
+          const std::uint64_t revision =
+            std::max<std::uint64_t>(1, random.Below(4) + expected.revision);
+          view.Apply(
+            peers::table_message{ { "d1" }, { revision }, placement::RenderDomainTable(table) },
+            now);
+          if (revision > expected.revision) {
+            expected.revision = revision;
+            expected.generation = generation;
+            expected.serving = serving;
+            expected.life = life;
+          }
+          break;
+        }
+        case 1:
+          if (random.Chance(0.2)) {
+            view.Apply(peers::leaving_message{ { "i1" }, { expected.life } }, now);
+            expected.leavingLives.insert(expected.life);
+          }
+          break;
+        default: {
+          const bool whole = random.Chance(0.9);
+          view.Apply(peers::presence_message{ { "g1" }, { generation }, { "r1" }, {}, whole, 0, 0 },
+                     now);
+          // A second observation within one millisecond is not newer and changes nothing.
+          expected.seen[generation].emplace(now.ms, whole);
+          break;
+        }
+      }
+      const auto service = view.Service({ "s1" });
+      const bool offered = service->EligibleCount(now) > 0;
+      CHECK(!offered || MayBeEligible(expected, now));
+      eligible += offered ? 1 : 0;
+    }
+  }
+  CHECK(eligible > kSeeds);
+}
+
+TEST(routing_properties, EachRequestIsAnsweredOnceAndTheLimitHolds)
+{
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    random_source random(static_cast<std::uint64_t>(seed));
+    admission gate({ "r1" }, { "s1" });
+    service_document document;
+    document.limits.concurrencyPerUpstream = 4;
+    document.limits.queue = 10;
+    document.customers = { { { "a" }, "", 1 }, { { "b" }, "", 3 } };
+    gate.SetDocument(document);
+    gate.SetUpstreams(2, kStart);
+    std::map<std::string, admission_verdict> verdicts;
+    std::set<std::string> asked;
+    std::set<std::string> running;
+    const auto take = [&](const std::vector<admission_action>& aActions) {
+      for (const admission_action& action : aActions) {
+        CHECK(verdicts.emplace(action.request.value, action.verdict).second);
+        if (action.verdict == admission_verdict::start) {
+          running.insert(action.request.value);
+        }
+      }
+    };
+    time_point now = kStart;
+    for (int step = 0; step < kSteps; ++step) {
+      now = now + duration{ static_cast<std::int64_t>(random.Below(60)) };
+      const std::uint64_t kind = random.Below(10);
+      if (kind < 6) {
+        const std::string request = fmt::format("{}", step);
+        asked.insert(request);
+        const time_point deadline = now + duration{ static_cast<std::int64_t>(random.Below(3000)) };
+        const char* customer = random.Chance(0.7) ? "a" : "b";
+        take(gate.Arrive(
+          { { request }, { customer }, static_cast<std::uint8_t>(random.Below(8)), deadline },
+          now));
+      } else if (kind < 9 && !running.empty()) {
+        const std::string request = *running.begin();
+        running.erase(running.begin());
+        take(gate.Finish({ request }, now));
+      } else {
+        take(gate.Tick(now));
+      }
+      CHECK_EQUAL(running.size(), gate.Running());
+      CHECK(gate.Running() <= 8);
+      CHECK(gate.Waiting() <= 10);
+      CHECK_EQUAL(asked.size(), verdicts.size() + gate.Waiting());
+    }
+    take(gate.Tick(now + 10_s));
+    CHECK_EQUAL(asked.size(), verdicts.size());
+  }
+}
