--- a/src/peers/internal/meshcorefacts.cpp
+++ b/src/peers/internal/meshcorefacts.cpp
@@ -9,10 +9,22 @@
 constexpr duration kRepairInterval = 5_s;
 /// Differences in a row before a difference counts as more than messages under way.
 constexpr int kDifferencesBeforeRepair = 2;
-/// An origin that spoke and then was silent for this long may have lost its path.
-constexpr duration kStarvation{ 1700 };
+/// A group that had evidence and then none for this long may have lost its observers' paths.
+constexpr duration kStarvation = 2500_ms;
+/// A group without evidence for this long is gone.
+constexpr duration kGroupRetention = 10_s;
+/// Times in a row that another link must be faster than an origin's path to take its place; a
+/// hasty change could close a circle.
+constexpr int kOvertakesBeforeSwitch = 3;
+/// A router's hash goes out when nothing was applied for this long, or this long after the first.
 constexpr duration kAppliedSettle = 5_s;
+constexpr duration kAppliedLongest = 15_s;
+/// The same after many versions at once, which are not told one by one.
+constexpr duration kManyAppliedSettle = 1_s;
+/// Versions applied within one interval that are told one by one.
+constexpr std::size_t kMostSingleVersions = 8;
 constexpr std::int64_t kStampStepMs = 50;
+constexpr std::uint64_t kHashStampStepMs = 1000;
 /// Stands for all origins in a graft.
 constexpr const char* kAllOrigins = "*";
 
@@ -102,42 +114,58 @@
   if (summary->listed && summary->hash == facts.Hash()) {
     caughtUp = true;
   }
+  ++aLink.summaries;
   const bool same = summary->hash == facts.Hash() && summary->members == members.Hash();
   aLink.differences = same ? 0 : aLink.differences + 1;
-  const bool first = !aLink.hasSummary;
-  aLink.hasSummary = true;
+  // The dialling side tells first; the other then knows what is left to tell.
+  const bool first = aLink.summaries == (aLink.outgoing ? 1 : 2);
   const bool lasting =
     aLink.differences >= kDifferencesBeforeRepair && now - aLink.lastRepair > kRepairInterval;
+  if (first) {
+    SendMarks(aLink);
+  }
   if (first || lasting) {
-    Repair(aLink);
-    if (summary->members == members.Hash()) {
-      return true;
-    }
-    for (const auto& [id, entry] : members.All()) {
-      if (entry.state != member_state::dead) {
-        aLink.members.Add(id);
-      }
-    }
-    for (const auto& [router, hash] : appliedHashes) {
-      aLink.appliedHashes.Add(router);
-    }
+    Repair(aLink, *summary);
   }
   return true;
 }
 
 void
-mesh_core::implementation::Repair(link_state& aLink)
+mesh_core::implementation::SendMarks(link_state& aLink)
 {
-  const bool first = aLink.lastRepair == time_point{};
-  aLink.lastRepair = now;
-  aLink.differences = 0;
   facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
     const bool mark = std::holds_alternative<leaving_message>(aFact.message) ||
                       std::holds_alternative<suspect_message>(aFact.message);
-    if (IsVersioned(aFact.message) || (first && mark)) {
+    if (mark) {
       Queue(aLink, aSubject, aFact);
     }
   });
+  if (!aLink.outgoing) {
+    for (const auto& [router, hash] : appliedHashes) {
+      aLink.appliedHashes.Add(router);
+    }
+  }
+}
+
+void
+mesh_core::implementation::Repair(link_state& aLink, const summary_record& aSummary)
+{
+  aLink.lastRepair = now;
+  aLink.differences = 0;
+  if (aSummary.hash != facts.Hash()) {
+    facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
+      if (IsVersioned(aFact.message)) {
+        Queue(aLink, aSubject, aFact);
+      }
+    });
+  }
+  if (aSummary.members != members.Hash()) {
+    for (const auto& [id, entry] : members.All()) {
+      if (entry.state != member_state::dead) {
+        aLink.members.Add(id);
+      }
+    }
+  }
 }
 
 bool
@@ -227,7 +255,10 @@
   switch (facts.Offer(*fact, now)) {
     case offer_result::newer:
       aLink.Forget(subject);
-      HeardOrigin(origin, aLink.id, std::holds_alternative<presence_message>(fact->message));
+      HeardOrigin(origin, aLink.id);
+      if (const auto* presence = std::get_if<presence_message>(&fact->message)) {
+        NoteGroup(*presence, fact->observedAt);
+      }
       ++counters.messagesDelivered;
       actions.push_back(deliver_message{ fact->message, aLink.peer });
       Accepted(*fact, aLink.id);
@@ -252,9 +283,22 @@
   if (wanted != mWanted.end() && wanted->second.record.version.value <= aFact.version) {
     mWanted.erase(wanted);
   }
+  if (IsVersioned(aFact.message)) {
+    for (const auto& [router, record] : appliedHashes) {
+      CompareHash(record);
+    }
+  }
   QueueForOthers(aFact, aFrom);
 }
 
+void
+mesh_core::implementation::CompareHash(const applied_hash_record& aRecord)
+{
+  if (aRecord.hash == facts.Hash()) {
+    covered[aRecord.router] = facts.LastAccepted();
+  }
+}
+
 void
 mesh_core::implementation::Queue(link_state& aLink, subject_id aSubject, const mesh_fact& aFact)
 {
@@ -280,25 +324,40 @@
 }
 
 void
-mesh_core::implementation::HeardOrigin(const router_id& aOrigin, link_id aFrom, bool aPeriodic)
+mesh_core::implementation::HeardOrigin(const router_id& aOrigin, link_id aFrom)
 {
   if (aOrigin.Empty()) {
     return;
   }
   origin_state& origin = mOrigins[aOrigin];
-  origin.parent = aFrom;
-  if (aPeriodic) {
-    origin.heard = now;
-    origin.periodic = true;
+  const bool orphan = links.find(origin.parent) == links.end();
+  if (orphan) {
+    origin.parent = aFrom;
+  }
+  if (origin.parent == aFrom) {
+    origin.overtakes = 0;
+  } else if (links.at(aFrom).prunedByUs.count(aOrigin) == 0) {
+    origin.challenger = aFrom;
   }
 }
 
 void
 mesh_core::implementation::TookDuplicate(link_state& aLink, const router_id& aOrigin)
 {
-  const auto origin = mOrigins.find(aOrigin);
-  const bool parent = origin == mOrigins.end() || origin->second.parent == aLink.id;
-  if (aOrigin.Empty() || parent || !aLink.prunedByUs.insert(aOrigin).second) {
+  const auto found = mOrigins.find(aOrigin);
+  if (aOrigin.Empty() || found == mOrigins.end()) {
+    return;
+  }
+  origin_state& origin = found->second;
+  if (origin.parent == aLink.id) {
+    ++origin.overtakes;
+    if (origin.overtakes < kOvertakesBeforeSwitch || links.count(origin.challenger) == 0) {
+      return;
+    }
+    origin.parent = origin.challenger;
+    origin.overtakes = 0;
+  }
+  if (!aLink.prunedByUs.insert(aOrigin).second) {
     return;
   }
   Append(aLink, aLink.codec.Render(aOrigin, record_kind::prune, aLink.frame));
@@ -329,7 +388,9 @@
   }
   facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
     const router_id from = OriginOf(aFact.message);
-    if (!from.Empty() && (all || from == *origin)) {
+    // Versions applied are told by the origin's hash below.
+    const bool single = !std::holds_alternative<applied_message>(aFact.message);
+    if (single && !from.Empty() && (all || from == *origin)) {
       Queue(aLink, aSubject, aFact);
     }
   });
@@ -369,15 +430,28 @@
 void
 mesh_core::implementation::GraftStarved()
 {
-  std::vector<router_id> starved;
-  for (const auto& [origin, state] : mOrigins) {
-    if (state.periodic && now - state.heard > kStarvation) {
-      starved.push_back(origin);
+  std::erase_if(mGroups, [this](const auto& aEntry) {
+    return now - aEntry.second.observedAt > kGroupRetention;
+  });
+  for (auto& [group, state] : mGroups) {
+    const bool starved = now - state.observedAt > kStarvation;
+    if (starved && now - state.graftedAt > kGroupRetention && state.observer != options.self) {
+      state.graftedAt = now;
+      mOrigins.erase(state.observer);
+      GraftOrigin(state.observer);
     }
   }
-  for (const router_id& origin : starved) {
-    mOrigins[origin].periodic = false;
-    GraftOrigin(origin);
+}
+
+void
+mesh_core::implementation::NoteGroup(const presence_message& aMessage, time_point aObservedAt)
+{
+  group_evidence& state = mGroups[aMessage.group];
+  if (aObservedAt >= state.observedAt) {
+    state.observedAt = aObservedAt;
+    state.observer = aMessage.observer;
+    state.whole = aMessage.whole;
+    state.version = aMessage.version;
   }
 }
 
@@ -392,15 +466,13 @@
 bool
 mesh_core::implementation::IsPresenceNeeded(const presence_message& aMessage) const
 {
-  const subject_id subject = SubjectOf(aMessage);
-  const auto sent = mPresenceSent.find(subject);
-  const mesh_fact* known = facts.Find(subject);
-  if (sent == mPresenceSent.end() || known == nullptr) {
+  const auto found = mGroups.find(aMessage.group);
+  if (found == mGroups.end()) {
     return true;
   }
-  const auto& before = std::get<presence_message>(known->message);
-  const bool changed = before.whole != aMessage.whole || before.version != aMessage.version;
-  return changed || now - sent->second >= options.presenceInterval;
+  const group_evidence& state = found->second;
+  const bool changed = state.whole != aMessage.whole || state.version != aMessage.version;
+  return changed || now - state.observedAt >= options.presenceInterval;
 }
 
 void
@@ -411,7 +483,7 @@
     if (!IsPresenceNeeded(*presence)) {
       return;
     }
-    mPresenceSent[SubjectOf(*presence)] = now;
+    NoteGroup(*presence, fact.observedAt);
     fact.version = NextStamp();
   } else if (std::holds_alternative<share_message>(aEvent.message)) {
     fact.version = NextStamp();
@@ -419,8 +491,10 @@
   if (facts.Offer(fact, now) != offer_result::newer) {
     return;
   }
-  if (const auto* applied = std::get_if<applied_message>(&aEvent.message)) {
+  const auto* applied = std::get_if<applied_message>(&aEvent.message);
+  if (applied != nullptr && applied->router == options.self) {
     UpdateOwnHash(*applied);
+    return;
   }
   Accepted(fact, std::nullopt);
 }
@@ -428,9 +502,6 @@
 void
 mesh_core::implementation::UpdateOwnHash(const applied_message& aMessage)
 {
-  if (aMessage.router != options.self) {
-    return;
-  }
   const subject_id subject = SubjectOf(aMessage.what, aMessage.name);
   applied_hash_record& own = appliedHashes[options.self];
   own.router = options.self;
@@ -440,8 +511,29 @@
   }
   mOwnApplied[subject] = aMessage.version.value;
   own.hash ^= HashOfVersion(subject, aMessage.version.value);
+  CompareHash(own);
+  if (!mAppliedChanged) {
+    mAppliedFirstAt = now;
+  }
   mAppliedChanged = true;
   mAppliedChangedAt = now;
+  mAppliedUnsent.push_back(SubjectOf(aMessage));
+}
+
+void
+mesh_core::implementation::SpreadOwnApplied()
+{
+  // Many at once, as after a start, are told by the hash alone.
+  if (mAppliedUnsent.size() > kMostSingleVersions) {
+    mAppliedMany = true;
+    mAppliedUnsent.clear();
+  }
+  for (const subject_id subject : mAppliedUnsent) {
+    if (const mesh_fact* fact = facts.Find(subject)) {
+      QueueForOthers(*fact, std::nullopt);
+    }
+  }
+  mAppliedUnsent.clear();
 }
 
 bool
@@ -463,8 +555,9 @@
     return true;
   }
   appliedHashes[update->router] = *update;
+  CompareHash(*update);
   aLink.appliedHashes.Remove(update->router);
-  HeardOrigin(update->router, aLink.id, false);
+  HeardOrigin(update->router, aLink.id);
   SpreadAppliedHash(update->router, aLink.id);
   return true;
 }
@@ -483,14 +576,38 @@
 void
 mesh_core::implementation::SettleAppliedHash()
 {
-  if (!mAppliedChanged || now - mAppliedChangedAt < kAppliedSettle) {
+  const duration settle = mAppliedMany ? kManyAppliedSettle : kAppliedSettle;
+  const bool settled =
+    now - mAppliedChangedAt >= settle || now - mAppliedFirstAt >= kAppliedLongest;
+  if (!mAppliedChanged || !settled) {
     return;
   }
   mAppliedChanged = false;
+  mAppliedMany = false;
   applied_hash_record& own = appliedHashes[options.self];
-  own.stamp =
-    std::max(own.stamp + 1, options.life + static_cast<std::uint64_t>((now - mStartedAt).ms));
+  const std::uint64_t age = options.life + static_cast<std::uint64_t>((now - mStartedAt).ms);
+  own.stamp = std::max(own.stamp + 1, age / kHashStampStepMs);
   SpreadAppliedHash(options.self, std::nullopt);
 }
 
+void
+mesh_core::implementation::ExpireApplied()
+{
+  std::vector<subject_id> redundant;
+  facts.ForEach([&](subject_id aSubject, const mesh_fact& aFact) {
+    const auto* applied = std::get_if<applied_message>(&aFact.message);
+    if (applied == nullptr) {
+      return;
+    }
+    const auto cover = covered.find(applied->router);
+    const mesh_fact* held = facts.Find(SubjectOf(applied->what, applied->name));
+    if (held != nullptr && cover != covered.end() && held->acceptedAs <= cover->second) {
+      redundant.push_back(aSubject);
+    }
+  });
+  for (const subject_id subject : redundant) {
+    facts.Erase(subject);
+  }
+}
+
 } // namespace persimmon::peers
