--- a/src/peers/internal/meshcoresending.cpp
+++ b/src/peers/internal/meshcoresending.cpp
@@ -44,6 +44,8 @@
     // Names that this record introduced go out with the frame before it.
     SendFrame(aLink);
   }
+  const bool body = aRecord.kind == static_cast<std::uint64_t>(record_kind::body);
+  mBudget -= body ? 0 : static_cast<std::int64_t>(size);
   aLink.frame.records.push_back(std::move(aRecord));
   aLink.frameBytes += size;
 }
@@ -77,6 +79,7 @@
   mBudget += options.bytesPerSecond * (now - mBudgetAt).ms / 1000;
   mBudget = std::min(mBudget, options.burstBytes);
   mBudgetAt = now;
+  SpreadOwnApplied();
   SettleAppliedHash();
   const auto bulkStart = static_cast<std::size_t>(message_worth::presence);
   const std::size_t end = aBulk ? kWorthCount : bulkStart;
@@ -110,9 +113,11 @@
 {
   const std::size_t names = aLink.frame.names.size();
   const std::size_t frames = counters.framesSent;
+  const std::int64_t before = mBudget;
   const bool sent = SendWaiting(aLink, aWorth);
   const std::size_t first = counters.framesSent == frames ? names : 0;
   mBudget -= static_cast<std::int64_t>(SizeOfNames(aLink.frame, first));
+  counters.bytesByWorth[aWorth] += static_cast<std::uint64_t>(before - mBudget);
   return sent;
 }
 
@@ -120,24 +125,37 @@
 mesh_core::implementation::SendWaiting(link_state& aLink, std::size_t aWorth)
 {
   if (const auto subject = aLink.facts[aWorth].Take()) {
-    if (const mesh_fact* fact = facts.Find(*subject)) {
-      Spend(aLink, RenderFact(aLink, *fact));
+    const mesh_fact* fact = facts.Find(*subject);
+    if (fact != nullptr && aLink.prunedByPeer.count(OriginOf(fact->message)) == 0) {
+      Append(aLink, RenderFact(aLink, *fact));
     }
     return true;
   }
-  if (aWorth != static_cast<std::size_t>(message_worth::member)) {
-    return false;
+  if (aWorth == static_cast<std::size_t>(message_worth::member)) {
+    return SendMember(aLink);
   }
+  return aWorth == static_cast<std::size_t>(message_worth::applied) && SendAppliedHash(aLink);
+}
+
+bool
+mesh_core::implementation::SendMember(link_state& aLink)
+{
   if (const auto router = aLink.members.Take()) {
     if (const member* entry = members.Find(*router)) {
-      Spend(aLink, aLink.codec.Render(*entry, aLink.frame));
+      Append(aLink, aLink.codec.Render(*entry, aLink.frame));
     }
     return true;
   }
+  return false;
+}
+
+bool
+mesh_core::implementation::SendAppliedHash(link_state& aLink)
+{
   if (const auto router = aLink.appliedHashes.Take()) {
     const auto hash = appliedHashes.find(*router);
     if (hash != appliedHashes.end()) {
-      Spend(aLink, aLink.codec.Render(hash->second, aLink.frame));
+      Append(aLink, aLink.codec.Render(hash->second, aLink.frame));
     }
     return true;
   }
@@ -153,11 +171,4 @@
   return aLink.codec.Render(aFact, now, aLink.frame);
 }
 
-void
-mesh_core::implementation::Spend(link_state& aLink, wire_record aRecord)
-{
-  mBudget -= static_cast<std::int64_t>(EncodedSize(aRecord));
-  Append(aLink, std::move(aRecord));
-}
-
 } // namespace persimmon::peers
--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -6,10 +6,12 @@
 #include "peers/peersmetrics.h"
 #include "peers/wireframe.h"
 
+#include <atomic>
 #include <charconv>
 #include <future>
 #include <map>
 #include <mutex>
+#include <numeric>
 #include <set>
 
 namespace persimmon::peers {
@@ -51,7 +53,7 @@
   std::unique_ptr<websocket_transport> transport;
   std::string reason;
   steady_clock clock;
-  bool running = false;
+  std::atomic<bool> running = false;
 
   // The core changes on the transport's thread only; other threads read it under the lock.
   mutable std::mutex mutex;
@@ -281,7 +283,9 @@
   count(kMeshDuplicates, counters.duplicates, counted.duplicates);
   count(kMeshUnknown, counters.unknownRecords, counted.unknownRecords);
   count(kMeshBadFrames, counters.badFrames, counted.badFrames);
-  metrics->Set(kMeshWaiting, static_cast<double>(counters.waiting));
+  const auto waiting =
+    std::accumulate(counters.waiting.begin(), counters.waiting.end(), std::uint64_t{ 0 });
+  metrics->Set(kMeshWaiting, static_cast<double>(waiting));
   metrics->Set(kMeshPeers, static_cast<double>(status.peers.size()));
   metrics->Set(kMeshLive, static_cast<double>(live));
   counted = counters;
