--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -38,7 +38,7 @@
 
   /// Starts to listen; port 0 takes a free one. Returns the address in use, or nothing with
   /// LastReason() telling why.
-  std::optional<endpoint> Listen(const endpoint& aAddress, const request_handler& aHandler);
+  std::optional<endpoint> Listen(const endpoint& aAddress, request_handler aHandler);
   /// Stops one listener; connections that are open stay so.
   void Close(const endpoint& aAddress);
   /// Stops all listeners and threads and drops all connections.
--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -91,6 +91,7 @@
 
 struct http_server::implementation
 {
+  using shared_handler = std::shared_ptr<const request_handler>;
   /// One for each loop, all on the same address.
   using listeners = std::vector<std::unique_ptr<listening_server>>;
 
@@ -103,7 +104,7 @@
 
   std::unique_ptr<listening_server> MakeServer(const std::string& aAddress,
                                                std::uint16_t& aPort,
-                                               const request_handler& aHandler,
+                                               const shared_handler& aHandler,
                                                std::size_t aLoop);
   bool Open(listening_server& aServer);
   bool IsFree(const std::string& aAddress, std::uint16_t aPort);
@@ -112,7 +113,7 @@
 std::unique_ptr<listening_server>
 http_server::implementation::MakeServer(const std::string& aAddress,
                                         std::uint16_t& aPort,
-                                        const request_handler& aHandler,
+                                        const shared_handler& aHandler,
                                         std::size_t aLoop)
 {
   auto listener = std::make_shared<connection_listener>();
@@ -122,7 +123,7 @@
     const auto connection = aRequest->connection_id();
     auto answer = std::make_shared<responder::implementation>(std::move(aRequest));
     listener->Remember(connection, answer);
-    handler(std::move(request), std::make_shared<responder>(std::move(answer)));
+    (*handler)(std::move(request), std::make_shared<responder>(std::move(answer)));
     return restinio::request_accepted();
   };
   restinio::server_settings_t<server_traits> settings;
@@ -210,7 +211,7 @@
 }
 
 std::optional<endpoint>
-http_server::Listen(const endpoint& aAddress, const request_handler& aHandler)
+http_server::Listen(const endpoint& aAddress, request_handler aHandler)
 {
   implementation& self = *mImplementation;
   const auto parts = SplitEndpoint(aAddress);
@@ -223,9 +224,10 @@
   if (!self.IsFree(parts->first, port)) {
     return std::nullopt;
   }
+  const auto handler = std::make_shared<const request_handler>(std::move(aHandler));
   implementation::listeners opened;
   for (std::size_t i = 0; i < self.loops.size(); ++i) {
-    opened.push_back(self.MakeServer(parts->first, port, aHandler, i));
+    opened.push_back(self.MakeServer(parts->first, port, handler, i));
     if (!self.Open(*opened.back())) {
       return std::nullopt;
     }
