--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -32,8 +32,6 @@
   void Start();
   /// Brings an event to the flow; from any thread, never within the call itself.
   void Post(routing::flow_event aEvent);
-  /// Tells what the admission decided; from any thread.
-  void OnAdmission(const routing::admission_action& aAction);
   /// Tells that an upstream lost a member or went silent; from any thread.
   void UpstreamLost(const routing::upstream_id& aUpstream, generation aVersion);
   [[nodiscard]] const service_name& Service() const { return mCall.service->Name(); }
@@ -87,9 +85,6 @@
 
   [[nodiscard]] upstream::call_handlers HandlersFor(routing::attempt_number aAttempt);
   [[nodiscard]] bool StreamExpected() const;
-  void TakeAdmission(const routing::admission_action& aAction);
-  /// True when the request is in quarantine; it is refused then.
-  bool RefuseIfQuarantined(const routing::poison_check& aCheck);
   void RecordAttempt(std::uint64_t aResumeAfter);
   /// Adds a decision to the record that operators can ask for.
   void Note(std::string aWhat, std::string aDetail);
--- a/src/app/router/internal/clusterboard.cpp
+++ b/src/app/router/internal/clusterboard.cpp
@@ -26,20 +26,6 @@
   return std::nullopt;
 }
 
-const char*
-HealthName(routing::pool_health aHealth)
-{
-  switch (aHealth) {
-    case routing::pool_health::good:
-      return "good";
-    case routing::pool_health::probation:
-      return "probation";
-    case routing::pool_health::ejected:
-      return "ejected";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 cluster_board::cluster_board(router_id aSelf,
@@ -100,8 +86,8 @@
       WriteLog(routing::kUpstreamHealthChanged,
                { { "service", service->Name().value },
                  { "upstream", change.id.value },
-                 { "before", HealthName(change.before) },
-                 { "after", HealthName(change.after) } });
+                 { "before", std::to_string(static_cast<int>(change.before)) },
+                 { "after", std::to_string(static_cast<int>(change.after)) } });
     }
   }
 }
@@ -141,10 +127,8 @@
   event.object = object->kind + "/" + object->name;
   event.revision = object->version.value;
   mHistory.Write(std::move(event));
-  const bool document = object->kind == "service";
-  WriteLog(document ? routing::kDocumentApplied : routing::kTableApplied,
-           { { document ? "service" : "domain", object->name },
-             { "revision", std::to_string(object->version.value) } });
+  WriteLog(object->kind == "service" ? routing::kDocumentApplied : routing::kTableApplied,
+           { { "name", object->name }, { "revision", std::to_string(object->version.value) } });
 }
 
 void
@@ -152,10 +136,9 @@
 {
   if (const auto object = ObjectOf(aMessage)) {
     WriteLog(routing::kObjectMalformed,
-             { { "kind", object->kind },
-               { "name", object->name },
+             { { "object", object->kind + "/" + object->name },
                { "revision", std::to_string(object->version.value) },
-               { "detail", mView.LastReason() } });
+               { "problem", mView.LastReason() } });
   }
 }
 
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -7,7 +7,6 @@
 #include "routing/routingevents.h"
 #include "routing/routingmetrics.h"
 
-#include <algorithm>
 #include <fmt/format.h>
 
 namespace persimmon::router {
@@ -33,29 +32,6 @@
   return call;
 }
 
-routing::flow_event
-EventOf(const routing::admission_action& aAction)
-{
-  using routing::admission_verdict;
-  using routing::refusal_reason;
-  switch (aAction.verdict) {
-    case admission_verdict::start:
-      return routing::flow_admitted{};
-    case admission_verdict::customer_over_share:
-      return routing::flow_not_admitted{ refusal_reason::customer_over_share, aAction.retryAfter };
-    case admission_verdict::queue_full:
-      return routing::flow_not_admitted{ refusal_reason::queue_full, aAction.retryAfter };
-    case admission_verdict::wait_exceeds_deadline:
-      return routing::flow_not_admitted{ refusal_reason::wait_exceeds_deadline,
-                                         aAction.retryAfter };
-    case admission_verdict::deadline_passed:
-      return routing::flow_not_admitted{ refusal_reason::deadline_exceeded, aAction.retryAfter };
-    case admission_verdict::unknown_customer:
-      return routing::flow_not_admitted{ refusal_reason::unknown_customer, {} };
-  }
-  return routing::flow_not_admitted{ refusal_reason::queue_full, aAction.retryAfter };
-}
-
 const char*
 RanText(routing::ran_proof aProof)
 {
@@ -136,7 +112,10 @@
 void
 exchange::Do(const routing::ask_admission&)
 {
-  if (RefuseIfQuarantined(mContext.suspects.Check(mCall.fingerprint, Now()))) {
+  const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
+  if (poison.verdict == routing::poison_verdict::quarantined) {
+    Handle(
+      routing::flow_not_admitted{ routing::refusal_reason::request_quarantined, poison.remaining });
     return;
   }
   if (mCall.service->IsOut(Now())) {
@@ -144,70 +123,7 @@
     return;
   }
   const routing::admission_request request{ mId, mCall.customer, mCall.priority, mDeadline };
-  const auto actions = mCall.service->Arrive(request, Now());
-  const bool decided =
-    std::any_of(actions.begin(), actions.end(), [this](const routing::admission_action& aAction) {
-      return aAction.request == mId;
-    });
-  if (!decided) {
-    WriteLog(routing::kRequestQueued,
-             { { "request", mId.value },
-               { "service", mRecord.service.value },
-               { "customer", mCall.customer.value },
-               { "waiting", std::to_string(mCall.service->Waiting()) } });
-    Note("queued", fmt::format("waiting={}", mCall.service->Waiting()));
-  }
-  mContext.registry.CarryOut(actions);
-}
-
-void
-exchange::OnAdmission(const routing::admission_action& aAction)
-{
-  mLoop.Post([self = shared_from_this(), aAction] { self->TakeAdmission(aAction); });
-}
-
-void
-exchange::TakeAdmission(const routing::admission_action& aAction)
-{
-  const std::string verdict = routing::AdmissionVerdictName(aAction.verdict);
-  mContext.metrics.Count(routing::kAdmissionsTotal,
-                         { { "service", mRecord.service.value },
-                           { "customer", mCall.customer.value },
-                           { "verdict", verdict } });
-  if (aAction.verdict == routing::admission_verdict::start) {
-    mContext.metrics.Observe(routing::kAdmissionWaitSeconds,
-                             static_cast<double>(aAction.waited.ms) / kMsPerSecond,
-                             { { "service", mRecord.service.value } });
-  } else {
-    WriteLog(routing::kRequestNotAdmitted,
-             { { "request", mId.value },
-               { "service", mRecord.service.value },
-               { "customer", mCall.customer.value },
-               { "reason", verdict },
-               { "retry_after_ms", std::to_string(aAction.retryAfter.ms) },
-               { "waited_ms", std::to_string(aAction.waited.ms) } });
-  }
-  Handle(EventOf(aAction));
-}
-
-bool
-exchange::RefuseIfQuarantined(const routing::poison_check& aCheck)
-{
-  if (aCheck.verdict != routing::poison_verdict::quarantined) {
-    return false;
-  }
-  WriteLog(routing::kQuarantinedRefused,
-           { { "request", mId.value },
-             { "fingerprint", fmt::format("{:016x}", mCall.fingerprint) },
-             { "service", mRecord.service.value },
-             { "customer", mCall.customer.value },
-             { "retry_after_ms", std::to_string(aCheck.remaining.ms) } });
-  // The flow takes the one that it waits for.
-  Handle(
-    routing::flow_not_admitted{ routing::refusal_reason::request_quarantined, aCheck.remaining });
-  Handle(
-    routing::flow_no_upstream{ routing::refusal_reason::request_quarantined, aCheck.remaining });
-  return true;
+  mContext.registry.CarryOut(mCall.service->Arrive(request, Now()));
 }
 
 void
@@ -238,7 +154,9 @@
   request.prefix = mCall.prefix;
   request.excluded = mTried;
   const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
-  if (RefuseIfQuarantined(poison)) {
+  if (poison.verdict == routing::poison_verdict::quarantined) {
+    Handle(
+      routing::flow_no_upstream{ routing::refusal_reason::request_quarantined, poison.remaining });
     return;
   }
   if (poison.verdict == routing::poison_verdict::isolate) {
@@ -347,8 +265,7 @@
            { { "request", mId.value },
              { "attempt", mAttempt.id.value },
              { "service", mRecord.service.value },
-             { "verdict", name },
-             { "budget", fmt::format("{:.1f}", mCall.service->RetryBudgetLeft(Now())) } });
+             { "verdict", name } });
   Note("retry_decided", "verdict=" + name);
   Handle(routing::flow_retry_decided{ verdict });
 }
--- a/src/app/router/internal/meshbridge.cpp
+++ b/src/app/router/internal/meshbridge.cpp
@@ -2,7 +2,6 @@
 
 #include "peers/meshnode.h"
 #include "peers/rendezvous.h"
-#include "routing/routingevents.h"
 
 #include <algorithm>
 #include <mutex>
@@ -149,9 +148,6 @@
   const std::lock_guard lock(self.leavingMutex);
   for (const peers::leaving_message& leaving : self.board.Leaving()) {
     if (self.leavingTold.emplace(leaving.instance, leaving.life).second) {
-      WriteLog(routing::kLeavingMarked,
-               { { "instance", leaving.instance.value },
-                 { "incarnation", std::to_string(leaving.life.value) } });
       Publish(leaving);
     }
   }
--- a/src/app/router/internal/requestregistry.cpp
+++ b/src/app/router/internal/requestregistry.cpp
@@ -3,6 +3,32 @@
 #include "app/router/exchange.h"
 
 namespace persimmon::router {
+namespace {
+
+routing::flow_event
+EventOf(const routing::admission_action& aAction)
+{
+  using routing::admission_verdict;
+  using routing::refusal_reason;
+  switch (aAction.verdict) {
+    case admission_verdict::start:
+      return routing::flow_admitted{};
+    case admission_verdict::customer_over_share:
+      return routing::flow_not_admitted{ refusal_reason::customer_over_share, aAction.retryAfter };
+    case admission_verdict::queue_full:
+      return routing::flow_not_admitted{ refusal_reason::queue_full, aAction.retryAfter };
+    case admission_verdict::wait_exceeds_deadline:
+      return routing::flow_not_admitted{ refusal_reason::wait_exceeds_deadline,
+                                         aAction.retryAfter };
+    case admission_verdict::deadline_passed:
+      return routing::flow_not_admitted{ refusal_reason::deadline_exceeded, aAction.retryAfter };
+    case admission_verdict::unknown_customer:
+      return routing::flow_not_admitted{ refusal_reason::unknown_customer, {} };
+  }
+  return routing::flow_not_admitted{ refusal_reason::queue_full, aAction.retryAfter };
+}
+
+} // namespace
 
 request_registry::shard&
 request_registry::ShardOf(const request_id& aRequest)
@@ -70,7 +96,7 @@
 {
   for (const routing::admission_action& action : aActions) {
     if (const auto found = Find(action.request)) {
-      found->OnAdmission(action);
+      found->Post(EventOf(action));
     }
   }
 }
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -2,7 +2,6 @@
 
 #include "app/router/callerfront.h"
 #include "app/router/clusterboard.h"
-#include "app/router/eligibilitylog.h"
 #include "app/router/exchange.h"
 #include "app/router/exchangecontext.h"
 #include "app/router/lostupstreams.h"
@@ -12,7 +11,6 @@
 #include "app/router/readiness.h"
 #include "app/router/requestloops.h"
 #include "app/router/routerevents.h"
-#include "app/router/servicegauges.h"
 #include "app/router/testcontrol.h"
 #include "entry/httpserver.h"
 #include "upstream/upstreamclient.h"
@@ -94,7 +92,6 @@
     [this](const peers::presence_message& aPresence) { mesh.Publish(aPresence); }
   };
   lost_upstreams lostUpstreams;
-  eligibility_log eligibility;
   upstream::upstream_loop ticker{ controlLoop };
   std::unique_ptr<platform_watcher> watcher;
   entry::http_server server{ ServerOptions(settings, requestLoops) };
@@ -121,9 +118,6 @@
       registry.RefuseWaiting(service->Name());
     }
   }
-  for (const eligibility_change& change : eligibility.Update(board, now)) {
-    LogEligibility(change);
-  }
   for (const lost_upstream& lost : lostUpstreams.Update(board, now)) {
     registry.TellLost(lost);
   }
@@ -137,7 +131,6 @@
 router_process::implementation::TickEachSecond(time_point aNow)
 {
   suspects.Prune(aNow);
-  SetServiceGauges(board, suspects, metrics, aNow);
   mesh.PublishShares();
   if (mesh.CaughtUp() && !board.Empty()) {
     ready.informed = true;
--- a/src/app/router/internal/serviceshard.cpp
+++ b/src/app/router/internal/serviceshard.cpp
@@ -1,7 +1,5 @@
 #include "app/router/serviceshard.h"
 
-#include <algorithm>
-
 namespace persimmon::router {
 namespace {
 
@@ -151,24 +149,6 @@
   return routing::DecideRetry(aFailed, mBudget, aNow);
 }
 
-double
-service_shard::RetryBudgetLeft(time_point aNow) const
-{
-  const std::lock_guard lock(mMutex);
-  return mBudget.Left(aNow);
-}
-
-std::size_t
-service_shard::ProbationCount()
-{
-  const std::lock_guard lock(mMutex);
-  const auto& slots = mChooser.Pool().Slots();
-  return static_cast<std::size_t>(
-    std::count_if(slots.begin(), slots.end(), [](const routing::pool_slot& aSlot) {
-      return aSlot.listed && aSlot.probation;
-    }));
-}
-
 void
 service_shard::Apply(const peers::share_message& aShare, time_point aNow)
 {
--- a/src/app/router/internal/suspectboard.cpp
+++ b/src/app/router/internal/suspectboard.cpp
@@ -71,7 +71,7 @@
   mTracker.Ended(aAttempt);
 }
 
-std::size_t
+void
 suspect_board::Died(const routing::upstream_id& aUpstream, time_point aNow)
 {
   std::vector<peers::suspect_message> news;
@@ -81,7 +81,6 @@
   }
   LogNews(news);
   mSink(news);
-  return news.size();
 }
 
 void
@@ -91,13 +90,6 @@
   mTracker.Apply(aMessage, aNow);
 }
 
-std::vector<peers::suspect_message>
-suspect_board::All(time_point aNow) const
-{
-  const std::lock_guard lock(mMutex);
-  return mTracker.All(aNow);
-}
-
 void
 suspect_board::Prune(time_point aNow)
 {
--- a/src/app/router/serviceshard.h
+++ b/src/app/router/serviceshard.h
@@ -62,10 +62,6 @@
 
   routing::retry_verdict DecideRetry(const routing::failed_attempt& aFailed, time_point aNow);
 
-  [[nodiscard]] double RetryBudgetLeft(time_point aNow) const;
-  /// Upstreams on probation.
-  [[nodiscard]] std::size_t ProbationCount();
-
   void Apply(const peers::share_message& aShare, time_point aNow);
   [[nodiscard]] std::vector<peers::share_message> Shares() const;
   [[nodiscard]] std::size_t Running() const;
--- a/src/app/router/suspectboard.h
+++ b/src/app/router/suspectboard.h
@@ -28,11 +28,8 @@
                time_point aNow);
   void Completed(const attempt_id& aAttempt, time_point aNow);
   void Ended(const attempt_id& aAttempt);
-  /// Returns the number of requests that were in flight there.
-  std::size_t Died(const routing::upstream_id& aUpstream, time_point aNow);
+  void Died(const routing::upstream_id& aUpstream, time_point aNow);
   void Apply(const peers::suspect_message& aMessage, time_point aNow);
-  /// Suspects and quarantined requests.
-  [[nodiscard]] std::vector<peers::suspect_message> All(time_point aNow) const;
   void Prune(time_point aNow);
 
 private:
