--- a/src/app/router/internal/lostupstreams.cpp
+++ b/src/app/router/internal/lostupstreams.cpp
@@ -30,7 +30,9 @@
 {
   std::set<lost_upstream> lost;
   for (const auto& service : aBoard.Services()) {
-    for (const routing::candidate& candidate : service->View()->candidates) {
+    // Held over the loop, since another thread may replace the view.
+    const std::shared_ptr<const routing::service_view> view = service->View();
+    for (const routing::candidate& candidate : view->candidates) {
       if (IsLost(candidate, aNow)) {
         lost.insert({ service->Name(), candidate.target->id, candidate.target->version });
       }
--- a/src/app/router/internal/serviceshard.cpp
+++ b/src/app/router/internal/serviceshard.cpp
@@ -1,5 +1,7 @@
 #include "app/router/serviceshard.h"
 
+#include <algorithm>
+
 namespace persimmon::router {
 namespace {
 
@@ -43,6 +45,11 @@
     }
   }
   mView = std::move(aView);
+  mAdmission.SetRouterCount(mView->routers);
+  if (mView->document && mView->document->document.kind == service_kind::model) {
+    mAdmission.SetObservedLoad(mView->ReportedLoad(), aNow);
+  }
+  mChooser.Pool().SetRouterCount(mView->routers);
   mChooser.Pool().Update(mView->candidates, aNow);
   return CountUpstreams(aNow);
 }
@@ -177,4 +184,20 @@
   return mAdmission.Waiting();
 }
 
+service_figures
+service_shard::Figures(time_point aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto& slots = mChooser.Pool().Slots();
+  const auto onProbation =
+    std::count_if(slots.begin(), slots.end(), [](const routing::pool_slot& aSlot) {
+      return aSlot.listed && aSlot.probation;
+    });
+  return { mAdmission.Running(),
+           mAdmission.Waiting(),
+           mView->EligibleCount(aNow),
+           static_cast<std::size_t>(onProbation),
+           mBudget.Left(aNow) };
+}
+
 } // namespace persimmon::router
