Router: count routers from the instance list, take the upstreams' load to admission

Cause: the cores' SetRouterCount() and SetObservedLoad() were not called, so that after 30 s without the mesh each router took itself to be alone, and an own dispatch stood for one router's only. The service view carries the number now.

--- a/src/app/router/internal/serviceshard.cpp
+++ b/src/app/router/internal/serviceshard.cpp
@@ -43,6 +43,11 @@
     }
   }
   mView = std::move(aView);
+  mAdmission.SetRouterCount(mView->routers);
+  if (mView->document && mView->document->document.kind == service_kind::model) {
+    mAdmission.SetObservedLoad(mView->ReportedLoad(), aNow);
+  }
+  mChooser.Pool().SetRouterCount(mView->routers);
   mChooser.Pool().Update(mView->candidates, aNow);
   return CountUpstreams(aNow);
 }
--- a/src/routing/internal/clusterview.cpp
+++ b/src/routing/internal/clusterview.cpp
@@ -50,6 +50,16 @@
     }));
 }
 
+std::uint64_t
+service_view::ReportedLoad() const
+{
+  std::uint64_t sum = 0;
+  for (const candidate& current : candidates) {
+    sum += std::uint64_t{ current.load.running } + current.load.queued;
+  }
+  return sum;
+}
+
 view_change
 cluster_view::Malformed(std::string aReason)
 {
@@ -345,6 +355,7 @@
 cluster_view::Build(const service_name& aService) const
 {
   auto view = std::make_shared<service_view>();
+  view->routers = RouterCount();
   const auto document = mDocuments.find(aService);
   if (document != mDocuments.end()) {
     view->document = document->second;
--- a/src/routing/tests/clusterviewtests.cpp
+++ b/src/routing/tests/clusterviewtests.cpp
@@ -188,6 +188,22 @@
   view.Apply(std::vector{ Listed("p1", 1, "desk-app"), leaving, entry }, kStart);
   const auto service = view.Service({ "desk-app" });
   CHECK_EQUAL(2, service->candidates.size());
+  CHECK_EQUAL(1, service->routers);
   CHECK(service->candidates[0].WhyNot(kStart + 3600_s) == ineligibility::none);
   CHECK(service->candidates[1].WhyNot(kStart) == ineligibility::member_leaving);
 }
+
+TEST(cluster_view, RoutersAreCountedFromTheListWithoutThoseThatLeave)
+{
+  std::vector<platform::listed_instance> list;
+  for (const char* name : { "e1", "e2", "e3" }) {
+    list.push_back(Listed(name, 1));
+    list.back().entry = true;
+  }
+  list.back().leaving = true;
+  Serve();
+  CHECK_EQUAL(1, view.Service({ "vakt-model" })->routers);
+  view.Apply(list, kStart);
+  CHECK_EQUAL(2, view.Service({ "vakt-model" })->routers);
+  CHECK_EQUAL(5, view.Service({ "vakt-model" })->ReportedLoad());
+}
