--- a/bench/meshbench.cpp
+++ b/bench/meshbench.cpp
@@ -1,8 +1,10 @@
+#include "bench/herdbench.h"
 #include "bench/meshworkload.h"
 #include "settings/settings.h"
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <ctime>
 #include <fmt/format.h>
 #include <malloc.h>
@@ -302,7 +304,7 @@
   options.Add("seed", "1", "seed of every random choice");
   options.Add("window-s", "30", "measured span of a steady run, in seconds of simulated time");
   options.Add("largest", "300", "largest number of peers");
-  options.Add("only", "", "steady, slopes, force or faults; all when empty");
+  options.Add("only", "", "steady, slopes, force, herd or faults; all when empty");
   if (const auto code = options.Parse(aCount, aArguments)) {
     return *code;
   }
@@ -318,6 +320,7 @@
                kSizes.end(),
                std::back_inserter(run.sizes),
                [&](const size_point& aIt) { return aIt.routers <= largest; });
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   fmt::print("## Peer mesh (bench-mesh --seed {} --window-s {})\n", run.seed, run.window.ms / 1000);
   const auto wanted = [&only](const char* aName) { return only.empty() || only == aName; };
   if (wanted("steady")) {
@@ -329,6 +332,9 @@
   if (wanted("force")) {
     RunForce(run);
   }
+  if (wanted("herd")) {
+    PrintHerd();
+  }
   if (wanted("faults")) {
     RunFaults(run);
   }
--- a/src/app/router/internal/platformwatcher.cpp
+++ b/src/app/router/internal/platformwatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "app/router/routerevents.h"
 #include "base/clock.h"
+#include "base/random.h"
+#include "peers/returnpause.h"
 #include "platform/httpobjectstore.h"
 
 #include <condition_variable>
@@ -14,7 +16,6 @@
 
 constexpr duration kCallTimeout = 2_s;
 constexpr duration kWatchTime = 3_s;
-constexpr duration kRetryPause{ 300 };
 constexpr duration kListInterval = 30_s;
 constexpr duration kInstancesInterval = 1_s;
 const std::string kDocumentKind = "service";
@@ -124,8 +125,13 @@
 {
   platform::http_object_store store(storeUrl, kCallTimeout);
   const steady_clock clock;
+  random_source random(EntropySeed());
+  peers::return_pause pause;
   while (Goes()) {
     auto from = ListAll(store);
+    if (from) {
+      pause.Succeeded();
+    }
     const time_point listedAt = clock.Now();
     handlers.onState(from.has_value(), listed);
     while (from && Goes() && clock.Now() - listedAt < kListInterval) {
@@ -138,7 +144,7 @@
       WriteLog(kWatchFailed,
                { { "error", platform::StoreErrorName(store.LastReason().code) },
                  { "detail", store.LastReason().detail } });
-      Pause(kRetryPause);
+      Pause(pause.Failed(random));
     }
   }
 }
--- a/src/peers/internal/meshcorelinks.cpp
+++ b/src/peers/internal/meshcorelinks.cpp
@@ -49,7 +49,6 @@
 {
   const auto dialled = mDialling.find(aEvent.link);
   if (dialled != mDialling.end()) {
-    mDialer.Connected(dialled->second);
     mDialled[aEvent.link] = dialled->second;
     mDialling.erase(dialled);
   }
@@ -198,10 +197,15 @@
 void
 mesh_core::implementation::DropLink(link_id aLink)
 {
-  mDialled.erase(aLink);
-  if (links.erase(aLink) == 0) {
+  const auto found = links.find(aLink);
+  if (found == links.end()) {
     return;
   }
+  const bool greeted = found->second.greeted;
+  links.erase(found);
+  if (const auto dialled = mDialled.extract(aLink); dialled && !greeted) {
+    DialFailed(dialled.mapped());
+  }
   for (auto& [subject, wanted] : mWanted) {
     std::erase(wanted.holders, aLink);
   }
@@ -349,6 +353,9 @@
   aLink.peerLife = hello->self.life;
   aLink.leaf = hello->leaf;
   aLink.greeted = true;
+  if (const auto dialled = mDialled.find(aLink.id); dialled != mDialled.end()) {
+    mDialer.Connected(dialled->second);
+  }
   if (!ResolveDuplicate(aLink) || hello->leaf) {
     return true;
   }
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -215,3 +215,56 @@
     CHECK(mesh.Core(i).Status(mesh.Now()).counters.bytesSent < kBudgetPerSecond * kSeconds);
   }
 }
+
+TEST(mesh_core, CutOffRouterKeepsItsDocumentsAndCountsItselfAlone)
+{
+  mesh.Publish(0, Document(10));
+  mesh.Run(1_s);
+  mesh.Cut([](std::size_t aFrom, std::size_t aTo) { return aFrom == 8 || aTo == 8; });
+  mesh.Run(60_s);
+  CHECK(mesh.Core(8).Live() == std::vector<router_id>{ mesh.IdOf(8) });
+  CHECK(AllHold(Document(10), 8, 9));
+  mesh.Publish(0, document_message{ { kService }, { 11 }, "" });
+  mesh.Heal();
+  CHECK(mesh
+          .RunUntil(15_s,
+                    [this] {
+                      return mesh.Agreed() && AllHold(document_message{ { kService }, { 11 }, "" });
+                    })
+          .has_value());
+}
+
+TEST(mesh_core, RetiredDocumentStaysRetiredWhenAnOldRouterReturns)
+{
+  mesh.Publish(0, Document(10));
+  mesh.Run(1_s);
+  mesh.Cut([](std::size_t aFrom, std::size_t aTo) { return aFrom == 8 || aTo == 8; });
+  mesh.Run(1_s);
+  const mesh_message retired = document_message{ { kService }, { 12 }, "" };
+  mesh.Publish(0, retired);
+  mesh.Run(10_s);
+  mesh.Publish(8, Document(10));
+  mesh.Heal();
+  mesh.Run(15_s);
+  CHECK(AllHold(retired));
+}
+
+TEST(mesh_core, LinkThatEndsBeforeItsGreetingCountsAsAFailedDial)
+{
+  mesh_options options;
+  options.self = { "self" };
+  options.seeds = { { "10.0.0.9:1" } };
+  mesh_core core(options, {});
+  int dials = 0;
+  for (time_point now; now < time_point{ 10000 }; now = now + 50_ms) {
+    for (const mesh_action& action : core.Handle(timer_fired{}, now)) {
+      if (const auto* open = std::get_if<open_link>(&action)) {
+        ++dials;
+        core.Handle(link_opened{ open->link, true }, now);
+        core.Handle(link_closed{ open->link }, now);
+      }
+    }
+  }
+  CHECK(dials > 1);
+  CHECK(dials <= 12);
+}
