--- a/src/peers/tests/returnpausetests.cpp
+++ b/src/peers/tests/returnpausetests.cpp
@@ -29,10 +29,10 @@
 
 TEST(return_pause, SpreadsAHundredProcessesOverItsBound)
 {
-  constexpr int kProcesses = 110;
+  constexpr std::int64_t kProcesses = 110;
   constexpr std::int64_t kSlots = 10;
-  std::vector<int> perSlot(kSlots);
-  for (std::uint64_t seed = 1; seed <= kProcesses; ++seed) {
+  std::vector<std::int64_t> perSlot(kSlots);
+  for (std::uint64_t seed = 1; seed <= std::uint64_t{ kProcesses }; ++seed) {
     random_source random(seed);
     return_pause pause;
     duration last;
