Ledger: planned stops write closes at once; longer back-off for callers

A close waits up to 1 s for company and up to 60 s while the store was down, so a planned stop right after an outage lost closes. Flush() now writes them at once and again each 250 ms.

With the store down, shards with callers retried up to every 250 ms.

--- a/src/ledger/internal/ledgerserviceimpl.h
+++ b/src/ledger/internal/ledgerserviceimpl.h
@@ -138,12 +138,35 @@
 ledger_service<Store, Clock, Wall>::Flush(duration aLongest)
 {
   const time_point end = boot_clock().Now() + aLongest;
+  time_point next = boot_clock().Now();
   while (mOpenCloses > 0 && boot_clock().Now() < end) {
+    if (boot_clock().Now() >= next) {
+      FlushAll();
+      next = next + kFlushRetry;
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds(kFlushPoll.ms));
   }
   return mOpenCloses == 0;
 }
 
+template<platform::object_store Store, clock_source Clock, clock_source Wall>
+void
+ledger_service<Store, Clock, Wall>::FlushAll()
+{
+  std::vector<shard_id> waiting;
+  for (stripe& each : mStripes) {
+    const std::lock_guard lock(each.mutex);
+    for (const auto& [id, shard] : each.shards) {
+      if (shard.WaitingCloses() > 0) {
+        waiting.push_back(id);
+      }
+    }
+  }
+  for (const shard_id& id : waiting) {
+    Feed(id, flush_event{});
+  }
+}
+
 template<platform::object_store Store, clock_source Clock, clock_source Wall>
 typename ledger_service<Store, Clock, Wall>::stripe&
 ledger_service<Store, Clock, Wall>::StripeOf(const shard_id& aShard)
--- a/src/ledger/internal/ledgershard.cpp
+++ b/src/ledger/internal/ledgershard.cpp
@@ -8,7 +8,7 @@
 constexpr std::size_t kMaxWaitingIntents = 1024;
 constexpr std::size_t kMaxWaitingCloses = 1024;
 constexpr duration kFirstBackOff{ 10 };
-constexpr duration kLongestBackOff{ 250 };
+constexpr duration kLongestBackOff = 1_s;
 /// With nobody waiting for an answer.
 constexpr duration kLongestIdleBackOff = 60_s;
 constexpr std::uint32_t kMaxDoublings = 16;
@@ -89,6 +89,8 @@
     OnRead(*read, aNow, actions);
   } else if (const auto* write = std::get_if<write_event>(&aEvent)) {
     OnWrite(*write, aNow, actions);
+  } else if (std::holds_alternative<flush_event>(aEvent)) {
+    OnFlush(aNow);
   }
   Advance(aNow, actions);
   return actions;
@@ -146,6 +148,15 @@
   mCloses.push_back({ aEvent, aNow, mStep });
 }
 
+void
+ledger_shard::OnFlush(time_point aNow)
+{
+  mBackOffUntil = std::min(mBackOffUntil, aNow);
+  for (waiting_close& close : mCloses) {
+    close.arrived = std::min(close.arrived, aNow - mRules.closeLinger);
+  }
+}
+
 void
 ledger_shard::OnRead(const read_event& aEvent, time_point aNow, action_list& aActions)
 {
--- a/src/ledger/ledgerservice.h
+++ b/src/ledger/ledgerservice.h
@@ -61,7 +61,8 @@
   /// Records how a granted call ended. not_run only with proof that the upstream did not run it;
   /// it lets the caller use the key again. Returns at once; the store is written later.
   void Close(const ticket& aTicket, close_outcome aOutcome);
-  /// Waits until every close is recorded, at most aLongest; returns false when some are not.
+  /// Writes all closes now and waits until they are recorded, at most aLongest; returns false when
+  /// some are not.
   bool Flush(duration aLongest);
 
 private:
@@ -98,6 +99,8 @@
   static constexpr duration kKeepIdle = 15_s;
   static constexpr std::uint64_t kUsesPerCleanUp = 256;
   static constexpr duration kFlushPoll = 5_ms;
+  /// Time between two attempts to write all closes at once.
+  static constexpr duration kFlushRetry = 250_ms;
   /// Bounds how long a call may be on its way; see ledger_sweep.
   static constexpr duration kLongestPatience = 30_s;
   static constexpr duration kRetryFloor = 2_s;
@@ -112,6 +115,7 @@
   void Perform(const shard_id& aShard, std::vector<shard_action> aActions);
   void Perform(const shard_id& aShard, const verdict_action& aAction);
   void Perform(const shard_id& aShard, const dropped_close_action& aAction);
+  void FlushAll();
   void FeedSweep(const sweep_event& aEvent);
   void Perform(const sweep_action& aAction);
   void AdmitEarlyCalls();
--- a/src/ledger/ledgershard.h
+++ b/src/ledger/ledgershard.h
@@ -69,7 +69,12 @@
 struct tick_event
 {};
 
-using shard_event = std::variant<begin_event, close_event, read_event, write_event, tick_event>;
+/// The router is about to end: closes are written now.
+struct flush_event
+{};
+
+using shard_event =
+  std::variant<begin_event, close_event, read_event, write_event, tick_event, flush_event>;
 
 /// Read the shard object.
 struct read_action
@@ -180,6 +185,7 @@
 
   void OnBegin(const begin_event& aEvent, time_point aNow, action_list& aActions);
   void OnClose(const close_event& aEvent, time_point aNow, action_list& aActions);
+  void OnFlush(time_point aNow);
   void OnRead(const read_event& aEvent, time_point aNow, action_list& aActions);
   void OnWrite(const write_event& aEvent, time_point aNow, action_list& aActions);
   void OnWritten(revision aVersion, action_list& aActions);
--- a/src/ledger/tests/ledgershardtests.cpp
+++ b/src/ledger/tests/ledgershardtests.cpp
@@ -186,6 +186,16 @@
   CHECK(Repeat(1).verdict == begin_verdict::granted);
 }
 
+TEST(ledger_shard, FlushWritesClosesWithoutWaiting)
+{
+  world.Close(Granted(0), record_state::done);
+  CHECK_FALSE(world.HasCall(0));
+  world.Flush(0);
+  CHECK(world.HasCall(0));
+  world.Run();
+  CHECK(world.Table().Find({ "k" })->state == record_state::done);
+}
+
 TEST(ledger_shard, OnlyTheAttemptThatWroteTheIntentMayCloseIt)
 {
   Granted(0);
--- a/src/ledger/tests/mocks/ledgerworld.h
+++ b/src/ledger/tests/mocks/ledgerworld.h
@@ -65,6 +65,8 @@
     Feed(entry.router, close_event{ aAttempt, entry.record, aOutcome, std::move(aAnswer) });
   }
 
+  void Flush(std::size_t aRouter) { Feed(aRouter, flush_event{}); }
+
   [[nodiscard]] bool HasCall(std::size_t aRouter) const
   {
     return mRouters[aRouter].call.has_value();
