--- a/src/peers/internal/meshcorelinks.cpp
+++ b/src/peers/internal/meshcorelinks.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr duration kUpkeepInterval = 100_ms;
+constexpr duration kExpiryInterval = 5_s;
 constexpr duration kProbeInterval = 2_s;
 constexpr duration kLonelyProbeInterval = 200_ms;
 constexpr duration kGreetingTimeout = 3_s;
@@ -126,6 +127,10 @@
   const bool reborn = known != nullptr && known->life < aUpdate.life;
   const auto news = members.Merge(aUpdate, now);
   if (news && aUpdate.id == options.self) {
+    // Those who thought this router gone may have missed what it applied.
+    mAppliedChanged = !mOwnApplied.empty();
+    mAppliedFirstAt = now;
+    mAppliedChangedAt = now;
     SpreadMember(*news, std::nullopt);
     return;
   }
@@ -172,6 +177,7 @@
     facts.Erase(subject);
   }
   appliedHashes.erase(aRouter);
+  covered.erase(aRouter);
 }
 
 bool
@@ -382,9 +388,13 @@
       actions.push_back(member_changed{ dead });
       SpreadMember(dead, std::nullopt);
     }
+    GraftStarved();
+  }
+  if (now >= mNextExpiry) {
+    mNextExpiry = now + kExpiryInterval;
     members.Forget(kDeadRetention, now);
     facts.Expire(now);
-    GraftStarved();
+    ExpireApplied();
   }
   AskForWanted();
   SendSummaries();
