Router: every routing decision has its log line, every gauge its value

Admission, quarantine, eligibility of upstreams and leaving marks were declared and catalogued but never written, and no gauge of routing was set, so their alerts could not fire.

--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -34,6 +34,8 @@
   void Post(routing::flow_event aEvent);
   /// Tells that an upstream lost a member or went silent; from any thread.
   void UpstreamLost(const routing::upstream_id& aUpstream, generation aVersion);
+  /// Counts and logs what the admission decided; from any thread.
+  void RecordAdmission(const routing::admission_action& aAction) const;
   [[nodiscard]] const service_name& Service() const { return mCall.service->Name(); }
 
 private:
@@ -86,6 +88,7 @@
   [[nodiscard]] upstream::call_handlers HandlersFor(routing::attempt_number aAttempt);
   [[nodiscard]] bool StreamExpected() const;
   void RecordAttempt(std::uint64_t aResumeAfter);
+  void RecordQuarantine(duration aRemaining) const;
   /// Adds a decision to the record that operators can ask for.
   void Note(std::string aWhat, std::string aDetail);
   void CountOutcome(const char* aOutcome);
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -7,6 +7,7 @@
 #include "routing/routingevents.h"
 #include "routing/routingmetrics.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace persimmon::router {
@@ -114,6 +115,7 @@
 {
   const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
   if (poison.verdict == routing::poison_verdict::quarantined) {
+    RecordQuarantine(poison.remaining);
     Handle(
       routing::flow_not_admitted{ routing::refusal_reason::request_quarantined, poison.remaining });
     return;
@@ -123,7 +125,51 @@
     return;
   }
   const routing::admission_request request{ mId, mCall.customer, mCall.priority, mDeadline };
-  mContext.registry.CarryOut(mCall.service->Arrive(request, Now()));
+  const auto actions = mCall.service->Arrive(request, Now());
+  const bool decided = std::any_of(
+    actions.begin(), actions.end(), [this](const auto& aAction) { return aAction.request == mId; });
+  if (!decided) {
+    WriteLog(routing::kRequestQueued,
+             { { "request", mId.value },
+               { "service", mRecord.service.value },
+               { "customer", mRecord.customer.value },
+               { "waiting", std::to_string(mCall.service->Waiting()) } });
+  }
+  mContext.registry.CarryOut(actions);
+}
+
+void
+exchange::RecordAdmission(const routing::admission_action& aAction) const
+{
+  const std::string verdict = routing::AdmissionVerdictName(aAction.verdict);
+  mContext.metrics.Count(routing::kAdmissionsTotal,
+                         { { "service", mCall.service->Name().value },
+                           { "customer", mCall.customer.value },
+                           { "verdict", verdict } });
+  if (aAction.verdict == routing::admission_verdict::start) {
+    mContext.metrics.Observe(routing::kAdmissionWaitSeconds,
+                             static_cast<double>(aAction.waited.ms) / kMsPerSecond,
+                             { { "service", mCall.service->Name().value } });
+    return;
+  }
+  WriteLog(routing::kRequestNotAdmitted,
+           { { "request", mId.value },
+             { "service", mCall.service->Name().value },
+             { "customer", mCall.customer.value },
+             { "reason", verdict },
+             { "retry_after_ms", std::to_string(aAction.retryAfter.ms) },
+             { "waited_ms", std::to_string(aAction.waited.ms) } });
+}
+
+void
+exchange::RecordQuarantine(duration aRemaining) const
+{
+  WriteLog(routing::kQuarantinedRefused,
+           { { "request", mId.value },
+             { "fingerprint", fmt::format("{:016x}", mCall.fingerprint) },
+             { "service", mCall.service->Name().value },
+             { "customer", mCall.customer.value },
+             { "retry_after_ms", std::to_string(aRemaining.ms) } });
 }
 
 void
@@ -155,6 +201,7 @@
   request.excluded = mTried;
   const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
   if (poison.verdict == routing::poison_verdict::quarantined) {
+    RecordQuarantine(poison.remaining);
     Handle(
       routing::flow_no_upstream{ routing::refusal_reason::request_quarantined, poison.remaining });
     return;
--- a/src/app/router/internal/requestregistry.cpp
+++ b/src/app/router/internal/requestregistry.cpp
@@ -96,6 +96,7 @@
 {
   for (const routing::admission_action& action : aActions) {
     if (const auto found = Find(action.request)) {
+      found->RecordAdmission(action);
       found->Post(EventOf(action));
     }
   }
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "app/router/callerfront.h"
 #include "app/router/clusterboard.h"
+#include "app/router/eligibilitylog.h"
 #include "app/router/exchange.h"
 #include "app/router/exchangecontext.h"
 #include "app/router/lostupstreams.h"
@@ -10,6 +11,7 @@
 #include "app/router/presenceobserver.h"
 #include "app/router/readiness.h"
 #include "app/router/routerevents.h"
+#include "app/router/servicegauges.h"
 #include "app/router/testcontrol.h"
 #include "entry/httpserver.h"
 #include "upstream/upstreamclient.h"
@@ -87,6 +89,7 @@
     [this](const peers::presence_message& aPresence) { mesh.Publish(aPresence); }
   };
   lost_upstreams lostUpstreams;
+  eligibility_log eligibility;
   upstream::upstream_loop ticker;
   std::unique_ptr<platform_watcher> watcher;
   entry::http_server server{ ServerOptions(settings) };
@@ -106,6 +109,7 @@
 {
   const time_point now = steady_clock().Now();
   board.Tick(now);
+  eligibility.Update(board, now);
   for (const auto& service : board.Services()) {
     if (service->IsOut(now) && service->Waiting() > 0) {
       registry.RefuseWaiting(service->Name());
@@ -124,6 +128,7 @@
 router_process::implementation::TickEachSecond(time_point aNow)
 {
   suspects.Prune(aNow);
+  PublishGauges(board, suspects, metrics, aNow);
   mesh.PublishShares();
   if (mesh.CaughtUp() && !board.Empty()) {
     ready.informed = true;
--- a/src/app/router/internal/serviceshard.cpp
+++ b/src/app/router/internal/serviceshard.cpp
@@ -1,5 +1,7 @@
 #include "app/router/serviceshard.h"
 
+#include <algorithm>
+
 namespace persimmon::router {
 namespace {
 
@@ -177,4 +179,20 @@
   return mAdmission.Waiting();
 }
 
+service_figures
+service_shard::Figures(time_point aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto& slots = mChooser.Pool().Slots();
+  const auto onProbation =
+    std::count_if(slots.begin(), slots.end(), [](const routing::pool_slot& aSlot) {
+      return aSlot.listed && aSlot.probation;
+    });
+  return { mAdmission.Running(),
+           mAdmission.Waiting(),
+           mView->EligibleCount(aNow),
+           static_cast<std::size_t>(onProbation),
+           mBudget.Left(aNow) };
+}
+
 } // namespace persimmon::router
--- a/src/app/router/internal/suspectboard.cpp
+++ b/src/app/router/internal/suspectboard.cpp
@@ -97,4 +97,16 @@
   mTracker.Prune(aNow);
 }
 
+suspect_counts
+suspect_board::Count(time_point aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  suspect_counts counts;
+  for (const peers::suspect_message& suspect : mTracker.All(aNow)) {
+    counts.suspects += suspect.deaths > 0 ? 1 : 0;
+    counts.quarantined += suspect.quarantined ? 1 : 0;
+  }
+  return counts;
+}
+
 } // namespace persimmon::router
--- a/src/app/router/serviceshard.h
+++ b/src/app/router/serviceshard.h
@@ -22,6 +22,16 @@
   routing::dispatch_ticket ticket;
 };
 
+/// Figures of one service for the metrics.
+struct service_figures
+{
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::size_t eligible = 0;
+  std::size_t onProbation = 0;
+  double retriesLeft = 0;
+};
+
 /// One service's state at this router under a lock of its own: the view in force, admission, load
 /// and health of upstreams, and the retry budget. Functions that return admission actions leave it
 /// to the caller to carry them out, without the lock.
@@ -66,6 +76,7 @@
   [[nodiscard]] std::vector<peers::share_message> Shares() const;
   [[nodiscard]] std::size_t Running() const;
   [[nodiscard]] std::size_t Waiting() const;
+  [[nodiscard]] service_figures Figures(time_point aNow) const;
 
 private:
   /// Takes the number of upstreams that can take requests to the admission.
--- a/src/app/router/suspectboard.h
+++ b/src/app/router/suspectboard.h
@@ -9,6 +9,13 @@
 
 namespace persimmon::router {
 
+/// How many requests are suspected, and how many of them are in quarantine.
+struct suspect_counts
+{
+  std::size_t suspects = 0;
+  std::size_t quarantined = 0;
+};
+
 /// The requests that are suspected of killing upstreams, under one lock. Every function may be
 /// called from any thread.
 class suspect_board
@@ -31,6 +38,7 @@
   void Died(const routing::upstream_id& aUpstream, time_point aNow);
   void Apply(const peers::suspect_message& aMessage, time_point aNow);
   void Prune(time_point aNow);
+  [[nodiscard]] suspect_counts Count(time_point aNow) const;
 
 private:
   news_sink mSink;
--- a/src/routing/upstreamchooser.h
+++ b/src/routing/upstreamchooser.h
@@ -25,6 +25,7 @@
   }
   /// Upstreams, load, dispatches and health.
   upstream_pool& Pool() { return mPool; }
+  [[nodiscard]] const upstream_pool& Pool() const { return mPool; }
 
 private:
   upstream_pool mPool;
