--- a/src/peers/meshoptions.h
+++ b/src/peers/meshoptions.h
@@ -25,11 +25,11 @@
 
   /// Links that a router opens.
   std::size_t peers = 3;
-  /// Bytes that messages may take a second on all links together; bodies that a peer asked for and
-  /// the upkeep of links come on top and are counted apart.
+  /// Bytes that may be sent a second on all links together; bodies that a peer asked for come on
+  /// top and are counted apart.
   std::int64_t bytesPerSecond = 3000;
-  /// Bytes that may go out at once after a quiet time.
-  std::int64_t burstBytes = 16384;
+  /// Bytes that may go out at once after a quiet time, as after a start or a partition.
+  std::int64_t burstBytes = 65536;
   /// Interval of urgent frames: versions, leaving marks, suspects, members.
   duration urgentInterval{ 50 };
   /// Interval of all other frames.
@@ -43,9 +43,9 @@
   /// How long a document announced by a peer may take to come by the own watch before it is asked
   /// for, while the platform answers.
   duration pullGrace{ 300 };
-  /// Shortest interval between two presence messages of one observer on one group when nothing
-  /// but load has changed.
-  duration presenceInterval{ 900 };
+  /// Age of a group's newest evidence, from whichever observer, below which an observer sends
+  /// nothing unless the group's state has changed.
+  duration presenceInterval{ 700 };
 };
 
 } // namespace persimmon::peers
