One queue between threads, one way to wait for a stop, one log-level setting

The queue stood in app and ledger, the signal handling in three places, the parsing of the log level in two programs.

--- a/src/app/placermain.cpp
+++ b/src/app/placermain.cpp
@@ -1,11 +1,10 @@
 #include "app/placershell.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "base/stopsignal.h"
 #include "placement/placementevents.h"
 #include "settings/settings.h"
 
-#include <csignal>
-
 using namespace persimmon;
 
 namespace {
@@ -29,26 +28,7 @@
   aSettings.Add("load-slots", "16", "instances that may fetch weights at the same time");
   aSettings.Add("admin-listen", "", "ip:port for /ready, /metrics and /status");
   aSettings.Add("history", "", "file for history events; a placer writes none so far");
-  aSettings.Add("log-level", "info", "debug, info, warning or error");
-}
-
-log_level
-ReadLevel(settings& aSettings)
-{
-  const std::string name = aSettings.Text("log-level");
-  if (name == "debug") {
-    return log_level::debug;
-  }
-  if (name == "warning") {
-    return log_level::warning;
-  }
-  if (name == "error") {
-    return log_level::error;
-  }
-  if (name != "info") {
-    aSettings.Fail("log-level", "debug, info, warning or error");
-  }
-  return log_level::info;
+  aSettings.AddLogLevel();
 }
 
 app::placer_shell_options
@@ -81,17 +61,12 @@
   if (const auto code = values.Parse(aCount, aArguments)) {
     return *code;
   }
-  const log_level level = ReadLevel(values);
+  const log_level level = values.LogLevel();
   app::placer_shell_options options = Read(values);
   if (const auto code = values.Finish()) {
     return *code;
   }
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGTERM);
-  // Threads inherit the mask, so that only this one takes the signals.
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  BlockStopSignals();
   StartLog("placer " + values.Text("id"), level);
   metrics_registry metrics;
   app::placer_shell shell(std::move(options), metrics);
@@ -99,8 +74,7 @@
     return exit_failure;
   }
   WriteLog(placement::kPlacerStarted, { { "id", values.Text("id") } });
-  int signal = 0;
-  sigwait(&signals, &signal);
+  const int signal = WaitForStopSignal();
   WriteLog(placement::kPlacerStopping, { { "signal", std::to_string(signal) } });
   shell.Stop();
   return exit_success;
--- a/src/app/placershell.cpp
+++ b/src/app/placershell.cpp
@@ -1,6 +1,6 @@
 #include "app/placershell.h"
 
-#include "app/workqueue.h"
+#include "base/blockingqueue.h"
 #include "base/random.h"
 #include "entry/httpserver.h"
 #include "peers/meshnode.h"
@@ -63,11 +63,11 @@
   metrics_registry& metrics;
   placer_core core;
   boot_clock clock;
-  work_queue<placement_event> events;
-  work_queue<placement_action> leaseCalls;
-  work_queue<placement_action> storeCalls;
-  work_queue<read_member> reads;
-  work_queue<send_order> orders;
+  blocking_queue<placement_event> events;
+  blocking_queue<placement_action> leaseCalls;
+  blocking_queue<placement_action> storeCalls;
+  blocking_queue<read_member> reads;
+  blocking_queue<send_order> orders;
   std::vector<std::thread> threads;
   std::thread decider;
   /// Used by the watching thread alone, but for Cancel().
@@ -198,7 +198,7 @@
 
   // Calls to the platform.
 
-  void CallStore(work_queue<placement_action>& aQueue)
+  void CallStore(blocking_queue<placement_action>& aQueue)
   {
     platform::http_object_store store = Store();
     while (const auto action = aQueue.Pop()) {
--- a/src/app/router/internal/routersettings.cpp
+++ b/src/app/router/internal/routersettings.cpp
@@ -7,25 +7,6 @@
 constexpr std::int64_t kMaxBodyLimit = 64 << 20;
 constexpr std::int64_t kMaxStopMs = 3600000;
 
-log_level
-ReadLevel(settings& aSettings)
-{
-  const std::string name = aSettings.Text("log-level");
-  if (name == "debug") {
-    return log_level::debug;
-  }
-  if (name == "warning") {
-    return log_level::warning;
-  }
-  if (name == "error") {
-    return log_level::error;
-  }
-  if (name != "info") {
-    aSettings.Fail("log-level", "debug, info, warning or error");
-  }
-  return log_level::info;
-}
-
 std::size_t
 ReadCount(settings& aSettings, const std::string& aName, std::int64_t aHighest)
 {
@@ -46,7 +27,7 @@
   aSettings.Add("mesh-key", "", "key that all members of the mesh share");
   aSettings.Add("history", "", "file to append a history of events to");
   aSettings.Add("test-control", "", "for tests only: address that cuts mesh links, ip:port");
-  aSettings.Add("log-level", "info", "lowest level that is logged: debug, info, warning, error");
+  aSettings.AddLogLevel();
   aSettings.Add("entry-threads", "2", "threads that talk to callers");
   aSettings.Add("upstream-threads", "2", "threads that talk to upstreams");
   aSettings.Add("max-body-bytes", "8388608", "largest request body");
@@ -69,7 +50,7 @@
   result.meshKey = aSettings.Text("mesh-key");
   result.historyPath = aSettings.Text("history");
   result.testControl.value = aSettings.Text("test-control");
-  result.lowestLevel = ReadLevel(aSettings);
+  result.lowestLevel = aSettings.LogLevel();
   result.entryThreads = ReadCount(aSettings, "entry-threads", kMaxThreads);
   result.upstreamThreads = ReadCount(aSettings, "upstream-threads", kMaxThreads);
   result.maxBodyBytes = ReadCount(aSettings, "max-body-bytes", kMaxBodyLimit);
--- a/src/app/routermain.cpp
+++ b/src/app/routermain.cpp
@@ -1,25 +1,10 @@
 #include "app/router/routerevents.h"
 #include "app/router/routerprocess.h"
+#include "base/stopsignal.h"
 #include "settings/settings.h"
 
 #include <csignal>
 
-namespace {
-
-/// Blocks the signals that ask for a stop, for all threads that are started later.
-sigset_t
-BlockStopSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
-} // namespace
-
 int
 main(int aCount, char** aArguments)
 {
@@ -37,14 +22,13 @@
   }
   StartLog(parsed.id.value, parsed.lowestLevel);
   std::signal(SIGPIPE, SIG_IGN);
-  const sigset_t signals = BlockStopSignals();
+  BlockStopSignals();
   router::router_process process(parsed);
   if (!process.Start()) {
     WriteLog(router::kRouterNotStarted, { { "reason", process.LastReason() } });
     return exit_failure;
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
+  WaitForStopSignal();
   process.Stop();
   return exit_success;
 }
--- a/src/app/workqueue.h
+++ b/src/base/blockingqueue.h
@@ -5,11 +5,11 @@
 #include <mutex>
 #include <optional>
 
-namespace persimmon::app {
+namespace persimmon {
 
 /// A queue between threads. After Close() nothing more is taken or given.
 template<typename Item>
-class work_queue
+class blocking_queue
 {
 public:
   void Push(Item aItem)
@@ -70,4 +70,4 @@
   bool mClosed = false;
 };
 
-} // namespace persimmon::app
+} // namespace persimmon
--- a/standins/common/stopsignal.cpp
+++ b/src/base/internal/stopsignal.cpp
@@ -1,8 +1,8 @@
-#include "standins/common/stopsignal.h"
+#include "base/stopsignal.h"
 
 #include <csignal>
 
-namespace persimmon::standins {
+namespace persimmon {
 namespace {
 
 sigset_t
@@ -24,12 +24,13 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-void
+int
 WaitForStopSignal()
 {
   const sigset_t signals = StopSignals();
   int signal = 0;
   sigwait(&signals, &signal);
+  return signal;
 }
 
-} // namespace persimmon::standins
+} // namespace persimmon
--- a/standins/common/stopsignal.h
+++ b/src/base/stopsignal.h
@@ -1,13 +1,13 @@
 #pragma once
 
-namespace persimmon::standins {
+namespace persimmon {
 
 /// Blocks SIGTERM and SIGINT in this thread and all it starts; call before any thread is started.
 void
 BlockStopSignals();
 
-/// Waits for SIGTERM or SIGINT.
-void
+/// Waits for SIGTERM or SIGINT; returns its number.
+int
 WaitForStopSignal();
 
-} // namespace persimmon::standins
+} // namespace persimmon
--- a/src/ledger/ledgerservice.h
+++ b/src/ledger/ledgerservice.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/blockingqueue.h"
 #include "base/log.h"
 #include "ledger/begincall.h"
-#include "ledger/blockingqueue.h"
 #include "ledger/ledgerevents.h"
 #include "ledger/ledgermetrics.h"
 #include "ledger/ledgershard.h"
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings.h"
 
+#include <array>
 #include <boost/program_options.hpp>
 #include <charconv>
 #include <cstdlib>
@@ -12,6 +13,18 @@
 namespace {
 
 constexpr const char* kOperands = "operands";
+constexpr const char* kLogLevel = "log-level";
+
+struct level_name
+{
+  const char* name;
+  log_level level;
+};
+
+constexpr std::array kLevelNames = { level_name{ "debug", log_level::debug },
+                                     level_name{ "info", log_level::info },
+                                     level_name{ "warning", log_level::warning },
+                                     level_name{ "error", log_level::error } };
 
 std::string
 VariableOf(const std::string& aName)
@@ -114,6 +127,25 @@
   mImplementation->Declare(aName, { "", true }, aHelp);
 }
 
+void
+settings::AddLogLevel()
+{
+  Add(kLogLevel, "info", "lowest level that is logged: debug, info, warning or error");
+}
+
+log_level
+settings::LogLevel()
+{
+  const std::string name = Text(kLogLevel);
+  for (const level_name& entry : kLevelNames) {
+    if (name == entry.name) {
+      return entry.level;
+    }
+  }
+  Fail(kLogLevel, "debug, info, warning or error");
+  return log_level::info;
+}
+
 void
 settings::AcceptOperands(const std::string& aHelp)
 {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/log.h"
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -32,6 +34,8 @@
   void Add(const std::string& aName, const std::string& aDefault, const std::string& aHelp);
   /// Declares a setting that must be given.
   void AddRequired(const std::string& aName, const std::string& aHelp);
+  /// Declares `log-level`.
+  void AddLogLevel();
   /// Accepts words without a flag, such as a command and its operands.
   void AcceptOperands(const std::string& aHelp);
 
@@ -48,6 +52,8 @@
   [[nodiscard]] double Fraction(const std::string& aName, double aLowest, double aHighest);
   /// Returns true for `true` and false for `false`.
   [[nodiscard]] bool Flag(const std::string& aName);
+  /// Returns the value of `log-level`.
+  [[nodiscard]] log_level LogLevel();
   /// Returns the parts of a text between commas; empty parts are left out.
   [[nodiscard]] std::vector<std::string> List(const std::string& aName);
   [[nodiscard]] const std::vector<std::string>& Operands() const;
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,6 +1,6 @@
+#include "base/stopsignal.h"
 #include "standins/common/fleetflags.h"
 #include "standins/common/standinevents.h"
-#include "standins/common/stopsignal.h"
 #include "standins/engine/enginefleet.h"
 
 using namespace persimmon;
@@ -72,7 +72,7 @@
   if (!history.IsReady() || !fleet.Start()) {
     return exit_failure;
   }
-  standins::WaitForStopSignal();
+  WaitForStopSignal();
   WriteLog(standins::kStandinStopped, {});
   return exit_success;
 }
@@ -92,6 +92,6 @@
     return *code;
   }
   StartLog("standin-engine", log_level::info);
-  standins::BlockStopSignals();
+  BlockStopSignals();
   return Run(options);
 }
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,7 +1,7 @@
+#include "base/stopsignal.h"
 #include "entry/httpserver.h"
 #include "settings/settings.h"
 #include "standins/common/standinevents.h"
-#include "standins/common/stopsignal.h"
 #include "standins/platform/platformserver.h"
 
 using namespace persimmon;
@@ -65,7 +65,7 @@
     return exit_failure;
   }
   WriteLog(standins::kStandinStarted, { { "address", address->value } });
-  standins::WaitForStopSignal();
+  WaitForStopSignal();
   server.Stop();
   WriteLog(standins::kStandinStopped, {});
   return exit_success;
@@ -86,6 +86,6 @@
     return *code;
   }
   StartLog("standin-platform", log_level::info);
-  standins::BlockStopSignals();
+  BlockStopSignals();
   return Run(options);
 }
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -1,6 +1,6 @@
+#include "base/stopsignal.h"
 #include "standins/common/fleetflags.h"
 #include "standins/common/standinevents.h"
-#include "standins/common/stopsignal.h"
 #include "standins/service/servicehost.h"
 
 using namespace persimmon;
@@ -56,7 +56,7 @@
   if (!started || !history.IsReady()) {
     return exit_failure;
   }
-  standins::WaitForStopSignal();
+  WaitForStopSignal();
   WriteLog(standins::kStandinStopped, {});
   return exit_success;
 }
@@ -76,6 +76,6 @@
     return *code;
   }
   StartLog("standin-service", log_level::info);
-  standins::BlockStopSignals();
+  BlockStopSignals();
   return Run(options);
 }
