Router: a mismatch is observed now, however long ago the members were heard

Cause: an observation took the age of the member heard longest ago, so one that showed a restarted member could look older than the last good one, be dropped as late, and leave the group eligible until the evidence ran out (2 s). Before: the new test saw an age of 900 ms; after: 0.

--- a/src/app/router/internal/headstate.cpp
+++ b/src/app/router/internal/headstate.cpp
@@ -108,6 +108,10 @@
                                [&](const placement::group_member& aMember) {
                                  return IsPresent(aGroup, aMember, heard);
                                });
+  if (!observed.whole) {
+    // What is wrong is seen now, however long ago the members were heard.
+    observed.age = {};
+  }
   return observed;
 }
 
