Ledger: a test of its own for a write that may still land

The new test fails on a core that takes an unchanged version as proof (trial on a scratch copy) and passes on ours.

Tests: 44 in test_ledger pass.

--- a/src/ledger/tests/ledgershardtests.cpp
+++ b/src/ledger/tests/ledgershardtests.cpp
@@ -143,6 +143,27 @@
   CHECK(Repeat(1).verdict == begin_verdict::granted);
 }
 
+TEST(ledger_shard, WriteThatMayStillLandIsShutOutOnceTheCallerIsGivenUp)
+{
+  const attempt_ref attempt = world.Begin(0, "k", "d", 100_ms);
+  world.TakeEffect(0);
+  world.Reply(0);
+  world.LoseReply(0);
+  world.Advance(50_ms);
+  world.TakeEffect(0);
+  world.Reply(0);
+  world.down = true;
+  world.TakeEffect(0);
+  world.Reply(0);
+  world.Advance(60_ms);
+  CHECK(world.Verdict(attempt) == begin_verdict::store_unavailable);
+  world.down = false;
+  world.Settle();
+  world.Land();
+  world.Settle();
+  CHECK(world.Table().Find({ "k" })->state == record_state::not_run);
+}
+
 TEST(ledger_shard, StoreDownBeforeTheWriteIsFinalAtOnceAndUnknown)
 {
   world.down = true;
