Planner: the status of a service goes when the service is satisfied, also under a later planner

An earlier planner's status objects stayed for ever, and one that was taken back stayed as an empty note. Test: a second planner deletes the note of the first.

--- a/src/app/placershell.cpp
+++ b/src/app/placershell.cpp
@@ -215,8 +215,9 @@
         CountCall("list", store.LastReason().code);
         events.Push(objects_listed{ list->kind, std::move(found) });
       } else if (const auto* drop = std::get_if<delete_object>(&*action)) {
-        store.Delete(drop->key, drop->expected);
+        const auto version = store.Delete(drop->key, drop->expected);
         CountCall("delete", store.LastReason().code);
+        events.Push(object_written{ drop->key, version, store.LastReason().code });
       }
     }
   }
--- a/src/placement/internal/planner.cpp
+++ b/src/placement/internal/planner.cpp
@@ -60,11 +60,14 @@
 planner::Handle(const placement_event& aEvent, const planner_view& aView, time_point aNow)
 {
   placement_actions actions;
-  if (const auto* read = std::get_if<object_read>(&aEvent)) {
+  if (const auto* listed = std::get_if<objects_listed>(&aEvent)) {
+    OnListed(*listed, aNow);
+  } else if (const auto* read = std::get_if<object_read>(&aEvent)) {
     OnRead(*read, aNow);
   } else if (const auto* written = std::get_if<object_written>(&aEvent)) {
     OnWritten(*written, aNow);
   }
+  mStatusListed = mStatusListed && aView.elected;
   if (aView.elected && aNow >= mNextCall) {
     WritePlan(aView, aNow, actions);
     WriteStatus(aNow, actions);
@@ -72,6 +75,24 @@
   return actions;
 }
 
+void
+planner::OnListed(const objects_listed& aEvent, time_point aNow)
+{
+  if (aEvent.kind != kStatusKind || !mListing) {
+    return;
+  }
+  mListing = false;
+  if (!aEvent.list) {
+    mNextCall = aNow + kCallRetry;
+    return;
+  }
+  mStatusListed = true;
+  mStatus.clear();
+  for (const platform::stored_object& object : aEvent.list->objects) {
+    mStatus[{ object.key.name }] = { object.value, false, false, true, object.version };
+  }
+}
+
 void
 planner::OnRead(const object_read& aEvent, time_point aNow)
 {
@@ -95,7 +116,7 @@
   mNextCall = failed ? aNow + kCallRetry : mNextCall;
   if (!failed) {
     write.version.reset();
-    write.done = aEvent.object && aEvent.object->value == write.value;
+    write.done = aEvent.object ? aEvent.object->value == write.value : write.value.empty();
     write.writing = !write.done;
     if (aEvent.object) {
       write.version = aEvent.object->version;
@@ -179,12 +200,17 @@
 void
 planner::WriteStatus(time_point, placement_actions& aActions)
 {
-  if (!mPlan) {
+  if (!mPlan || mListing) {
+    return;
+  }
+  if (!mStatusListed) {
+    mListing = true;
+    aActions.emplace_back(list_objects{ kStatusKind });
     return;
   }
   std::map<service_name, std::string> wanted;
   for (const auto& [service, write] : mStatus) {
-    wanted[service] = RenderStatus({ service, 0, 0, "" });
+    wanted[service] = "";
   }
   for (const unmet_service& unmet : mPlan->unmet) {
     wanted[unmet.service] = RenderStatus(unmet);
@@ -197,7 +223,11 @@
     const platform::object_key key{ kStatusKind, service.value };
     if (write.writing) {
       write.writing = false;
-      aActions.emplace_back(write_object{ key, value, { write.version } });
+      if (value.empty()) {
+        aActions.emplace_back(delete_object{ key, *write.version });
+      } else {
+        aActions.emplace_back(write_object{ key, value, { write.version } });
+      }
     } else if (!write.done && !write.reading) {
       write.reading = true;
       aActions.emplace_back(read_object{ key });
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -68,6 +68,7 @@
 private:
   struct status_write
   {
+    /// What the object should hold; empty when it should not exist.
     std::string value;
     bool reading = false;
     bool writing = false;
@@ -75,6 +76,7 @@
     std::optional<revision> version;
   };
 
+  void OnListed(const objects_listed& aEvent, time_point aNow);
   void OnRead(const object_read& aEvent, time_point aNow);
   void OnWritten(const object_written& aEvent, time_point aNow);
   void WritePlan(const planner_view& aView, time_point aNow, placement_actions& aActions);
@@ -91,6 +93,9 @@
   std::optional<placement_plan> mWriting;
   time_point mNextCall;
   std::map<service_name, status_write> mStatus;
+  /// The status objects that an earlier planner left were read.
+  bool mStatusListed = false;
+  bool mListing = false;
 };
 
 } // namespace persimmon::placement
--- a/src/placement/tests/mocks/placementharness.h
+++ b/src/placement/tests/mocks/placementharness.h
@@ -338,7 +338,10 @@
     if (const auto* write = std::get_if<write_object>(&aAction)) {
       After(net.storeDelay, [this, &aPlacer, life, write = *write] { Put(aPlacer, life, write); });
     } else if (const auto* drop = std::get_if<delete_object>(&aAction)) {
-      aPlacer.store->Delete(drop->key, drop->expected);
+      aPlacer.store->down = storeDown;
+      const auto version = aPlacer.store->Delete(drop->key, drop->expected);
+      const auto error = aPlacer.store->LastReason().code;
+      Reply(aPlacer, life, net.storeDelay, object_written{ drop->key, version, error });
     } else if (const auto* read = std::get_if<read_object>(&aAction)) {
       After(net.storeDelay, [this, &aPlacer, life, key = read->key] {
         aPlacer.store->down = storeDown;
--- a/src/placement/tests/placercoretests.cpp
+++ b/src/placement/tests/placercoretests.cpp
@@ -221,6 +221,21 @@
     status->value.c_str());
 }
 
+TEST(placer_core, ALaterPlannerTakesBackTheStatusOfAServiceThatIsSatisfiedMeanwhile)
+{
+  harness.AddInstances("fabric-1", "gasabo", 3);
+  auto& first = harness.AddPlacer(Placer("p1"));
+  harness.PutDocument(Service("verifier-llm", 1, 4));
+  harness.RunFor(30_s);
+  harness.KillPlacer(first);
+  harness.AddInstances("fabric-2", "gasabo", 4);
+  harness.AddPlacer(Placer("p2"));
+  harness.RunFor(90_s);
+  platform::memory_object_store store(harness.content);
+  CHECK_FALSE(store.Get({ kStatusKind, "verifier-llm" }).has_value());
+  CHECK_EQUAL(1, harness.CountEligible("verifier-llm"));
+}
+
 TEST(placer_core, AnOutageOfThePlatformChangesNoOwner)
 {
   harness.AddInstances("fabric-1", "gasabo", 4);
