Router: a stream's progress reaches the choice of upstreams while it runs

The report is made at most every 500 ms a stream, so nothing is added per token but one reading of the clock.

--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -80,6 +80,8 @@
   void OnData(routing::attempt_number aAttempt, std::string_view aBytes);
   void OnDone(routing::attempt_number aAttempt, const upstream::call_outcome& aOutcome);
   void OnStreamData(std::string_view aBytes);
+  /// Tells the choice of upstreams how far the stream has come, at most twice a second.
+  void TellProgress();
   void Write(std::string_view aBytes);
   void OnDrain();
   /// Tells the flow that the attempt under way has ended.
@@ -110,6 +112,7 @@
   /// The answer of an earlier call under the same key.
   ledger::stored_answer mKnown;
   sse_framer mFramer;
+  time_point mNextProgress;
   /// Bytes of the stream go straight to the caller.
   bool mRelaying = false;
   bool mPaused = false;
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -17,6 +17,8 @@
 /// Bytes that a slow caller may leave untaken before the upstream is made to wait.
 constexpr std::size_t kMaxPendingBytes = 256U << 10U;
 constexpr duration kCallGrace = 1_s;
+/// Between the signs of life that a stream gives to the choice of upstreams.
+constexpr duration kProgressInterval = 500_ms;
 constexpr duration kOutageRetry = 2_s;
 constexpr double kMsPerSecond = 1000;
 constexpr int kOk = 200;
@@ -359,6 +361,7 @@
   mAttempt.head = {};
   mAttempt.dispatched = true;
   mEndTold = false;
+  mNextProgress = {};
   mTried.push_back(target.id);
   mFramer.DropPartial();
   mBroken = false;
@@ -451,7 +454,21 @@
   }
   if (mFramer.SawEnd()) {
     EndAttempt(true, {});
+  } else {
+    TellProgress();
+  }
+}
+
+void
+exchange::TellProgress()
+{
+  const time_point now = Now();
+  if (mEndTold || now < mNextProgress) {
+    return;
   }
+  mNextProgress = now + kProgressInterval;
+  const auto tokens = static_cast<std::uint32_t>(mFramer.Events());
+  mCall.service->Progress(mAttempt.chosen.ticket, tokens, now);
 }
 
 void
