One lookup of headers, one choice of bench parts

Two benches chose their parts by the same function; bench/benchparts.h has it now. No change of behaviour.

--- a/bench/placementbench.cpp
+++ b/bench/placementbench.cpp
@@ -1,22 +1,12 @@
+#include "benchparts.h"
 #include "placementscenarios.h"
 #include "settings/settings.h"
 
-#include <algorithm>
 #include <string>
 #include <vector>
 
 using namespace persimmon;
 
-namespace {
-
-bool
-Wants(const std::vector<std::string>& aParts, const char* aPart)
-{
-  return aParts.empty() || std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-}
-
-} // namespace
-
 int
 main(int aCount, char** aArguments)
 {
@@ -33,13 +23,13 @@
   if (const auto code = values.Finish()) {
     return *code;
   }
-  if (Wants(parts, "script")) {
+  if (bench::Wants(parts, "script")) {
     bench::RunPlacementScript(seed);
   }
-  if (Wants(parts, "calls")) {
+  if (bench::Wants(parts, "calls")) {
     bench::RunStoreCalls(seed);
   }
-  if (Wants(parts, "cost")) {
+  if (bench::Wants(parts, "cost")) {
     bench::RunPlanningCost(seed);
   }
   return exit_success;
--- a/bench/routingbench.cpp
+++ b/bench/routingbench.cpp
@@ -1,23 +1,13 @@
+#include "benchparts.h"
 #include "routingcost.h"
 #include "routingscenarios.h"
 #include "settings/settings.h"
 
-#include <algorithm>
 #include <string>
 #include <vector>
 
 using namespace persimmon;
 
-namespace {
-
-bool
-Wants(const std::vector<std::string>& aParts, const char* aPart)
-{
-  return aParts.empty() || std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-}
-
-} // namespace
-
 int
 main(int aCount, char** aArguments)
 {
@@ -35,19 +25,19 @@
   if (const auto code = values.Finish()) {
     return *code;
   }
-  if (Wants(parts, "cost")) {
+  if (bench::Wants(parts, "cost")) {
     bench::RunDecisionCost(seed);
   }
-  if (Wants(parts, "tail")) {
+  if (bench::Wants(parts, "tail")) {
     bench::RunPolicyScenarios(seed);
   }
-  if (Wants(parts, "region")) {
+  if (bench::Wants(parts, "region")) {
     bench::RunRegionScenario(seed);
   }
-  if (Wants(parts, "overload")) {
+  if (bench::Wants(parts, "overload")) {
     bench::RunOverloadScenario(seed);
   }
-  if (Wants(parts, "storm")) {
+  if (bench::Wants(parts, "storm")) {
     bench::RunRetryStormScenario(seed);
   }
   return exit_success;
--- /dev/null
+++ b/src/base/internal/headerlookup.cpp
@@ -0,0 +1,24 @@
+#include "base/headerlookup.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace persimmon {
+namespace {
+
+bool
+SameLetter(char aLeft, char aRight)
+{
+  return std::tolower(static_cast<unsigned char>(aLeft)) ==
+         std::tolower(static_cast<unsigned char>(aRight));
+}
+
+} // namespace
+
+bool
+SameHeaderName(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), SameLetter);
+}
+
+} // namespace persimmon
--- a/src/entry/internal/serverrequest.cpp
+++ b/src/entry/internal/serverrequest.cpp
@@ -1,31 +1,16 @@
 #include "entry/serverrequest.h"
 
+#include "base/headerlookup.h"
+
 #include <algorithm>
-#include <cctype>
 #include <string_view>
 
 namespace persimmon::entry {
-namespace {
-
-bool
-SameLetter(char aLeft, char aRight)
-{
-  return std::tolower(static_cast<unsigned char>(aLeft)) ==
-         std::tolower(static_cast<unsigned char>(aRight));
-}
-
-} // namespace
 
 std::string
 server_request::Header(const std::string& aName) const
 {
-  for (const server_header& header : headers) {
-    if (std::equal(
-          header.name.begin(), header.name.end(), aName.begin(), aName.end(), SameLetter)) {
-      return header.value;
-    }
-  }
-  return {};
+  return FindHeader(headers, aName);
 }
 
 std::string
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/httpclient.h"
 
-#include <algorithm>
+#include "base/headerlookup.h"
+
 #include <atomic>
 #include <curl/curl.h>
 
@@ -56,13 +57,6 @@
   return aSize * aCount;
 }
 
-bool
-SameLetter(char aLeft, char aRight)
-{
-  return std::tolower(static_cast<unsigned char>(aLeft)) ==
-         std::tolower(static_cast<unsigned char>(aRight));
-}
-
 header_list
 BuildHeaders(const http_request& aRequest)
 {
@@ -104,13 +98,7 @@
 std::string
 http_response::Header(const std::string& aName) const
 {
-  for (const http_header& header : headers) {
-    if (std::equal(
-          header.name.begin(), header.name.end(), aName.begin(), aName.end(), SameLetter)) {
-      return header.value;
-    }
-  }
-  return {};
+  return FindHeader(headers, aName);
 }
 
 struct http_client::implementation
