--- /dev/null
+++ b/src/assembly/assembler.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "assembly/assemblyaction.h"
+#include "assembly/assemblyoptions.h"
+#include "assembly/formation.h"
+#include "assembly/hostrecord.h"
+#include "assembly/orderoutcome.h"
+#include "base/clock.h"
+#include "fleet/fleetview.h"
+#include "routes/serviceprofile.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace persimmon::assembly {
+
+/// Forms the groups of one engine service, opens them, and takes them apart when a member is lost
+/// or leaves. Acts only while it leads. Pure: it is told of reports and outcomes with the time and
+/// returns what to do.
+///
+/// Two promises hold whatever is lost or late: a group is told to open only after every member was
+/// seen ready under its name and epoch, and an instance is asked to join another group only after
+/// the head of its former one has ended, or must have noticed that a member is missing.
+class assembler
+{
+public:
+  assembler(routes::service_profile aService, assembly_options aOptions);
+
+  /// Takes a later declaration of the same service.
+  void Configure(const routes::service_profile& aService);
+  /// Begins to lead. Every order carries the token; names of new groups are made of it.
+  void Lead(fencing_token aToken, time_point aNow);
+  void StopLeading();
+  [[nodiscard]] bool Leads() const { return mLeads; }
+  /// Sets the work that callers ask of each model, in any unit.
+  void SetDemand(std::map<routes::model_name, double> aDemand) { mDemand = std::move(aDemand); }
+
+  /// Takes an instance's answer to a question for its state; nothing when none came.
+  void NoteReport(const instance_id& aInstance,
+                  const std::optional<fleet::engine_report>& aReport,
+                  time_point aNow);
+  void NoteOutcome(order_id aOrder, order_outcome aOutcome, time_point aNow);
+  /// A router saw a group stand still.
+  void Suspect(const group_id& aGroup, generation aEpoch, time_point aNow);
+
+  /// Decides what to do now.
+  std::vector<assembly_action> Step(const fleet::fleet_view& aFleet, time_point aNow);
+
+  [[nodiscard]] const std::vector<formation>& Formations() const { return mFormations; }
+  [[nodiscard]] bool IsLost(const instance_id& aInstance) const;
+
+private:
+  struct given_order
+  {
+    engine_order order;
+    time_point at;
+  };
+  using actions = std::vector<assembly_action>;
+
+  // Keeping up with what instances say.
+  void UpdateHosts(const fleet::fleet_view& aFleet, time_point aNow);
+  void Ask(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
+  [[nodiscard]] duration AskInterval(const instance_id& aInstance) const;
+  [[nodiscard]] bool CutOff(const fleet::fleet_view& aFleet) const;
+  void Adopt(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
+  void AdoptGroup(const fleet::engine_group& aGroup,
+                  const fleet::fleet_view& aFleet,
+                  time_point aNow,
+                  actions& aActions);
+
+  // The course of a formation.
+  void Advance(formation& aFormation,
+               const fleet::fleet_view& aFleet,
+               time_point aNow,
+               actions& aActions);
+  void AdvanceForming(formation& aFormation,
+                      const fleet::fleet_view& aFleet,
+                      time_point aNow,
+                      actions& aActions);
+  void AdvanceOpening(formation& aFormation,
+                      const fleet::fleet_view& aFleet,
+                      time_point aNow,
+                      actions& aActions);
+  void AdvanceClosing(formation& aFormation,
+                      const fleet::fleet_view& aFleet,
+                      time_point aNow,
+                      actions& aActions);
+  void AdvanceReleasing(formation& aFormation,
+                        const fleet::fleet_view& aFleet,
+                        time_point aNow,
+                        actions& aActions);
+  void Release(formation& aFormation,
+               const std::string& aCause,
+               time_point aNow,
+               actions& aActions);
+  void Free(formation& aFormation, const std::string& aCause, time_point aNow, actions& aActions);
+  /// Returns why a member no longer is one, or an empty text.
+  [[nodiscard]] std::string Lost(const formation& aFormation,
+                                 const formation_member& aMember,
+                                 const fleet::fleet_view& aFleet) const;
+  [[nodiscard]] std::optional<fleet::membership> MembershipOf(
+    const instance_id& aInstance,
+    const fleet::fleet_view& aFleet) const;
+  [[nodiscard]] bool IsIn(const formation& aFormation,
+                          const instance_id& aInstance,
+                          const fleet::fleet_view& aFleet) const;
+
+  // New groups.
+  void Form(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
+  bool FormWarm(const std::vector<const fleet::instance*>& aFree,
+                time_point aNow,
+                actions& aActions);
+  bool FormCold(const std::vector<const fleet::instance*>& aFree,
+                time_point aNow,
+                actions& aActions);
+  void StageIdle(const std::vector<const fleet::instance*>& aFree,
+                 time_point aNow,
+                 actions& aActions);
+  void StartFormation(const routes::model_profile& aModel,
+                      const std::vector<const fleet::instance*>& aMembers,
+                      time_point aNow,
+                      actions& aActions);
+  [[nodiscard]] std::vector<const fleet::instance*> FreeInstances(const fleet::fleet_view& aFleet,
+                                                                  time_point aNow) const;
+  [[nodiscard]] bool Holds(const fleet::instance& aInstance,
+                           const routes::model_name& aModel) const;
+  /// Instances that serve or are meant for a model, against what its demand asks for.
+  [[nodiscard]] double Supply(const routes::model_name& aModel) const;
+  [[nodiscard]] double WantedPart(const routes::model_name& aModel) const;
+  [[nodiscard]] std::size_t RunningLoads(time_point aNow) const;
+  [[nodiscard]] bool MayLoad(std::size_t aCount, time_point aNow) const;
+  void CountLoads(std::size_t aCount, time_point aNow);
+
+  void Give(engine_order aOrder, time_point aNow, actions& aActions);
+  void Note(note_decision::what aDecision,
+            const formation& aFormation,
+            const std::string& aCause,
+            actions& aActions) const;
+  formation* Find(const group_id& aGroup, generation aEpoch);
+
+  routes::service_profile mService;
+  assembly_options mOptions;
+  bool mLeads = false;
+  fencing_token mToken;
+  time_point mLeadsSince;
+  std::uint64_t mLastOrder = 0;
+  std::uint64_t mLastGroup = 0;
+  std::uint64_t mHighestEpoch = 0;
+  std::map<instance_id, host_record> mHosts;
+  std::vector<formation> mFormations;
+  std::map<order_id, given_order> mGiven;
+  std::map<routes::model_name, double> mDemand;
+  double mLoadTokens = 0;
+  time_point mLoadTokensAt{ INT64_MIN / 2 };
+};
+
+} // namespace persimmon::assembly
--- /dev/null
+++ b/src/assembly/formation.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "routes/engineprofile.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace persimmon::assembly {
+
+/// A member of a formation.
+struct formation_member
+{
+  instance_id instance;
+  /// Life in which it was asked to join; in another one it has forgotten the group.
+  incarnation life;
+  /// It has accepted the order to join.
+  bool accepted = false;
+  /// It has been ready under the group's name, epoch and members.
+  bool wasReady = false;
+  /// It needs its weights from the weight store.
+  bool loads = false;
+  std::optional<time_point> askedAt;
+  /// It has accepted the order to leave.
+  bool left = false;
+  std::optional<time_point> leaveAskedAt;
+};
+
+/// A group from its first order to the release of its members.
+struct formation
+{
+  enum class stage
+  {
+    /// Members are joining; the head has not been told to open.
+    forming,
+    /// The head was told to open.
+    opening,
+    /// The head takes requests.
+    serving,
+    /// The head finishes what it runs.
+    closing,
+    /// A member is lost; the head must end before the others may join elsewhere.
+    releasing
+  };
+
+  group_id id;
+  generation epoch;
+  routes::model_name model;
+  /// The head first.
+  std::vector<formation_member> members;
+  stage at = stage::forming;
+  time_point since;
+  std::optional<time_point> openAskedAt;
+  std::optional<time_point> closeAskedAt;
+  /// With releasing: when a member left for sure, so that the head, if it lives, stands still.
+  std::optional<time_point> brokenSince;
+
+  [[nodiscard]] formation_member& Head() { return members.front(); }
+  [[nodiscard]] const formation_member& Head() const { return members.front(); }
+};
+
+const char*
+StageName(formation::stage aStage);
+
+} // namespace persimmon::assembly
--- /dev/null
+++ b/src/assembly/internal/groupforming.cpp
@@ -0,0 +1,300 @@
+#include "assembly/assembler.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace persimmon::assembly {
+namespace {
+
+/// An instance that answered within this time counts as present.
+constexpr duration kFreshAnswer = 2_s;
+/// Epochs of one token; a later leader's are higher than all of a former one's.
+constexpr std::uint64_t kEpochsPerToken = 100000;
+/// Longest time that a staging counts, as a multiple of its expected time.
+constexpr std::int64_t kStagingFactor = 4;
+/// Weight of a member that a domain lacks for a whole group, against the supply of its model.
+constexpr double kMissingWeight = 0.15;
+/// An instance this much slower than expected is taken last.
+constexpr double kSlowPace = 1.5;
+
+using free_list = std::vector<const fleet::instance*>;
+
+std::map<domain_name, free_list>
+ByDomain(const free_list& aFree)
+{
+  std::map<domain_name, free_list> domains;
+  for (const fleet::instance* one : aFree) {
+    domains[one->domain].push_back(one);
+  }
+  return domains;
+}
+
+} // namespace
+
+std::vector<const fleet::instance*>
+assembler::FreeInstances(const fleet::fleet_view& aFleet, time_point aNow) const
+{
+  free_list free;
+  for (const fleet::instance* one : aFleet.OfService(mService.name)) {
+    const auto found = mHosts.find(one->id);
+    if (found == mHosts.end() || one->draining || one->member) {
+      continue;
+    }
+    const host_record& host = found->second;
+    const bool present = host.misses == 0 && host.answeredAt > mLeadsSince &&
+                         aNow - host.answeredAt < kFreshAnswer && host.life == one->life;
+    const bool used = std::any_of(mFormations.begin(), mFormations.end(), [&](const auto& aOne) {
+      return std::any_of(aOne.members.begin(), aOne.members.end(), [&](const auto& aMember) {
+        return aMember.instance == one->id;
+      });
+    });
+    if (present && !used && host.heldUntil <= aNow) {
+      free.push_back(one);
+    }
+  }
+  return free;
+}
+
+bool
+assembler::Holds(const fleet::instance& aInstance, const routes::model_name& aModel) const
+{
+  const auto found = mHosts.find(aInstance.id);
+  const bool last = found != mHosts.end() && found->second.lastModel == aModel;
+  const auto& staged = aInstance.staged;
+  return last || std::find(staged.begin(), staged.end(), aModel) != staged.end();
+}
+
+double
+assembler::WantedPart(const routes::model_name& aModel) const
+{
+  const routes::engine_profile& engine = *mService.engine;
+  double total = 0;
+  double own = 0;
+  for (const routes::model_profile& model : engine.models) {
+    const auto found = mDemand.find(model.name);
+    const double wanted = found == mDemand.end() ? model.share : found->second;
+    total += wanted;
+    own += model.name == aModel ? wanted : 0;
+  }
+  return total > 0 ? own / total : 1;
+}
+
+double
+assembler::Supply(const routes::model_name& aModel) const
+{
+  double supply = 0;
+  for (const formation& one : mFormations) {
+    if (one.model == aModel && one.at != formation::stage::releasing) {
+      supply += static_cast<double>(one.members.size());
+    }
+  }
+  for (const auto& [id, host] : mHosts) {
+    supply += host.staging == aModel ? 1 : 0;
+  }
+  return supply / std::max(WantedPart(aModel), 1e-6);
+}
+
+std::size_t
+assembler::RunningLoads(time_point aNow) const
+{
+  std::size_t running = 0;
+  for (const formation& one : mFormations) {
+    for (const formation_member& member : one.members) {
+      running += member.loads && !member.wasReady ? 1 : 0;
+    }
+  }
+  for (const auto& [id, host] : mHosts) {
+    running += !host.staging.Empty() && host.stagingUntil > aNow ? 1 : 0;
+  }
+  return running;
+}
+
+bool
+assembler::MayLoad(std::size_t aCount, time_point aNow) const
+{
+  const routes::engine_profile& engine = *mService.engine;
+  const double elapsed = static_cast<double>((aNow - mLoadTokensAt).ms) / 1000;
+  const double capacity = std::max(mOptions.loadBurst, static_cast<double>(aCount));
+  const double tokens =
+    std::min(capacity, mLoadTokens + std::max(elapsed, 0.0) * engine.loadsPerSecond);
+  return tokens >= static_cast<double>(aCount) && RunningLoads(aNow) < engine.concurrentLoads;
+}
+
+void
+assembler::CountLoads(std::size_t aCount, time_point aNow)
+{
+  const double elapsed = static_cast<double>((aNow - mLoadTokensAt).ms) / 1000;
+  const double capacity = std::max(mOptions.loadBurst, static_cast<double>(aCount));
+  mLoadTokens =
+    std::min(capacity, mLoadTokens + std::max(elapsed, 0.0) * mService.engine->loadsPerSecond) -
+    static_cast<double>(aCount);
+  mLoadTokensAt = aNow;
+}
+
+void
+assembler::Form(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions)
+{
+  for (auto& [id, host] : mHosts) {
+    const fleet::instance* one = aFleet.Find(id);
+    const bool over = host.stagingUntil <= aNow;
+    if (!host.staging.Empty() && (over || (one != nullptr && Holds(*one, host.staging)))) {
+      host.staging = {};
+    }
+  }
+  while (FormWarm(FreeInstances(aFleet, aNow), aNow, aActions)) {
+  }
+  while (FormCold(FreeInstances(aFleet, aNow), aNow, aActions)) {
+  }
+  StageIdle(FreeInstances(aFleet, aNow), aNow, aActions);
+}
+
+bool
+assembler::FormWarm(const free_list& aFree, time_point aNow, actions& aActions)
+{
+  const routes::model_profile* chosen = nullptr;
+  free_list members;
+  double lowest = 0;
+  for (const auto& [domain, free] : ByDomain(aFree)) {
+    for (const routes::model_profile& model : mService.engine->models) {
+      free_list warm;
+      for (const fleet::instance* one : free) {
+        if (Holds(*one, model.name)) {
+          warm.push_back(one);
+        }
+      }
+      const double supply = Supply(model.name);
+      if (warm.size() >= model.size && (chosen == nullptr || supply < lowest)) {
+        chosen = &model;
+        lowest = supply;
+        members = std::move(warm);
+      }
+    }
+  }
+  if (chosen == nullptr) {
+    return false;
+  }
+  // Those whose last group had the model join soonest; slow ones would slow the whole group.
+  std::stable_sort(members.begin(), members.end(), [&](const auto* aLeft, const auto* aRight) {
+    const auto cost = [&](const fleet::instance* aOne) {
+      const host_record& host = mHosts.at(aOne->id);
+      const bool slow = host.report && host.report->pace > kSlowPace;
+      return (slow ? 2 : 0) + (host.lastModel == chosen->name ? 0 : 1);
+    };
+    return cost(aLeft) < cost(aRight);
+  });
+  members.resize(chosen->size);
+  StartFormation(*chosen, members, aNow, aActions);
+  return true;
+}
+
+bool
+assembler::FormCold(const free_list& aFree, time_point aNow, actions& aActions)
+{
+  const routes::model_profile* chosen = nullptr;
+  free_list members;
+  double lowest = 0;
+  for (const auto& [domain, free] : ByDomain(aFree)) {
+    free_list cold;
+    for (const fleet::instance* one : free) {
+      if (one->staged.empty() && mHosts.at(one->id).staging.Empty()) {
+        cold.push_back(one);
+      }
+    }
+    for (const routes::model_profile& model : mService.engine->models) {
+      if (cold.size() < model.size) {
+        continue;
+      }
+      const double supply = Supply(model.name);
+      const bool better =
+        chosen == nullptr || supply < lowest || (chosen == &model && cold.size() > members.size());
+      if (better) {
+        chosen = &model;
+        lowest = supply;
+        members = cold;
+      }
+    }
+  }
+  if (chosen == nullptr || !MayLoad(chosen->size, aNow)) {
+    return false;
+  }
+  members.resize(chosen->size);
+  StartFormation(*chosen, members, aNow, aActions);
+  return true;
+}
+
+void
+assembler::StageIdle(const free_list& aFree, time_point aNow, actions& aActions)
+{
+  const double hosts = static_cast<double>(std::max<std::size_t>(mHosts.size(), 1));
+  for (const auto& [domain, free] : ByDomain(aFree)) {
+    free_list cold;
+    for (const fleet::instance* one : free) {
+      if (one->staged.empty() && mHosts.at(one->id).staging.Empty()) {
+        cold.push_back(one);
+      }
+    }
+    for (const fleet::instance* one : cold) {
+      const routes::model_profile* chosen = nullptr;
+      double lowest = 0;
+      for (const routes::model_profile& model : mService.engine->models) {
+        std::size_t meant = 0;
+        for (const fleet::instance* other : free) {
+          meant += Holds(*other, model.name) || mHosts.at(other->id).staging == model.name ? 1 : 0;
+        }
+        const std::size_t missing = model.size - meant % model.size;
+        const bool possible = cold.size() < model.size;
+        const double cost =
+          Supply(model.name) / hosts + kMissingWeight * static_cast<double>(missing);
+        if (possible && (chosen == nullptr || cost < lowest)) {
+          chosen = &model;
+          lowest = cost;
+        }
+      }
+      if (chosen == nullptr || !MayLoad(1, aNow)) {
+        return;
+      }
+      CountLoads(1, aNow);
+      host_record& host = mHosts.at(one->id);
+      host.staging = chosen->name;
+      host.stagingUntil = aNow + chosen->load * kStagingFactor;
+      engine_order order;
+      order.kind = order_kind::stage;
+      order.instance = one->id;
+      order.model = chosen->name;
+      Give(std::move(order), aNow, aActions);
+    }
+  }
+}
+
+void
+assembler::StartFormation(const routes::model_profile& aModel,
+                          const free_list& aMembers,
+                          time_point aNow,
+                          actions& aActions)
+{
+  formation made;
+  made.id = { fmt::format("g{}-{}", mToken.value, ++mLastGroup) };
+  mHighestEpoch = std::max(mHighestEpoch, mToken.value * kEpochsPerToken) + 1;
+  made.epoch = { mHighestEpoch };
+  made.model = aModel.name;
+  made.since = aNow;
+  std::size_t loads = 0;
+  std::string names;
+  for (const fleet::instance* one : aMembers) {
+    formation_member member;
+    member.instance = one->id;
+    member.life = one->life;
+    member.loads = !Holds(*one, aModel.name);
+    loads += member.loads ? 1 : 0;
+    names += (names.empty() ? "" : ",") + one->id.value;
+    made.members.push_back(member);
+  }
+  if (loads > 0) {
+    CountLoads(loads, aNow);
+  }
+  Note(note_decision::what::formed, made, names, aActions);
+  mFormations.push_back(std::move(made));
+  // The orders follow in the next step, which sees the formation as any other.
+}
+
+} // namespace persimmon::assembly
--- /dev/null
+++ b/src/assembly/tests/assemblertests.cpp
@@ -0,0 +1,3 @@
+#include "assembly/assembler.h"
+
+#include <CppUTest/TestHarness.h>
--- a/src/base/internal/stopsignal.cpp
+++ b/src/base/internal/stopsignal.cpp
@@ -12,6 +12,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -25,7 +26,7 @@
 }
 
 int
-WaitForStopSignal()
+WaitForSignal()
 {
   const sigset_t signals = StopSignals();
   int signal = 0;
@@ -33,4 +34,14 @@
   return signal;
 }
 
+int
+WaitForStopSignal()
+{
+  int signal = WaitForSignal();
+  while (signal == SIGHUP) {
+    signal = WaitForSignal();
+  }
+  return signal;
+}
+
 } // namespace persimmon
--- a/src/base/stopsignal.h
+++ b/src/base/stopsignal.h
@@ -2,10 +2,15 @@
 
 namespace persimmon {
 
-/// Blocks SIGTERM and SIGINT in this thread and all it starts; call before any thread is started.
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and all it starts; call before any thread is
+/// started.
 void
 BlockStopSignals();
 
+/// Waits for SIGTERM, SIGINT or SIGHUP; returns its number.
+int
+WaitForSignal();
+
 /// Waits for SIGTERM or SIGINT; returns its number.
 int
 WaitForStopSignal();
--- /dev/null
+++ b/src/dispatch/callfacts.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "routes/callkind.h"
+#include "routes/engineprofile.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace persimmon::dispatch {
+
+/// What decides about a call, as its caller and its route tell.
+struct call_facts
+{
+  request_id id;
+  service_name service;
+  routes::call_kind kind = routes::call_kind::non_idempotent;
+  /// Running it twice does no harm.
+  bool mayRepeat = false;
+  /// Its stream may go on at another upstream.
+  bool resumable = false;
+  /// Model that it asks for; empty for plain services.
+  routes::model_name model;
+  /// Tokens of its prompt, and at most of its answer.
+  std::uint64_t promptTokens = 0;
+  std::uint64_t outputTokens = 0;
+  /// Last event that the caller holds from an earlier stream.
+  std::optional<std::uint64_t> resumeAfter;
+  time_point arrived;
+  /// When the caller or the route no longer waits.
+  time_point deadline;
+  duration latencyTarget;
+  std::uint32_t maxAttempts = 1;
+  /// The same for repeats of the call through any router.
+  std::uint64_t fingerprint = 0;
+};
+
+} // namespace persimmon::dispatch
--- /dev/null
+++ b/src/dispatch/choicerequest.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/ids.h"
+#include "routes/engineprofile.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace persimmon::dispatch {
+
+/// What is asked of a choice among upstreams.
+struct choice_request
+{
+  service_name service;
+  /// Empty for plain services.
+  routes::model_name model;
+  std::uint64_t promptTokens = 0;
+  /// Upstreams that have failed this call already.
+  std::vector<instance_id> excluded;
+  /// Breaks ties; uniformly distributed.
+  std::uint64_t draw = 0;
+  /// The call crashed upstreams before; only one that runs nothing else may take it.
+  bool isolated = false;
+};
+
+} // namespace persimmon::dispatch
--- /dev/null
+++ b/src/dispatch/tests/upstreamboardtests.cpp
@@ -0,0 +1,110 @@
+#include "dispatch/tests/mocks/boardrig.h"
+
+#include <CppUTest/TestHarness.h>
+#include <set>
+
+using namespace persimmon;
+using namespace persimmon::dispatch;
+
+// clang-format off
+TEST_GROUP(upstream_board)
+{
+  board_rig rig;
+  time_point now{ 100000 };
+
+  std::set<std::string> Chosen(choice_request aRequest)
+  {
+    std::set<std::string> chosen;
+    for (aRequest.draw = 0; aRequest.draw < 50; ++aRequest.draw) {
+      const auto one = rig.board.Choose(aRequest, now);
+      chosen.insert(one ? one->value : "none");
+    }
+    return chosen;
+  }
+};
+// clang-format on
+
+TEST(upstream_board, EqualGroupsAreSpread)
+{
+  UNSIGNED_LONGS_EQUAL(3, Chosen(rig.PairRequest()).size());
+}
+
+TEST(upstream_board, GroupOfAnotherModelIsNotChosen)
+{
+  choice_request request = rig.PairRequest();
+  request.model = { "unknown" };
+  CHECK(Chosen(request) == std::set<std::string>{ "none" });
+}
+
+TEST(upstream_board, PromptsThatWaitAtAGroupSendOthersElsewhere)
+{
+  rig.board.Started({ "head-0" }, 4000);
+  rig.board.Started({ "head-1" }, 4000);
+  CHECK(Chosen(rig.PairRequest()) == std::set<std::string>{ "head-2" });
+}
+
+TEST(upstream_board, BrokenGroupGetsNothingUntilItProvesWhole)
+{
+  rig.board.MarkBroken({ "g0" }, { 1 });
+  UNSIGNED_LONGS_EQUAL(2, Chosen(rig.PairRequest()).size());
+  rig.board.ClearBroken({ "g0" }, { 1 });
+  UNSIGNED_LONGS_EQUAL(3, Chosen(rig.PairRequest()).size());
+}
+
+TEST(upstream_board, MarkOfAnEndedGroupIsForgotten)
+{
+  rig.board.MarkBroken({ "g0" }, { 1 });
+  rig.board.Fleet().Remove({ "head-0" });
+  rig.board.Fleet().Remove({ "tail-0" });
+  rig.board.FleetChanged();
+  CHECK_FALSE(rig.board.IsBroken({ "g0" }, { 1 }));
+}
+
+TEST(upstream_board, FailingPlainUpstreamIsAvoidedAndTriedAgainLater)
+{
+  for (int i = 0; i < 5; ++i) {
+    rig.board.NoteOutcome({ "desk-0" }, false, now);
+  }
+  UNSIGNED_LONGS_EQUAL(0, Chosen(rig.PlainRequest()).count("desk-0"));
+  now = now + 20_s;
+  UNSIGNED_LONGS_EQUAL(1, Chosen(rig.PlainRequest()).count("desk-0"));
+}
+
+TEST(upstream_board, ReportOfOtherRoutersCallsCounts)
+{
+  rig.board.NoteLoad({ "desk-0" }, { 6, 4, 6 }, now);
+  UNSIGNED_LONGS_EQUAL(0, Chosen(rig.PlainRequest()).count("desk-0"));
+  now = now + 5_s;
+  UNSIGNED_LONGS_EQUAL(1, Chosen(rig.PlainRequest()).count("desk-0"));
+}
+
+TEST(upstream_board, NewLifeOfAnUpstreamStartsWithoutItsPast)
+{
+  for (int i = 0; i < 5; ++i) {
+    rig.board.NoteOutcome({ "desk-0" }, false, now);
+  }
+  fleet::instance reborn = *rig.board.Fleet().Find({ "desk-0" });
+  reborn.life = reborn.life.Next();
+  rig.board.Fleet().Put(reborn);
+  rig.board.FleetChanged();
+  rig.board.NoteOutcome({ "desk-0" }, true, now);
+  UNSIGNED_LONGS_EQUAL(1, Chosen(rig.PlainRequest()).count("desk-0"));
+}
+
+TEST(upstream_board, DrainingUpstreamGetsNothing)
+{
+  fleet::instance leaving = *rig.board.Fleet().Find({ "desk-0" });
+  leaving.draining = true;
+  rig.board.Fleet().Put(leaving);
+  rig.board.FleetChanged();
+  UNSIGNED_LONGS_EQUAL(0, Chosen(rig.PlainRequest()).count("desk-0"));
+}
+
+TEST(upstream_board, IsolatedCallTakesAnIdleGroupOnly)
+{
+  rig.board.Started({ "head-0" }, 10);
+  rig.board.Started({ "head-1" }, 10);
+  choice_request request = rig.PairRequest();
+  request.isolated = true;
+  CHECK(Chosen(request) == std::set<std::string>{ "head-2" });
+}
--- /dev/null
+++ b/src/dispatch/upstreamboard.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "dispatch/choicerequest.h"
+#include "dispatch/upstreamrecord.h"
+#include "fleet/fleetview.h"
+#include "routes/routetable.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmon::dispatch {
+
+/// What a router believes about the upstreams, and the choice among them. Pure: the caller gives
+/// the time and serialises calls.
+class upstream_board
+{
+public:
+  explicit upstream_board(zone_name aZone);
+
+  // What is declared and registered.
+  void SetRoutes(std::shared_ptr<const routes::route_table> aRoutes);
+  [[nodiscard]] const std::shared_ptr<const routes::route_table>& Routes() const { return mRoutes; }
+  /// The registered instances; call FleetChanged() after a change.
+  fleet::fleet_view& Fleet() { return mFleet; }
+  [[nodiscard]] const fleet::fleet_view& Fleet() const { return mFleet; }
+  void FleetChanged();
+
+  // Choice.
+  /// Returns the upstream that is predicted to answer first, or nothing.
+  [[nodiscard]] std::optional<instance_id> Choose(const choice_request& aRequest,
+                                                  time_point aNow) const;
+  /// True when some upstream takes calls of a service and model at present.
+  [[nodiscard]] bool Serves(const service_name& aService,
+                            const routes::model_name& aModel,
+                            time_point aNow) const;
+  /// Part of the places of the upstreams that are taken, 0 to 1 and above.
+  [[nodiscard]] double Occupancy(const service_name& aService,
+                                 const routes::model_name& aModel,
+                                 time_point aNow) const;
+  [[nodiscard]] std::vector<fleet::engine_group> ServingGroups(time_point aNow) const;
+  /// Returns the group whose head an instance is; nullptr when it is none.
+  [[nodiscard]] const fleet::engine_group* GroupOfHead(const instance_id& aHead) const;
+  /// Returns a group with the epoch given; nullptr when it is not known.
+  [[nodiscard]] const fleet::engine_group* FindGroup(const group_id& aGroup,
+                                                     generation aEpoch) const;
+
+  // What happens to calls.
+  void Started(const instance_id& aUpstream, std::uint64_t aPromptTokens);
+  /// Records the first byte of an answer.
+  void Answered(const instance_id& aUpstream, std::uint64_t aPromptTokens, time_point aNow);
+  void Heard(const instance_id& aUpstream, time_point aNow);
+  /// Records the time between two events, or of a whole answer of a plain service.
+  void NotePace(const instance_id& aUpstream, duration aSpan);
+  void Ended(const instance_id& aUpstream, std::uint64_t aPendingTokens);
+  /// Records whether an upstream did what it was asked.
+  void NoteOutcome(const instance_id& aUpstream, bool aGood, time_point aNow);
+  void NoteLoad(const instance_id& aUpstream, const upstream_load& aLoad, time_point aNow);
+  /// Keeps new calls away from an upstream.
+  void Avoid(const instance_id& aUpstream, time_point aUntil);
+  /// Keeps new calls away from a group for good; a later epoch is another group.
+  void MarkBroken(const group_id& aGroup, generation aEpoch);
+  /// Takes the mark back when the group proves whole.
+  void ClearBroken(const group_id& aGroup, generation aEpoch);
+  [[nodiscard]] bool IsBroken(const group_id& aGroup, generation aEpoch) const;
+  [[nodiscard]] const upstream_record* Record(const instance_id& aUpstream) const;
+
+private:
+  upstream_record& Touch(const instance_id& aUpstream);
+  [[nodiscard]] bool MayTake(const fleet::engine_group& aGroup, time_point aNow) const;
+  [[nodiscard]] bool MayTake(const fleet::instance& aUpstream, time_point aNow) const;
+  [[nodiscard]] double GroupCostMs(const fleet::engine_group& aGroup,
+                                   std::uint64_t aPromptTokens,
+                                   time_point aNow) const;
+  [[nodiscard]] double PlainCost(const fleet::instance& aUpstream, time_point aNow) const;
+  [[nodiscard]] std::optional<instance_id> ChooseGroup(const choice_request& aRequest,
+                                                       time_point aNow) const;
+  [[nodiscard]] std::optional<instance_id> ChoosePlain(const choice_request& aRequest,
+                                                       time_point aNow) const;
+  /// Calls that an upstream is estimated to hold, from all routers.
+  [[nodiscard]] double EstimatedCalls(const instance_id& aUpstream, time_point aNow) const;
+  [[nodiscard]] double FailureRate(const instance_id& aUpstream, time_point aNow) const;
+
+  zone_name mZone;
+  std::shared_ptr<const routes::route_table> mRoutes;
+  fleet::fleet_view mFleet;
+  std::vector<fleet::engine_group> mGroups;
+  std::unordered_map<instance_id, std::size_t> mGroupByHead;
+  std::unordered_map<instance_id, upstream_record> mRecords;
+  std::set<std::pair<group_id, generation>> mBroken;
+};
+
+} // namespace persimmon::dispatch
--- /dev/null
+++ b/src/dispatch/upstreamload.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+
+namespace persimmon::dispatch {
+
+/// Load that an upstream tells about itself.
+struct upstream_load
+{
+  std::uint64_t running = 0;
+  std::uint64_t waiting = 0;
+  std::uint64_t slots = 0;
+};
+
+} // namespace persimmon::dispatch
--- /dev/null
+++ b/src/dispatch/upstreamrecord.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "dispatch/upstreamload.h"
+
+#include <cstdint>
+
+namespace persimmon::dispatch {
+
+/// What this router has seen of one upstream in its present life.
+struct upstream_record
+{
+  incarnation life;
+  /// Calls of this router that are in progress.
+  std::uint64_t inFlight = 0;
+  /// Prompt tokens of those that have not answered yet.
+  std::uint64_t pendingTokens = 0;
+  upstream_load reported;
+  time_point reportedAt{ INT64_MIN / 2 };
+  /// Calls that this router has started since the report.
+  std::uint64_t startedSinceReport = 0;
+  /// Part of the latest calls that failed, 0 to 1; decays with time.
+  double failureRate = 0;
+  time_point failureAt{ INT64_MIN / 2 };
+  /// Smoothed time between events of its streams, or of an answer of a plain service.
+  double paceMs = 0;
+  /// Gets no new call before this time.
+  time_point avoidedUntil{ INT64_MIN / 2 };
+  /// Last time that any byte came from it.
+  time_point heardAt{ INT64_MIN / 2 };
+};
+
+} // namespace persimmon::dispatch
--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::minutes kIdleConnectionLimit{ 5 };
 // Reading on while a request is handled is how the server learns that its caller left.
 constexpr std::size_t kPipelinedRequests = 2;
-constexpr std::size_t kMaxFieldBytes = 16384;
-constexpr std::size_t kMaxHeaderCount = 100;
+constexpr std::size_t kMaxFieldBytes = 65536;
+constexpr std::size_t kMaxHeaderCount = 200;
 
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -78,6 +78,7 @@
   server_request converted;
   const auto& header = aRequest.header();
   converted.method = header.method().c_str();
+  converted.target = std::string(header.request_target());
   converted.path = std::string(header.path());
   converted.query = std::string(header.query());
   header.for_each_field([&converted](const auto& aField) {
--- a/src/entry/internal/responder.cpp
+++ b/src/entry/internal/responder.cpp
@@ -23,9 +23,11 @@
     { 410, "Gone" },
     { 412, "Precondition Failed" },
     { 413, "Content Too Large" },
+    { 421, "Misdirected Request" },
     { 422, "Unprocessable Content" },
     { 428, "Precondition Required" },
     { 429, "Too Many Requests" },
+    { 431, "Request Header Fields Too Large" },
     { 500, "Internal Server Error" },
     { 502, "Bad Gateway" },
     { 503, "Service Unavailable" },
@@ -61,7 +63,7 @@
 /// Returns the head of a chunked response. A stream that is cut off can only be told from a
 /// finished one by its closed connection.
 std::string
-HeadOf(int aStatus, const std::vector<server_header>& aHeaders)
+HeadOf(int aStatus, const std::vector<server_header>& aHeaders, bool aKeeps)
 {
   const auto line = StatusLine(aStatus);
   std::string head =
@@ -69,7 +71,8 @@
   for (const server_header& header : aHeaders) {
     head += header.name + ": " + header.value + "\r\n";
   }
-  return head + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
+  head += "Transfer-Encoding: chunked\r\n";
+  return head + (aKeeps ? "\r\n" : "Connection: close\r\n\r\n");
 }
 
 } // namespace
@@ -107,22 +110,28 @@
     response.append_header(std::move(header.name), std::move(header.value));
   }
   response.set_body(std::move(aResponse.body));
+  if (aResponse.closes) {
+    response.connection_close();
+  }
   response.done();
 }
 
 void
-responder::implementation::StartStream(int aStatus, const std::vector<server_header>& aHeaders)
+responder::implementation::StartStream(int aStatus,
+                                       const std::vector<server_header>& aHeaders,
+                                       stream_end aEnd)
 {
   const std::lock_guard writing(mWriteMutex);
   if (mStreaming || HasEnded()) {
     return;
   }
   mStreaming = true;
-  SendPart(HeadOf(aStatus, aHeaders), false);
+  mKeeps = aEnd == stream_end::keeps && mRequest->header().should_keep_alive();
+  SendPart(HeadOf(aStatus, aHeaders, mKeeps), part::more);
 }
 
 void
-responder::implementation::SendPart(std::string aBytes, bool aLast, write_callback aCallback)
+responder::implementation::SendPart(std::string aBytes, part aPart, write_callback aCallback)
 {
   // RESTinio's builder for such output would add a Content-Length.
   const auto connection = restinio::impl::access_req_connection(*mRequest);
@@ -130,9 +139,10 @@
     return;
   }
   const restinio::response_output_flags_t flags{
-    aLast ? restinio::response_parts_attr_t::final_parts
-          : restinio::response_parts_attr_t::not_final_parts,
-    restinio::response_connection_attr_t::connection_close
+    aPart == part::more ? restinio::response_parts_attr_t::not_final_parts
+                        : restinio::response_parts_attr_t::final_parts,
+    mKeeps && aPart != part::closing ? restinio::response_connection_attr_t::connection_keepalive
+                                     : restinio::response_connection_attr_t::connection_close
   };
   restinio::writable_items_container_t items;
   if (!aBytes.empty()) {
@@ -159,7 +169,7 @@
     mPending += size;
   }
   SendPart(
-    std::move(chunk), false, [weak = weak_from_this(), size](const asio::error_code& aError) {
+    std::move(chunk), part::more, [weak = weak_from_this(), size](const asio::error_code& aError) {
       if (const auto self = weak.lock()) {
         self->WriteDone(size, static_cast<bool>(aError));
       }
@@ -189,7 +199,7 @@
 {
   const std::lock_guard writing(mWriteMutex);
   if (mStreaming && End()) {
-    SendPart(kLastChunk, true);
+    SendPart(kLastChunk, part::last);
   }
 }
 
@@ -199,7 +209,7 @@
   const std::lock_guard writing(mWriteMutex);
   if (End()) {
     // A last part makes the connection close after what was written before.
-    SendPart({}, true);
+    SendPart({}, part::closing);
   }
 }
 
@@ -267,9 +277,9 @@
 }
 
 void
-responder::StartStream(int aStatus, const std::vector<server_header>& aHeaders)
+responder::StartStream(int aStatus, const std::vector<server_header>& aHeaders, stream_end aEnd)
 {
-  mImplementation->StartStream(aStatus, aHeaders);
+  mImplementation->StartStream(aStatus, aHeaders, aEnd);
 }
 
 void
--- a/src/entry/internal/responderimplementation.h
+++ b/src/entry/internal/responderimplementation.h
@@ -15,7 +15,7 @@
   explicit implementation(restinio::request_handle_t aRequest);
 
   void Send(server_response aResponse);
-  void StartStream(int aStatus, const std::vector<server_header>& aHeaders);
+  void StartStream(int aStatus, const std::vector<server_header>& aHeaders, stream_end aEnd);
   void Write(std::string_view aBytes);
   void FinishStream();
   void Abort();
@@ -32,14 +32,26 @@
   bool End();
   [[nodiscard]] bool HasEnded() const;
   void WriteDone(std::size_t aBytes, bool aFailed);
-  /// Hands a part of a streamed response to the connection, which closes after the last part.
-  void SendPart(std::string aBytes, bool aLast, write_callback aCallback = {});
+  /// What a part means for the connection.
+  enum class part
+  {
+    more,
+    /// The last one of a connection that is kept.
+    last,
+    /// The connection closes after it.
+    closing
+  };
+
+  /// Hands a part of a streamed response to the connection.
+  void SendPart(std::string aBytes, part aPart, write_callback aCallback = {});
 
   /// Held while RESTinio is called, which may call WriteDone() and ConnectionClosed() from within;
   /// these two take only mMutex.
   std::mutex mWriteMutex;
   restinio::request_handle_t mRequest;
   bool mStreaming = false;
+  /// The connection is kept after a clean end of the stream.
+  bool mKeeps = false;
 
   mutable std::mutex mMutex;
   std::size_t mPending = 0;
--- a/src/entry/responder.h
+++ b/src/entry/responder.h
@@ -9,6 +9,13 @@
 
 namespace persimmon::entry {
 
+/// What becomes of the connection when a stream has ended cleanly.
+enum class stream_end
+{
+  closes,
+  keeps
+};
+
 /// Answers one request, either whole by Send() or as a stream of chunks. Every function may be
 /// called from any thread; after the answer has ended, or the caller has left, they do nothing.
 class responder
@@ -23,8 +30,11 @@
 
   /// Sends a whole response.
   void Send(server_response aResponse);
-  /// Sends the status and headers of a streamed response.
-  void StartStream(int aStatus, const std::vector<server_header>& aHeaders);
+  /// Sends the status and headers of a streamed response. A connection that is kept serves the
+  /// caller's next request after the stream has ended cleanly.
+  void StartStream(int aStatus,
+                   const std::vector<server_header>& aHeaders,
+                   stream_end aEnd = stream_end::closes);
   /// Sends bytes of a streamed response as one chunk.
   void Write(std::string_view aBytes);
   /// Ends a streamed response cleanly.
--- a/src/entry/serverrequest.h
+++ b/src/entry/serverrequest.h
@@ -16,6 +16,8 @@
 struct server_request
 {
   std::string method;
+  /// Path and query as the caller sent them.
+  std::string target;
   /// Path without the query.
   std::string path;
   /// Text after the question mark, or empty.
--- a/src/entry/serverresponse.h
+++ b/src/entry/serverresponse.h
@@ -13,6 +13,8 @@
   int status = 200;
   std::vector<server_header> headers;
   std::string body;
+  /// Tells the caller that the connection closes after this answer, and closes it.
+  bool closes = false;
 };
 
 } // namespace persimmon::entry
--- /dev/null
+++ b/src/gateway/assemblyrunner.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "assembly/assembler.h"
+#include "gateway/gatewaycontext.h"
+#include "gateway/gatewaymetrics.h"
+#include "gateway/groupprober.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace persimmon::gateway {
+
+/// Runs an assembler for each engine service while this process holds the lease: carries out its
+/// orders and questions. For use on the loop's thread.
+template<gateway_dialect Dialect>
+class assembly_runner
+{
+public:
+  assembly_runner(gateway_context& aContext, assembly::assembly_options aOptions)
+    : mContext(aContext)
+    , mOptions(aOptions)
+  {
+  }
+
+  /// Tells whether this process may give orders at this moment.
+  std::function<bool()> mayAct;
+  /// Called with every answer of an engine.
+  std::function<void(const instance_id&, const fleet::engine_report&)> onReport;
+
+  /// The configuration has changed.
+  void Configure(const routes::configuration& aConfiguration);
+  void Lead(fencing_token aToken);
+  void StopLeading();
+  void Suspect(const group_id& aGroup, generation aEpoch);
+  /// Decides and acts; call often.
+  void Step();
+
+private:
+  using service_assembler = std::shared_ptr<assembly::assembler>;
+
+  void Carry(const service_assembler& aAssembler, const assembly::give_order& aAction);
+  void Carry(const service_assembler& aAssembler, const assembly::ask_report& aAction);
+  void Carry(const service_assembler& aAssembler, const assembly::note_decision& aAction);
+
+  gateway_context& mContext;
+  assembly::assembly_options mOptions;
+  std::map<service_name, service_assembler> mAssemblers;
+  bool mLeads = false;
+  fencing_token mToken;
+};
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Configure(const routes::configuration& aConfiguration)
+{
+  for (const routes::service_profile& service : aConfiguration.services) {
+    if (!service.engine) {
+      continue;
+    }
+    service_assembler& one = mAssemblers[service.name];
+    if (one) {
+      one->Configure(service);
+      continue;
+    }
+    one = std::make_shared<assembly::assembler>(service, mOptions);
+    if (mLeads) {
+      one->Lead(mToken, mContext.Now());
+    }
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Lead(fencing_token aToken)
+{
+  mLeads = true;
+  mToken = aToken;
+  for (auto& [name, one] : mAssemblers) {
+    one->Lead(aToken, mContext.Now());
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::StopLeading()
+{
+  mLeads = false;
+  for (auto& [name, one] : mAssemblers) {
+    one->StopLeading();
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Suspect(const group_id& aGroup, generation aEpoch)
+{
+  for (auto& [name, one] : mAssemblers) {
+    one->Suspect(aGroup, aEpoch, mContext.Now());
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Step()
+{
+  const time_point now = mContext.Now();
+  for (auto& [name, one] : mAssemblers) {
+    if (!one->Leads()) {
+      continue;
+    }
+    one->SetDemand(mContext.demand.Demand(now));
+    for (const assembly::assembly_action& action : one->Step(mContext.board.Fleet(), now)) {
+      std::visit([&](const auto& aAction) { Carry(one, aAction); }, action);
+    }
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Carry(const service_assembler& aAssembler,
+                                const assembly::give_order& aAction)
+{
+  if (!mayAct()) {
+    aAssembler->NoteOutcome(aAction.id, assembly::order_outcome::not_sent, mContext.Now());
+    return;
+  }
+  fleet::instance target;
+  target.id = aAction.order.instance;
+  target.address = aAction.address;
+  const auto status = std::make_shared<int>(0);
+  upstream::call_handlers handlers;
+  handlers.onHead = [status](const upstream::response_head& aHead) { *status = aHead.status; };
+  handlers.onData = [](std::string_view) {};
+  handlers.onDone = [this, status, aAssembler, aAction](const upstream::call_outcome& aOutcome) {
+    using assembly::order_outcome;
+    order_outcome outcome = order_outcome::unknown;
+    if (aOutcome.end == upstream::call_end::not_sent) {
+      outcome = order_outcome::not_sent;
+    } else if (*status != 0) {
+      outcome = Dialect::ReadOrderOutcome(*status);
+    }
+    const char* kind = assembly::OrderKindName(aAction.order.kind);
+    mContext.metrics.Count(
+      kOrders, { { "kind", kind }, { "outcome", assembly::OrderOutcomeName(outcome) } });
+    WriteLog(kOrderGiven,
+             { { "order", std::to_string(aAction.id.value) },
+               { "kind", kind },
+               { "instance", aAction.order.instance.value },
+               { "group", aAction.order.group.value },
+               { "epoch", std::to_string(aAction.order.epoch.value) },
+               { "model", aAction.order.model.value },
+               { "token", std::to_string(aAction.order.token.value) },
+               { "outcome", assembly::OrderOutcomeName(outcome) } });
+    aAssembler->NoteOutcome(aAction.id, outcome, mContext.Now());
+  };
+  mContext.loop.Start(Dialect::MakeOrder(aAction.order, target), std::move(handlers));
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Carry(const service_assembler& aAssembler,
+                                const assembly::ask_report& aAction)
+{
+  AskReport<Dialect>(
+    mContext.loop,
+    aAction.instance,
+    aAction.address,
+    [this, aAssembler, id = aAction.instance](std::optional<fleet::engine_report> aReport) {
+      aAssembler->NoteReport(id, aReport, mContext.Now());
+      if (aReport && onReport) {
+        onReport(id, *aReport);
+      }
+    });
+}
+
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Carry(const service_assembler&, const assembly::note_decision& aAction)
+{
+  WriteLog(kGroupDecided,
+           { { "decision", assembly::DecisionName(aAction.decision) },
+             { "group", aAction.group.value },
+             { "epoch", std::to_string(aAction.epoch.value) },
+             { "model", aAction.model.value },
+             { "cause", aAction.cause } });
+}
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/attempt.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "gateway/answerfacts.h"
+#include "gateway/eventframer.h"
+#include "upstream/callid.h"
+#include "upstream/responsehead.h"
+
+#include <optional>
+#include <string>
+
+namespace persimmon::gateway {
+
+/// One call to one upstream, made for an exchange.
+struct attempt
+{
+  instance_id upstream;
+  upstream::call_id call;
+  time_point startedAt;
+  /// Last time that bytes came.
+  time_point heardAt;
+  std::optional<answer_facts> facts;
+  upstream::response_head head;
+  /// Body of an answer that goes out whole.
+  std::string body;
+  event_framer framer;
+  /// Events of a stream have come from this upstream.
+  bool sawEvent = false;
+  /// Prompt tokens that still count as waiting at the upstream.
+  std::uint64_t pendingTokens = 0;
+  duration longestGap;
+};
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/demandmeter.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/clock.h"
+#include "routes/engineprofile.h"
+
+#include <map>
+
+namespace persimmon::gateway {
+
+/// Measures the work that callers ask of each model, as the instances that it keeps busy. Pure.
+class demand_meter
+{
+public:
+  /// Records a call for a model.
+  void Note(const routes::engine_profile& aEngine,
+            const routes::model_name& aModel,
+            std::uint64_t aPromptTokens,
+            std::uint64_t aOutputTokens,
+            time_point aNow);
+  /// Returns the smoothed work of each model; empty until enough was seen.
+  [[nodiscard]] std::map<routes::model_name, double> Demand(time_point aNow) const;
+
+private:
+  struct decaying_sum
+  {
+    double value = 0;
+    time_point at;
+  };
+
+  std::map<routes::model_name, decaying_sum> mWork;
+  std::uint64_t mCalls = 0;
+};
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/dialect.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "assembly/engineorder.h"
+#include "assembly/orderoutcome.h"
+#include "base/json.h"
+#include "entry/serverrequest.h"
+#include "fleet/enginereport.h"
+#include "fleet/instance.h"
+#include "gateway/answerfacts.h"
+#include "gateway/callercall.h"
+#include "gateway/upstreamtarget.h"
+#include "platform/storedobject.h"
+#include "platform/storeerror.h"
+#include "routes/configuration.h"
+#include "upstream/responsehead.h"
+#include "upstream/upstreamcall.h"
+#include "upstream/upstreamloop.h"
+
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmon::gateway {
+
+/// Takes the result of a call to the store, or nothing with the reason.
+template<typename Result>
+using store_callback =
+  std::function<void(std::optional<Result> aResult, const platform::store_reason& aReason)>;
+
+/// The store of the platform; every callback runs on the loop's thread.
+template<typename Store>
+concept cluster_store = requires(Store& aStore,
+                                 const std::string& aKind,
+                                 const platform::object_key& aKey,
+                                 revision aFrom,
+                                 duration aWait,
+                                 const std::string& aValue,
+                                 const platform::write_condition& aCondition)
+{
+  aStore.List(aKind, store_callback<platform::object_list>{});
+  aStore.Watch(aKind, aFrom, aWait, store_callback<platform::object_changes>{});
+  /// Returns an object; a cheap read may be some seconds old.
+  aStore.Get(aKey, true, store_callback<platform::stored_object>{});
+  aStore.Put(aKey, aValue, aCondition, store_callback<revision>{});
+};
+
+/// How the outside world speaks: callers, upstreams, engines and the platform's store. All that
+/// the gateway knows of names on the wire comes through one of these.
+template<typename D>
+concept gateway_dialect = cluster_store<typename D::store> &&
+  requires(const entry::server_request& aRequest,
+           const caller_call& aCall,
+           const upstream_target& aTarget,
+           const upstream::response_head& aHead,
+           const assembly::engine_order& aOrder,
+           const fleet::instance& aInstance,
+           const std::string& aText,
+           int aStatus,
+           duration aSpan,
+           json_problem& aProblem)
+{
+  {
+    D::ReadCall(aRequest)
+    } -> std::same_as<caller_call>;
+  {
+    D::MakeCall(aRequest, aCall, aTarget)
+    } -> std::same_as<upstream::upstream_call>;
+  {
+    D::ReadAnswer(aHead, aCall)
+    } -> std::same_as<answer_facts>;
+  {
+    D::AnswerHeaders(aHead)
+    } -> std::same_as<std::vector<entry::server_header>>;
+  {
+    D::RefusalHeaders(aSpan)
+    } -> std::same_as<std::vector<entry::server_header>>;
+  {
+    D::MakeOrder(aOrder, aInstance)
+    } -> std::same_as<upstream::upstream_call>;
+  {
+    D::ReadOrderOutcome(aStatus)
+    } -> std::same_as<assembly::order_outcome>;
+  {
+    D::MakeReportCall(aInstance)
+    } -> std::same_as<upstream::upstream_call>;
+  {
+    D::ReadReport(aText, aProblem)
+    } -> std::same_as<std::optional<fleet::engine_report>>;
+  {
+    D::ReadConfiguration(aText, aProblem)
+    } -> std::same_as<std::optional<routes::configuration>>;
+  {
+    D::ReadInstance(aText, aText, aProblem)
+    } -> std::same_as<std::optional<fleet::instance>>;
+};
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/gatewayevents.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/log.h"
+
+#include <array>
+
+namespace persimmon::gateway {
+
+constexpr log_event kGatewayStarted{ 8001, "gateway_started", log_level::info };
+constexpr log_event kGatewayNotStarted{ 8002, "gateway_not_started", log_level::error };
+constexpr log_event kGatewayStopping{ 8003, "gateway_stopping", log_level::info };
+constexpr log_event kGatewayStopped{ 8004, "gateway_stopped", log_level::info };
+constexpr log_event kReloaded{ 8005, "reloaded", log_level::info };
+constexpr log_event kReadinessChanged{ 8006, "readiness_changed", log_level::info };
+constexpr log_event kConfigurationInForce{ 8010, "configuration_in_force", log_level::info };
+constexpr log_event kConfigurationRejected{ 8011, "configuration_rejected", log_level::error };
+constexpr log_event kInstancesChanged{ 8012, "instances_changed", log_level::info };
+constexpr log_event kEntrySkipped{ 8013, "entry_skipped", log_level::warning };
+constexpr log_event kStoreLost{ 8014, "store_lost", log_level::warning };
+constexpr log_event kStoreRegained{ 8015, "store_regained", log_level::info };
+constexpr log_event kCallRefused{ 8020, "call_refused", log_level::info };
+constexpr log_event kCallSent{ 8021, "call_sent", log_level::info };
+constexpr log_event kCallAnswered{ 8022, "call_answered", log_level::info };
+constexpr log_event kCallFailed{ 8023, "call_failed", log_level::warning };
+constexpr log_event kCallCut{ 8024, "call_cut", log_level::warning };
+constexpr log_event kCallerLeft{ 8025, "caller_left", log_level::info };
+constexpr log_event kAttemptEnded{ 8026, "attempt_ended", log_level::info };
+constexpr log_event kGroupSuspected{ 8030, "group_suspected", log_level::info };
+constexpr log_event kGroupBroken{ 8031, "group_broken", log_level::warning };
+constexpr log_event kGroupWhole{ 8032, "group_whole", log_level::info };
+constexpr log_event kLeaseTaken{ 8040, "lease_taken", log_level::info };
+constexpr log_event kLeaseLost{ 8041, "lease_lost", log_level::warning };
+constexpr log_event kLeaseWriteFailed{ 8042, "lease_write_failed", log_level::warning };
+constexpr log_event kGroupDecided{ 8043, "group_decided", log_level::info };
+constexpr log_event kOrderGiven{ 8044, "order_given", log_level::info };
+constexpr log_event kReportNotUnderstood{ 8045, "report_not_understood", log_level::warning };
+
+/// All log events of the gateway.
+inline constexpr std::array kGatewayEvents{ kGatewayStarted,
+                                            kGatewayNotStarted,
+                                            kGatewayStopping,
+                                            kGatewayStopped,
+                                            kReloaded,
+                                            kReadinessChanged,
+                                            kConfigurationInForce,
+                                            kConfigurationRejected,
+                                            kInstancesChanged,
+                                            kEntrySkipped,
+                                            kStoreLost,
+                                            kStoreRegained,
+                                            kCallRefused,
+                                            kCallSent,
+                                            kCallAnswered,
+                                            kCallFailed,
+                                            kCallCut,
+                                            kCallerLeft,
+                                            kAttemptEnded,
+                                            kGroupSuspected,
+                                            kGroupBroken,
+                                            kGroupWhole,
+                                            kLeaseTaken,
+                                            kLeaseLost,
+                                            kLeaseWriteFailed,
+                                            kGroupDecided,
+                                            kOrderGiven,
+                                            kReportNotUnderstood };
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/gatewaymetrics.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "metrics/metrics.h"
+
+namespace persimmon::gateway {
+
+constexpr metric_spec kCalls{ "persimmon_gateway_calls_total", "Calls by kind and outcome" };
+constexpr metric_spec kRefusals{ "persimmon_gateway_refusals_total", "Refusals by cause" };
+constexpr metric_spec kAttempts{ "persimmon_gateway_attempts_total",
+                                 "Calls sent to upstreams, by result" };
+constexpr metric_spec kFirstByte{ "persimmon_gateway_first_byte_seconds",
+                                  "Time from a call's arrival to the first byte of its answer" };
+constexpr metric_spec kEventGap{ "persimmon_gateway_event_gap_seconds",
+                                 "Longest pause between two events of a stream" };
+constexpr metric_spec kRepeatsLeft{ "persimmon_gateway_repeats_left",
+                                    "Repeats that this process may still cause in the window" };
+constexpr metric_spec kGroups{ "persimmon_gateway_groups", "Groups by what they do" };
+constexpr metric_spec kOrders{ "persimmon_gateway_orders_total",
+                               "Orders to engines by kind and outcome" };
+constexpr metric_spec kStoreCalls{ "persimmon_gateway_store_calls_total",
+                                   "Calls to the store by kind and outcome" };
+constexpr metric_spec kConfigurationVersion{ "persimmon_gateway_configuration_version",
+                                             "Version of the configuration in force" };
+constexpr metric_spec kStoreAge{ "persimmon_gateway_store_age_seconds",
+                                 "Time since the store last answered a watch" };
+constexpr metric_spec kLeaseHeld{ "persimmon_gateway_lease_held",
+                                  "1 while this process forms the groups" };
+constexpr metric_spec kPeers{ "persimmon_gateway_peers", "Live gateways, this one included" };
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/gatewayprocess.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "entry/httpserver.h"
+#include "gateway/assemblyrunner.h"
+#include "gateway/callfront.h"
+#include "gateway/dialect.h"
+#include "gateway/gatewaysettings.h"
+#include "gateway/groupprober.h"
+#include "gateway/instancekeeper.h"
+#include "gateway/kindwatch.h"
+#include "gateway/leasekeeper.h"
+#include "gateway/meshlink.h"
+#include "loop/eventloop.h"
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace persimmon::gateway {
+
+/// A running gateway: callers' requests, the groups' formation while it holds the lease, and what
+/// both believe. Everything but the mesh runs on one loop.
+template<gateway_dialect Dialect>
+class gateway_process
+{
+public:
+  explicit gateway_process(gateway_settings aSettings);
+  ~gateway_process();
+
+  /// Starts to serve; false with LastReason() when that failed.
+  bool Start();
+  /// Not ready first, then requests in flight finish, then the end within the grace time.
+  void Stop();
+  [[nodiscard]] const std::string& LastReason() const { return mReason; }
+
+private:
+  using store = typename Dialect::store;
+
+  bool Listen();
+  void StartWatches();
+  void OnReadiness(entry::responder& aResponder);
+  [[nodiscard]] bool IsReady() const;
+  void ApplyConfiguration(const std::string& aText, revision aRevision, const char* aFrom);
+  void OnInstances();
+  void OnMesh(const peers::mesh_message& aMessage);
+  void OnPresence(const peers::presence_message& aPresence);
+  void OnBroken(const fleet::engine_group& aGroup, const std::string& aCause, bool aTell);
+  void OnReport(const instance_id& aInstance, const fleet::engine_report& aReport);
+  void OnLease();
+  void TickOften();
+  void TickEachSecond();
+  void Drain();
+  /// Runs a function on the loop and waits for it.
+  template<typename Function>
+  auto OnLoop(Function aFunction);
+
+  gateway_settings mSettings;
+  std::string mReason;
+  metrics_registry mMetrics;
+  loop::event_loop mLoop;
+  upstream::upstream_loop mCalls{ mLoop };
+  dispatch::upstream_board mBoard{ mSettings.zone };
+  gateway_context mContext{ mCalls,
+                            mBoard,
+                            mMetrics,
+                            random_source(EntropySeed()),
+                            mSettings.repeats };
+  exchange_registry mExchanges;
+  call_front<Dialect> mFront{ mContext, mExchanges };
+  store mStore{ mCalls, mSettings.store };
+  instance_keeper mInstances{ mBoard.Fleet() };
+  mesh_link mMesh{ mSettings, mLoop, mMetrics };
+  group_prober<Dialect> mProber{ mContext };
+  assembly_runner<Dialect> mAssembly{ mContext, mSettings.assembly };
+  lease_keeper<store> mLease{ mStore,
+                              mCalls,
+                              lease_rules(mSettings.id, lease_times{}, EntropySeed()) };
+  std::unique_ptr<kind_watch<store>> mConfigWatch;
+  std::unique_ptr<kind_watch<store>> mInstanceWatch;
+  revision mConfigRevision;
+  bool mWasReady = false;
+  entry::http_server mServer;
+};
+
+} // namespace persimmon::gateway
+
+#include "gateway/internal/gatewaycourse.h"
--- /dev/null
+++ b/src/gateway/gatewaysettings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "assembly/assemblyoptions.h"
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/log.h"
+#include "dispatch/repeatbudget.h"
+#include "settings/settings.h"
+
+#include <string>
+#include <vector>
+
+namespace persimmon::gateway {
+
+/// What a gateway process is told at its start.
+struct gateway_settings
+{
+  router_id id;
+  zone_name zone;
+  /// Address for callers.
+  endpoint listen;
+  /// Address for the balancer's question whether to send callers.
+  endpoint readinessListen;
+  /// Address for metrics; empty for none.
+  endpoint metricsListen;
+  endpoint meshListen;
+  std::vector<endpoint> peers;
+  std::string meshKey;
+  endpoint store;
+  /// Time from the signal to stop until the process is killed.
+  duration grace;
+  dispatch::repeat_limits repeats;
+  assembly::assembly_options assembly;
+  log_level lowestLevel = log_level::info;
+};
+
+/// Declares the settings of a gateway.
+void
+DeclareGatewaySettings(settings& aSettings);
+
+/// Reads them; problems are recorded in aSettings.
+gateway_settings
+ReadGatewaySettings(settings& aSettings);
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/internal/demandmeter.cpp
@@ -0,0 +1,60 @@
+#include "gateway/demandmeter.h"
+
+#include <cmath>
+
+namespace persimmon::gateway {
+namespace {
+
+/// Work counts half after this time, so that a burst moves the split and a short one does not.
+constexpr duration kHalfLife = 6_s;
+/// Calls before the measure counts.
+constexpr std::uint64_t kEnoughCalls = 40;
+/// Part of the allowed output that a call uses in the mean.
+constexpr double kUsedOutput = 0.8;
+/// Requests that a group runs side by side when it still answers in time.
+constexpr double kUsualRunning = 8;
+
+double
+Decayed(double aValue, time_point aThen, time_point aNow)
+{
+  const double halves = static_cast<double>((aNow - aThen).ms) / static_cast<double>(kHalfLife.ms);
+  return aValue * std::exp2(-halves);
+}
+
+} // namespace
+
+void
+demand_meter::Note(const routes::engine_profile& aEngine,
+                   const routes::model_name& aModel,
+                   std::uint64_t aPromptTokens,
+                   std::uint64_t aOutputTokens,
+                   time_point aNow)
+{
+  const routes::model_profile* model = aEngine.Find(aModel);
+  if (model == nullptr) {
+    return;
+  }
+  const double readMs = static_cast<double>(aPromptTokens) * 1000 / aEngine.readPerSecond;
+  const double writeMs =
+    static_cast<double>(aOutputTokens) * kUsedOutput * aEngine.stepMs / kUsualRunning;
+  decaying_sum& sum = mWork[aModel];
+  sum.value = Decayed(sum.value, sum.at, aNow) +
+              (readMs + writeMs) * model->pace * static_cast<double>(model->size);
+  sum.at = aNow;
+  ++mCalls;
+}
+
+std::map<routes::model_name, double>
+demand_meter::Demand(time_point aNow) const
+{
+  std::map<routes::model_name, double> demand;
+  if (mCalls < kEnoughCalls) {
+    return demand;
+  }
+  for (const auto& [model, sum] : mWork) {
+    demand[model] = Decayed(sum.value, sum.at, aNow);
+  }
+  return demand;
+}
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/internal/eventframer.cpp
@@ -0,0 +1,69 @@
+#include "gateway/eventframer.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace persimmon::gateway {
+namespace {
+
+constexpr std::string_view kBlankLine = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+/// Returns the id of an event; nothing when it has none that is a number.
+std::optional<std::uint64_t>
+IdOf(std::string_view aEvent)
+{
+  std::size_t start = 0;
+  while (start < aEvent.size()) {
+    const std::size_t end = std::min(aEvent.find('\n', start), aEvent.size());
+    std::string_view line = aEvent.substr(start, end - start);
+    start = end + 1;
+    if (!line.starts_with(kIdField)) {
+      continue;
+    }
+    line.remove_prefix(kIdField.size());
+    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+    std::uint64_t id = 0;
+    const auto result = std::from_chars(line.data(), line.data() + line.size(), id);
+    return result.ec == std::errc() ? std::optional(id) : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+void
+event_framer::Take(std::string_view aEvent)
+{
+  const auto id = IdOf(aEvent);
+  if (id && mLast && *id <= *mLast) {
+    return;
+  }
+  mGap = mGap || (id && mLast && *id > *mLast + 1);
+  if (mGap) {
+    return;
+  }
+  if (id) {
+    mLast = id;
+  }
+  ++mEvents;
+  mOut.append(aEvent);
+}
+
+std::string_view
+event_framer::Accept(std::string_view aBytes)
+{
+  mOut.clear();
+  mPartial.append(aBytes);
+  std::size_t start = 0;
+  for (std::size_t end = mPartial.find(kBlankLine); end != std::string::npos;
+       end = mPartial.find(kBlankLine, start)) {
+    const std::size_t size = end + kBlankLine.size() - start;
+    Take(std::string_view(mPartial).substr(start, size));
+    start += size;
+  }
+  mPartial.erase(0, start);
+  return mOut;
+}
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -0,0 +1,56 @@
+#include "gateway/gatewaysettings.h"
+
+namespace persimmon::gateway {
+namespace {
+
+constexpr std::int64_t kMaxSpanMs = 3600000;
+constexpr double kMaxRatio = 10;
+constexpr double kMaxSlack = 1e6;
+
+} // namespace
+
+void
+DeclareGatewaySettings(settings& aSettings)
+{
+  aSettings.AddRequired("id", "name of this process, unique among all");
+  aSettings.AddRequired("zone", "availability zone of this process");
+  aSettings.AddRequired("listen", "address for callers, ip:port");
+  aSettings.AddRequired("readiness-listen", "address for the balancer's readiness question");
+  aSettings.AddRequired("store", "address of the platform's store, ip:port");
+  aSettings.Add("metrics-listen", "", "address for metrics, ip:port");
+  aSettings.Add("mesh-listen", "", "address for other gateways, ip:port");
+  aSettings.Add("peers", "", "mesh addresses of other gateways, ip:port, between commas");
+  aSettings.Add("mesh-key", "", "key that all members of the mesh share");
+  aSettings.Add("grace-ms", "8000", "time from the signal to stop until the process is killed");
+  aSettings.Add("repeat-ratio", "0.2", "repeats that a service may get for each call");
+  aSettings.Add("repeat-slack", "20", "repeats in a window on top, for all gateways together");
+  aSettings.Add("repeat-window-ms", "10000", "window in which repeats are counted");
+  aSettings.Add("stall-ms", "5000", "time that an engine takes to notice a lost member");
+  aSettings.AddLogLevel();
+}
+
+gateway_settings
+ReadGatewaySettings(settings& aSettings)
+{
+  gateway_settings result;
+  result.id.value = aSettings.Text("id");
+  result.zone.value = aSettings.Text("zone");
+  result.listen.value = aSettings.Text("listen");
+  result.readinessListen.value = aSettings.Text("readiness-listen");
+  result.store.value = aSettings.Text("store");
+  result.metricsListen.value = aSettings.Text("metrics-listen");
+  result.meshListen.value = aSettings.Text("mesh-listen");
+  for (std::string& peer : aSettings.List("peers")) {
+    result.peers.push_back({ std::move(peer) });
+  }
+  result.meshKey = aSettings.Text("mesh-key");
+  result.grace.ms = aSettings.Number("grace-ms", 0, kMaxSpanMs);
+  result.repeats.ratio = aSettings.Fraction("repeat-ratio", 0, kMaxRatio);
+  result.repeats.slack = aSettings.Fraction("repeat-slack", 0, kMaxSlack);
+  result.repeats.window.ms = aSettings.Number("repeat-window-ms", 1, kMaxSpanMs);
+  result.assembly.stallTime.ms = aSettings.Number("stall-ms", 0, kMaxSpanMs);
+  result.lowestLevel = aSettings.LogLevel();
+  return result;
+}
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/internal/meshlink.cpp
@@ -0,0 +1,114 @@
+#include "gateway/meshlink.h"
+
+#include "peers/meshnode.h"
+
+#include <algorithm>
+
+namespace persimmon::gateway {
+namespace {
+
+peers::mesh_node_settings
+NodeSettings(const gateway_settings& aSettings)
+{
+  peers::mesh_node_settings settings;
+  settings.self = aSettings.id;
+  settings.zone = aSettings.zone;
+  settings.listen = aSettings.meshListen;
+  settings.seeds = aSettings.peers;
+  settings.key = aSettings.meshKey;
+  return settings;
+}
+
+} // namespace
+
+struct mesh_link::implementation
+{
+  loop::event_loop& loop;
+  std::string reason;
+  handler onMessage;
+  std::unique_ptr<peers::mesh_node> node;
+};
+
+mesh_link::mesh_link(const gateway_settings& aSettings,
+                     loop::event_loop& aLoop,
+                     metrics_registry& aMetrics)
+  : mImplementation(std::make_unique<implementation>(implementation{ aLoop, {}, {}, {} }))
+{
+  if (!aSettings.meshListen.Empty()) {
+    mImplementation->node = std::make_unique<peers::mesh_node>(NodeSettings(aSettings), &aMetrics);
+  }
+}
+
+mesh_link::~mesh_link()
+{
+  Stop();
+}
+
+void
+mesh_link::SetHandler(handler aHandler)
+{
+  mImplementation->onMessage = std::move(aHandler);
+}
+
+bool
+mesh_link::Start()
+{
+  implementation& self = *mImplementation;
+  if (!self.node) {
+    return true;
+  }
+  self.node->SetHandler([&self](const peers::mesh_message& aMessage, const router_id& aFrom) {
+    self.loop.Post([&self, aMessage, aFrom] { self.onMessage(aMessage, aFrom); });
+  });
+  if (self.node->Start()) {
+    return true;
+  }
+  self.reason = self.node->LastReason();
+  return false;
+}
+
+void
+mesh_link::Stop()
+{
+  if (mImplementation->node) {
+    mImplementation->node->Stop();
+  }
+}
+
+void
+mesh_link::Publish(const peers::mesh_message& aMessage)
+{
+  if (mImplementation->node) {
+    mImplementation->node->Publish(aMessage);
+  }
+}
+
+void
+mesh_link::SetSeeds(std::vector<endpoint> aAddresses)
+{
+  if (mImplementation->node) {
+    mImplementation->node->SetSeeds(std::move(aAddresses));
+  }
+}
+
+void
+mesh_link::SetStoreState(bool aFresh, bool aListed)
+{
+  if (mImplementation->node) {
+    mImplementation->node->SetStoreState(aFresh, aListed);
+  }
+}
+
+std::size_t
+mesh_link::LiveCount() const
+{
+  return mImplementation->node ? std::max<std::size_t>(mImplementation->node->Live().size(), 1) : 1;
+}
+
+const std::string&
+mesh_link::LastReason() const
+{
+  return mImplementation->reason;
+}
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/upstreamtarget.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace persimmon::gateway {
+
+/// Where a call goes and what is told on top of the caller's own headers.
+struct upstream_target
+{
+  instance_id instance;
+  endpoint address;
+  customer_name customer;
+  duration remaining;
+  std::optional<std::uint64_t> resumeAfter;
+};
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/routes/callerlimits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstddef>
+
+namespace persimmon::routes {
+
+/// What a caller may send and how long it may take.
+struct caller_limits
+{
+  std::size_t maxHeaderBytes = 16384;
+  std::size_t maxBodyBytes = 4U << 20U;
+  duration headerTimeout{ 3000 };
+  duration idleTimeout{ 15000 };
+};
+
+} // namespace persimmon::routes
--- /dev/null
+++ b/src/routes/internal/routetable.cpp
@@ -0,0 +1,100 @@
+#include "routes/routetable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace persimmon::routes {
+namespace {
+
+/// Returns a Host header's name in lower case, without its port.
+std::string
+HostName(std::string_view aHost)
+{
+  std::string name(aHost.substr(0, aHost.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aLetter) {
+    return static_cast<char>(std::tolower(aLetter));
+  });
+  return name;
+}
+
+std::uint64_t
+TotalWeight(const route& aRoute)
+{
+  std::uint64_t total = 0;
+  for (const weighted_service& part : aRoute.services) {
+    total += part.weight;
+  }
+  return total;
+}
+
+} // namespace
+
+route_table::route_table(configuration aConfiguration)
+  : mSource(std::move(aConfiguration))
+{
+  for (std::size_t i = 0; i < mSource.routes.size(); ++i) {
+    mByHost[HostName(mSource.routes[i].host)].push_back(i);
+  }
+  for (auto& [host, indexes] : mByHost) {
+    std::stable_sort(indexes.begin(), indexes.end(), [this](std::size_t aLeft, std::size_t aRight) {
+      return mSource.routes[aLeft].prefix.size() > mSource.routes[aRight].prefix.size();
+    });
+  }
+  for (std::size_t i = 0; i < mSource.customers.size(); ++i) {
+    for (const std::string& key : mSource.customers[i].keys) {
+      mCustomerByKey.emplace(key, i);
+    }
+  }
+}
+
+const route*
+route_table::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  const auto found = mByHost.find(HostName(aHost));
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  for (const std::size_t index : found->second) {
+    if (aPath.starts_with(mSource.routes[index].prefix)) {
+      return &mSource.routes[index];
+    }
+  }
+  return nullptr;
+}
+
+const customer*
+route_table::FindCustomer(const std::string& aKey) const
+{
+  const auto found = mCustomerByKey.find(aKey);
+  return found == mCustomerByKey.end() ? nullptr : &mSource.customers[found->second];
+}
+
+const service_profile*
+route_table::FindService(const service_name& aName) const
+{
+  for (const service_profile& service : mSource.services) {
+    if (service.name == aName) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+const service_name&
+route_table::PickService(const route& aRoute, std::uint64_t aDraw)
+{
+  const std::uint64_t total = TotalWeight(aRoute);
+  if (total == 0) {
+    return aRoute.services.front().service;
+  }
+  std::uint64_t rest = aDraw % total;
+  for (const weighted_service& part : aRoute.services) {
+    if (rest < part.weight) {
+      return part.service;
+    }
+    rest -= part.weight;
+  }
+  return aRoute.services.back().service;
+}
+
+} // namespace persimmon::routes
--- /dev/null
+++ b/src/routes/tests/routetabletests.cpp
@@ -0,0 +1,102 @@
+#include "routes/routetable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::routes;
+
+namespace {
+
+route
+MakeRoute(const std::string& aHost, const std::string& aPrefix, const std::string& aService)
+{
+  route made;
+  made.name = aHost + aPrefix;
+  made.host = aHost;
+  made.prefix = aPrefix;
+  made.services = { { { aService }, 1 } };
+  return made;
+}
+
+configuration
+MakeConfiguration()
+{
+  configuration made;
+  made.version = 7;
+  made.routes = { MakeRoute("desk.example", "/a/", "short"),
+                  MakeRoute("desk.example", "/a/b/", "long"),
+                  MakeRoute("other.example", "/a/", "other") };
+  made.customers = { { { "newsroom" }, { "key-1", "key-2" }, {} } };
+  made.services = { { { "short" }, "/healthz", 10, {} } };
+  return made;
+}
+
+std::string
+ServiceOf(const route* aRoute)
+{
+  return aRoute == nullptr ? "none" : aRoute->services.front().service.value;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(route_table)
+{
+  route_table table{ MakeConfiguration() };
+};
+// clang-format on
+
+TEST(route_table, LongestPrefixWins)
+{
+  STRCMP_EQUAL("long", ServiceOf(table.FindRoute("desk.example", "/a/b/c")).c_str());
+  STRCMP_EQUAL("short", ServiceOf(table.FindRoute("desk.example", "/a/c")).c_str());
+}
+
+TEST(route_table, PrefixEndsAtItsSlash)
+{
+  STRCMP_EQUAL("none", ServiceOf(table.FindRoute("desk.example", "/ab")).c_str());
+  STRCMP_EQUAL("none", ServiceOf(table.FindRoute("desk.example", "/a")).c_str());
+}
+
+TEST(route_table, HostIsComparedWithoutCaseAndPort)
+{
+  STRCMP_EQUAL("other", ServiceOf(table.FindRoute("OTHER.example:8080", "/a/")).c_str());
+  STRCMP_EQUAL("none", ServiceOf(table.FindRoute("unknown.example", "/a/")).c_str());
+}
+
+TEST(route_table, EveryKeyNamesItsCustomer)
+{
+  STRCMP_EQUAL("newsroom", table.FindCustomer("key-2")->name.value.c_str());
+  POINTERS_EQUAL(nullptr, table.FindCustomer("key-3"));
+}
+
+TEST(route_table, SplitFollowsTheWeights)
+{
+  route split = MakeRoute("desk.example", "/s/", "first");
+  split.services = { { { "first" }, 90 }, { { "second" }, 10 } };
+  std::size_t second = 0;
+  for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+    second += route_table::PickService(split, draw).value == "second" ? 1 : 0;
+  }
+  UNSIGNED_LONGS_EQUAL(100, second);
+}
+
+TEST(route_table, ServiceWithoutWeightGetsNothing)
+{
+  route split = MakeRoute("desk.example", "/s/", "first");
+  split.services = { { { "first" }, 0 }, { { "second" }, 5 } };
+  for (std::uint64_t draw = 0; draw < 20; ++draw) {
+    STRCMP_EQUAL("second", route_table::PickService(split, draw).value.c_str());
+  }
+}
+
+TEST(route_table, StreamsMayRepeatOnlyWhenTheyMayBeResumed)
+{
+  route stream = MakeRoute("desk.example", "/s/", "first");
+  stream.kind = call_kind::streaming;
+  CHECK_FALSE(stream.MayRepeat());
+  stream.resumable = true;
+  CHECK(stream.MayRepeat());
+  stream.kind = call_kind::non_idempotent;
+  CHECK_FALSE(stream.MayRepeat());
+}
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -1,13 +1,23 @@
 #include "upstream/internal/activecall.h"
 
+#include "base/headerlookup.h"
+
 #include <cerrno>
 #include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string>
+#include <sys/socket.h>
 
 namespace persimmon::upstream {
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
 constexpr long kReadBufferBytes = 8192;
+/// Sent bytes that stay unacknowledged for this long end the connection.
+constexpr unsigned int kUnacknowledgedMs = 3000;
+/// Seconds without a byte before a connection is probed, and between probes.
+constexpr int kProbeAfterSeconds = 1;
 
 std::string_view
 Trimmed(std::string_view aText)
@@ -37,7 +47,7 @@
   : mId(aId)
   , mCall(std::move(aCall))
   , mHandlers(std::move(aHandlers))
-  , mUrl("http://" + mCall.address.value + mCall.target)
+  , mUrl("http://" + mCall.address.value + "/")
   , mHandle(curl_easy_init())
 {
   BuildHeaders();
@@ -49,9 +59,16 @@
 {
   curl_slist* list = nullptr;
   for (const upstream_header& header : mCall.headers) {
-    list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
+    // libcurl takes a name with a colon and nothing behind it as an order to leave it out.
+    const bool empty = header.value.empty();
+    list = curl_slist_append(list, (header.name + (empty ? ";" : ": " + header.value)).c_str());
   }
   list = curl_slist_append(list, "Expect:");
+  for (const char* own : { "Accept", "Content-Type" }) {
+    if (FindHeader(mCall.headers, own).empty()) {
+      list = curl_slist_append(list, (std::string(own) + ":").c_str());
+    }
+  }
   mHeaders.reset(list);
 }
 
@@ -60,6 +77,8 @@
 {
   CURL* handle = mHandle.get();
   curl_easy_setopt(handle, CURLOPT_URL, mUrl.c_str());
+  curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, mCall.target.c_str());
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &active_call::OnSocket);
   curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, mCall.method.c_str());
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, mHeaders.get());
   curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
@@ -93,6 +112,19 @@
   }
 }
 
+int
+active_call::OnSocket(void*, curl_socket_t aSocket, curlsocktype)
+{
+  // A peer that lost its power answers nothing; without these a kept connection hangs for hours.
+  const unsigned int unacknowledged = kUnacknowledgedMs;
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
+  setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterSeconds, sizeof kProbeAfterSeconds);
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeAfterSeconds, sizeof kProbeAfterSeconds);
+  return CURL_SOCKOPT_OK;
+}
+
 int
 active_call::OnSend(void* aSelf, char*, char*, int, int)
 {
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -37,6 +37,7 @@
 private:
   static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
+  static int OnSocket(void*, curl_socket_t aSocket, curlsocktype);
   static int OnSend(void* aSelf, char*, char*, int, int);
   void SetOptions();
   void BuildHeaders();
