Assembly: members of ended groups are free; first loads at once; idle instances noted

Cause: survivors of a lost group still report it and were never taken again; before callers come the weight store is free, yet loads waited for the rate; single early instances were staged at random.

--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -10,6 +10,7 @@
 #include "routes/serviceprofile.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -117,12 +118,20 @@
   void StageIdle(const std::vector<const fleet::instance*>& aFree,
                  time_point aNow,
                  actions& aActions);
+  void NoteIdle(const std::vector<const fleet::instance*>& aFree,
+                time_point aNow,
+                actions& aActions);
+  /// The first instances have all been seen, so that domains can be divided well.
+  [[nodiscard]] bool Settled(time_point aNow) const;
   void StartFormation(const routes::model_profile& aModel,
                       const std::vector<const fleet::instance*>& aMembers,
                       time_point aNow,
                       actions& aActions);
   [[nodiscard]] std::vector<const fleet::instance*> FreeInstances(const fleet::fleet_view& aFleet,
                                                                   time_point aNow) const;
+  /// True when an instance is bound to a group that has not ended.
+  [[nodiscard]] bool IsBound(const fleet::instance& aInstance,
+                             const fleet::fleet_view& aFleet) const;
   [[nodiscard]] bool Holds(const fleet::instance& aInstance,
                            const routes::model_name& aModel) const;
   /// Instances that serve or are meant for a model, against what its demand asks for.
@@ -144,11 +153,16 @@
   bool mLeads = false;
   fencing_token mToken;
   time_point mLeadsSince;
+  time_point mLastNewHost;
+  time_point mIdleNotedAt{ INT64_MIN / 2 };
+  std::string mIdleNoted;
   std::uint64_t mLastOrder = 0;
   std::uint64_t mLastGroup = 0;
   std::uint64_t mHighestEpoch = 0;
   std::map<instance_id, host_record> mHosts;
   std::vector<formation> mFormations;
+  /// Groups that have ended; members that still report them are free.
+  std::set<std::pair<group_id, generation>> mEnded;
   std::map<order_id, given_order> mGiven;
   std::map<routes::model_name, double> mDemand;
   double mLoadTokens = 0;
--- a/src/assembly/assemblyaction.h
+++ b/src/assembly/assemblyaction.h
@@ -49,7 +49,15 @@
   std::string cause;
 };
 
-using assembly_action = std::variant<give_order, ask_report, note_decision>;
+/// Tell the operator which instances serve nobody and are in no group that forms.
+struct note_idle
+{
+  std::size_t count = 0;
+  /// By domain: what each one holds.
+  std::string text;
+};
+
+using assembly_action = std::variant<give_order, ask_report, note_decision, note_idle>;
 
 /// Name of a decision for logs.
 const char*
--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -24,11 +24,15 @@
   /// Time that an engine takes to notice that a member of its group is missing.
   duration stallTime{ 5000 };
   /// Added to the stall time, for clocks and links.
-  duration stallMargin{ 900 };
+  duration stallMargin{ 0 };
   /// Longest time that a closing group may take to finish.
   duration closeTime{ 10000 };
   /// Time that an incomplete group of a former leader gets to become complete.
   duration adoptionGrace{ 1500 };
+  /// Time without a new instance after which the first ones count as all there, and the longest
+  /// time to wait for that.
+  duration settleTime{ 600 };
+  duration longestSettle{ 2500 };
   /// Longest time that a formation may take, as a multiple of its expected time.
   std::int64_t formingFactor = 4;
   /// Loads that may start at once before the rate holds.
--- a/src/assembly/internal/assembler.cpp
+++ b/src/assembly/internal/assembler.cpp
@@ -28,9 +28,11 @@
   mLeads = true;
   mToken = aToken;
   mLeadsSince = aNow;
+  mLastNewHost = aNow;
   mLastGroup = 0;
   mHosts.clear();
   mFormations.clear();
+  mEnded.clear();
   mGiven.clear();
 }
 
@@ -87,7 +89,9 @@
 assembler::UpdateHosts(const fleet::fleet_view& aFleet, time_point aNow)
 {
   for (const fleet::instance* one : aFleet.OfService(mService.name)) {
-    host_record& host = mHosts[one->id];
+    const auto [entry, added] = mHosts.try_emplace(one->id);
+    host_record& host = entry->second;
+    mLastNewHost = added ? aNow : mLastNewHost;
     if (one->life > host.life) {
       host = {};
       host.life = one->life;
@@ -202,7 +206,8 @@
 assembler::Adopt(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions)
 {
   for (const fleet::engine_group& group : aFleet.Groups(mService)) {
-    if (Find(group.id, group.epoch) == nullptr) {
+    const bool ended = mEnded.count({ group.id, group.epoch }) != 0;
+    if (!ended && Find(group.id, group.epoch) == nullptr) {
       AdoptGroup(group, aFleet, aNow, aActions);
     }
   }
--- a/src/assembly/internal/formationcourse.cpp
+++ b/src/assembly/internal/formationcourse.cpp
@@ -295,6 +295,7 @@
                 actions& aActions)
 {
   Note(note_decision::what::freed, aFormation, aCause, aActions);
+  mEnded.emplace(aFormation.id, aFormation.epoch);
   for (const formation_member& member : aFormation.members) {
     const auto host = mHosts.find(member.instance);
     if (host != mHosts.end() && host->second.life == member.life) {
--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -17,6 +17,9 @@
 /// An instance this much slower than expected is taken last.
 constexpr double kSlowPace = 1.5;
 
+/// Shortest time between two notes of idle instances.
+constexpr duration kIdleNotePause = 1_s;
+
 using free_list = std::vector<const fleet::instance*>;
 
 std::map<domain_name, free_list>
@@ -37,7 +40,7 @@
   free_list free;
   for (const fleet::instance* one : aFleet.OfService(mService.name)) {
     const auto found = mHosts.find(one->id);
-    if (found == mHosts.end() || one->draining || one->member) {
+    if (found == mHosts.end() || one->draining || IsBound(*one, aFleet)) {
       continue;
     }
     const host_record& host = found->second;
@@ -55,6 +58,13 @@
   return free;
 }
 
+bool
+assembler::IsBound(const fleet::instance& aInstance, const fleet::fleet_view& aFleet) const
+{
+  const auto member = MembershipOf(aInstance.id, aFleet);
+  return member && mEnded.count({ member->group, member->epoch }) == 0;
+}
+
 bool
 assembler::Holds(const fleet::instance& aInstance, const routes::model_name& aModel) const
 {
@@ -117,6 +127,9 @@
   const double capacity = std::max(mOptions.loadBurst, static_cast<double>(aCount));
   const double tokens =
     std::min(capacity, mLoadTokens + std::max(elapsed, 0.0) * engine.loadsPerSecond);
+  if (mDemand.empty()) {
+    return true;
+  }
   return tokens >= static_cast<double>(aCount) && RunningLoads(aNow) < engine.concurrentLoads;
 }
 
@@ -143,9 +156,42 @@
   }
   while (FormWarm(FreeInstances(aFleet, aNow), aNow, aActions)) {
   }
-  while (FormCold(FreeInstances(aFleet, aNow), aNow, aActions)) {
+  if (Settled(aNow)) {
+    while (FormCold(FreeInstances(aFleet, aNow), aNow, aActions)) {
+    }
+    StageIdle(FreeInstances(aFleet, aNow), aNow, aActions);
+  }
+  NoteIdle(FreeInstances(aFleet, aNow), aNow, aActions);
+}
+
+bool
+assembler::Settled(time_point aNow) const
+{
+  return aNow - mLastNewHost >= mOptions.settleTime || aNow - mLeadsSince >= mOptions.longestSettle;
+}
+
+void
+assembler::NoteIdle(const free_list& aFree, time_point aNow, actions& aActions)
+{
+  if (aNow - mIdleNotedAt < kIdleNotePause) {
+    return;
+  }
+  mIdleNotedAt = aNow;
+  std::string text;
+  for (const auto& [domain, free] : ByDomain(aFree)) {
+    text += text.empty() ? "" : " ";
+    text += domain.value + ":";
+    for (const fleet::instance* one : free) {
+      const host_record& host = mHosts.at(one->id);
+      text += one->staged.empty() ? "none" : one->staged.back().value;
+      text += host.staging.Empty() ? "" : ">" + host.staging.value;
+      text += one == free.back() ? "" : ",";
+    }
+  }
+  if (text != mIdleNoted) {
+    mIdleNoted = text;
+    aActions.push_back(note_idle{ aFree.size(), text });
   }
-  StageIdle(FreeInstances(aFleet, aNow), aNow, aActions);
 }
 
 bool
--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -42,6 +42,7 @@
   void Carry(const service_assembler& aAssembler, const assembly::give_order& aAction);
   void Carry(const service_assembler& aAssembler, const assembly::ask_report& aAction);
   void Carry(const service_assembler& aAssembler, const assembly::note_decision& aAction);
+  void Carry(const service_assembler& aAssembler, const assembly::note_idle& aAction);
 
   gateway_context& mContext;
   assembly::assembly_options mOptions;
@@ -186,4 +187,13 @@
              { "cause", aAction.cause } });
 }
 
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::Carry(const service_assembler&, const assembly::note_idle& aAction)
+{
+  mContext.metrics.Set(kIdleInstances, static_cast<double>(aAction.count));
+  WriteLog(kInstancesIdle,
+           { { "count", std::to_string(aAction.count) }, { "domains", aAction.text } });
+}
+
 } // namespace persimmon::gateway
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -34,6 +34,7 @@
 constexpr log_event kGroupDecided{ 8043, "group_decided", log_level::info };
 constexpr log_event kOrderGiven{ 8044, "order_given", log_level::info };
 constexpr log_event kReportNotUnderstood{ 8045, "report_not_understood", log_level::warning };
+constexpr log_event kInstancesIdle{ 8046, "instances_idle", log_level::info };
 
 /// All log events of the gateway.
 inline constexpr std::array kGatewayEvents{ kGatewayStarted,
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -15,6 +15,8 @@
 constexpr metric_spec kRepeatsLeft{ "persimmon_gateway_repeats_left",
                                     "Repeats that this process may still cause in the window" };
 constexpr metric_spec kGroups{ "persimmon_gateway_groups", "Groups by what they do" };
+constexpr metric_spec kIdleInstances{ "persimmon_gateway_idle_instances",
+                                      "Engine instances in no group, as the holder sees them" };
 constexpr metric_spec kOrders{ "persimmon_gateway_orders_total",
                                "Orders to engines by kind and outcome" };
 constexpr metric_spec kStoreCalls{ "persimmon_gateway_store_calls_total",
