--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -115,12 +115,23 @@
   bool FormCold(const std::vector<const fleet::instance*>& aFree,
                 time_point aNow,
                 actions& aActions);
+  /// Returns those that hold no weights and load none.
+  [[nodiscard]] std::vector<const fleet::instance*> Cold(
+    const std::vector<const fleet::instance*>& aFree) const;
+  [[nodiscard]] const routes::model_profile* ModelToStage(
+    const std::vector<const fleet::instance*>& aFree,
+    const domain_name& aDomain) const;
   void StageIdle(const std::vector<const fleet::instance*>& aFree,
                  time_point aNow,
                  actions& aActions);
   void NoteIdle(const std::vector<const fleet::instance*>& aFree,
                 time_point aNow,
                 actions& aActions);
+  /// Gives each new domain the model that most of its instances hold, or else the one that lacks
+  /// instances most. Domains of one model mend their groups out of their own survivors.
+  void AssignHomes(const fleet::fleet_view& aFleet);
+  /// Returns the model of a domain; nullptr when models share domains.
+  [[nodiscard]] const routes::model_profile* HomeOf(const domain_name& aDomain) const;
   /// The first instances have all been seen, so that domains can be divided well.
   [[nodiscard]] bool Settled(time_point aNow) const;
   void StartFormation(const routes::model_profile& aModel,
@@ -164,6 +175,7 @@
   /// Groups that have ended; members that still report them are free.
   std::set<std::pair<group_id, generation>> mEnded;
   std::map<order_id, given_order> mGiven;
+  std::map<domain_name, routes::model_name> mHomes;
   std::map<routes::model_name, double> mDemand;
   double mLoadTokens = 0;
   time_point mLoadTokensAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/assembler.cpp
+++ b/src/assembly/internal/assembler.cpp
@@ -33,6 +33,7 @@
   mHosts.clear();
   mFormations.clear();
   mEnded.clear();
+  mHomes.clear();
   mGiven.clear();
 }
 
--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -157,6 +157,7 @@
   while (FormWarm(FreeInstances(aFleet, aNow), aNow, aActions)) {
   }
   if (Settled(aNow)) {
+    AssignHomes(aFleet);
     while (FormCold(FreeInstances(aFleet, aNow), aNow, aActions)) {
     }
     StageIdle(FreeInstances(aFleet, aNow), aNow, aActions);
@@ -233,6 +234,53 @@
   return true;
 }
 
+void
+assembler::AssignHomes(const fleet::fleet_view& aFleet)
+{
+  std::map<domain_name, free_list> domains = ByDomain(aFleet.OfService(mService.name));
+  std::map<routes::model_name, double> homed;
+  for (const auto& [domain, model] : mHomes) {
+    homed[model] += static_cast<double>(domains[domain].size());
+  }
+  for (const auto& [domain, instances] : domains) {
+    if (mHomes.count(domain) != 0 || instances.empty()) {
+      continue;
+    }
+    const routes::model_profile* chosen = nullptr;
+    double best = 0;
+    for (const routes::model_profile& model : mService.engine->models) {
+      double held = 0;
+      for (const fleet::instance* one : instances) {
+        held += Holds(*one, model.name) ? 1 : 0;
+      }
+      const double lacking = 1 / (1 + homed[model.name] / std::max(WantedPart(model.name), 1e-6));
+      const double worth = held + lacking;
+      if (instances.size() >= model.size && (chosen == nullptr || worth > best)) {
+        chosen = &model;
+        best = worth;
+      }
+    }
+    if (chosen != nullptr) {
+      mHomes[domain] = chosen->name;
+      homed[chosen->name] += static_cast<double>(instances.size());
+    }
+  }
+}
+
+const routes::model_profile*
+assembler::HomeOf(const domain_name& aDomain) const
+{
+  for (const routes::model_profile& model : mService.engine->models) {
+    const bool homeless = std::none_of(
+      mHomes.begin(), mHomes.end(), [&](const auto& aHome) { return aHome.second == model.name; });
+    if (homeless) {
+      return nullptr;
+    }
+  }
+  const auto found = mHomes.find(aDomain);
+  return found == mHomes.end() ? nullptr : mService.engine->Find(found->second);
+}
+
 bool
 assembler::FormCold(const free_list& aFree, time_point aNow, actions& aActions)
 {
@@ -240,20 +288,14 @@
   free_list members;
   double lowest = 0;
   for (const auto& [domain, free] : ByDomain(aFree)) {
-    free_list cold;
-    for (const fleet::instance* one : free) {
-      if (one->staged.empty() && mHosts.at(one->id).staging.Empty()) {
-        cold.push_back(one);
-      }
-    }
+    const free_list cold = Cold(free);
+    const routes::model_profile* home = HomeOf(domain);
     for (const routes::model_profile& model : mService.engine->models) {
-      if (cold.size() < model.size) {
+      if (cold.size() < model.size || (home != nullptr && home != &model)) {
         continue;
       }
       const double supply = Supply(model.name);
-      const bool better =
-        chosen == nullptr || supply < lowest || (chosen == &model && cold.size() > members.size());
-      if (better) {
+      if (chosen == nullptr || supply < lowest) {
         chosen = &model;
         lowest = supply;
         members = cold;
@@ -268,45 +310,59 @@
   return true;
 }
 
+std::vector<const fleet::instance*>
+assembler::Cold(const free_list& aFree) const
+{
+  free_list cold;
+  for (const fleet::instance* one : aFree) {
+    if (one->staged.empty() && mHosts.at(one->id).staging.Empty()) {
+      cold.push_back(one);
+    }
+  }
+  return cold;
+}
+
+const routes::model_profile*
+assembler::ModelToStage(const free_list& aFree, const domain_name& aDomain) const
+{
+  if (const routes::model_profile* home = HomeOf(aDomain)) {
+    return home;
+  }
+  const double hosts = static_cast<double>(std::max<std::size_t>(mHosts.size(), 1));
+  const routes::model_profile* chosen = nullptr;
+  double lowest = 0;
+  for (const routes::model_profile& model : mService.engine->models) {
+    std::size_t meant = 0;
+    for (const fleet::instance* other : aFree) {
+      meant += Holds(*other, model.name) || mHosts.at(other->id).staging == model.name ? 1 : 0;
+    }
+    const std::size_t missing = model.size - meant % model.size;
+    const double cost = Supply(model.name) / hosts + kMissingWeight * static_cast<double>(missing);
+    if (chosen == nullptr || cost < lowest) {
+      chosen = &model;
+      lowest = cost;
+    }
+  }
+  return chosen;
+}
+
 void
 assembler::StageIdle(const free_list& aFree, time_point aNow, actions& aActions)
 {
-  const double hosts = static_cast<double>(std::max<std::size_t>(mHosts.size(), 1));
   for (const auto& [domain, free] : ByDomain(aFree)) {
-    free_list cold;
-    for (const fleet::instance* one : free) {
-      if (one->staged.empty() && mHosts.at(one->id).staging.Empty()) {
-        cold.push_back(one);
-      }
-    }
-    for (const fleet::instance* one : cold) {
-      const routes::model_profile* chosen = nullptr;
-      double lowest = 0;
-      for (const routes::model_profile& model : mService.engine->models) {
-        std::size_t meant = 0;
-        for (const fleet::instance* other : free) {
-          meant += Holds(*other, model.name) || mHosts.at(other->id).staging == model.name ? 1 : 0;
-        }
-        const std::size_t missing = model.size - meant % model.size;
-        const bool possible = cold.size() < model.size;
-        const double cost =
-          Supply(model.name) / hosts + kMissingWeight * static_cast<double>(missing);
-        if (possible && (chosen == nullptr || cost < lowest)) {
-          chosen = &model;
-          lowest = cost;
-        }
-      }
-      if (chosen == nullptr || !MayLoad(1, aNow)) {
+    for (const fleet::instance* one : Cold(free)) {
+      const routes::model_profile* model = ModelToStage(free, domain);
+      if (model == nullptr || !MayLoad(1, aNow)) {
         return;
       }
       CountLoads(1, aNow);
       host_record& host = mHosts.at(one->id);
-      host.staging = chosen->name;
-      host.stagingUntil = aNow + chosen->load * kStagingFactor;
+      host.staging = model->name;
+      host.stagingUntil = aNow + model->load * kStagingFactor;
       engine_order order;
       order.kind = order_kind::stage;
       order.instance = one->id;
-      order.model = chosen->name;
+      order.model = model->name;
       Give(std::move(order), aNow, aActions);
     }
   }
