--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -22,7 +22,7 @@
 ///
 /// Two promises hold whatever is lost or late: a group is told to open only after every member was
 /// seen ready under its name and epoch, and an instance is asked to join another group only after
-/// the head of its former one has ended, or must have noticed that a member is missing.
+/// it or the head of its former one has left that group, by its own word.
 class assembler
 {
 public:
@@ -96,6 +96,11 @@
                time_point aNow,
                actions& aActions);
   void Free(formation& aFormation, const std::string& aCause, time_point aNow, actions& aActions);
+  void FreeMember(const formation& aFormation, const formation_member& aMember, time_point aNow);
+  /// True when an instance is a member of a formation no more, by its own word.
+  [[nodiscard]] bool HasLeft(const formation& aFormation,
+                             const formation_member& aMember,
+                             const fleet::fleet_view& aFleet) const;
   /// Returns why a member no longer is one, or an empty text.
   [[nodiscard]] std::string Lost(const formation& aFormation,
                                  const formation_member& aMember,
--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -21,10 +21,6 @@
   std::uint32_t missesWhenSuspected = 2;
   /// Pause before an order without effect is given again.
   duration orderAgain{ 400 };
-  /// Time that an engine takes to notice that a member of its group is missing.
-  duration stallTime{ 5000 };
-  /// Added to the stall time, for clocks and links.
-  duration stallMargin{ 0 };
   /// Longest time that a closing group may take to finish.
   duration closeTime{ 10000 };
   /// Time that an incomplete group of a former leader gets to become complete.
--- a/src/assembly/formation.h
+++ b/src/assembly/formation.h
@@ -41,7 +41,7 @@
     serving,
     /// The head finishes what it runs.
     closing,
-    /// A member is lost; the head must end before the others may join elsewhere.
+    /// A member is lost; the others join elsewhere once they or the head have left.
     releasing
   };
 
@@ -54,9 +54,6 @@
   time_point since;
   std::optional<time_point> openAskedAt;
   std::optional<time_point> closeAskedAt;
-  /// With releasing: when a member left for sure, so that the head, if it lives, stands still.
-  std::optional<time_point> brokenSince;
-
   [[nodiscard]] formation_member& Head() { return members.front(); }
   [[nodiscard]] const formation_member& Head() const { return members.front(); }
 };
--- a/src/assembly/internal/assembler.cpp
+++ b/src/assembly/internal/assembler.cpp
@@ -225,7 +225,7 @@
     std::all_of(aGroup.members.begin(), aGroup.members.end(), [&](const instance_id& aId) {
       const auto found = mHosts.find(aId);
       return found != mHosts.end() && found->second.answeredAt > mLeadsSince &&
-             IsIn(formation{ aGroup.id, aGroup.epoch, {}, {}, {}, {}, {}, {}, {} }, aId, aFleet);
+             IsIn(formation{ aGroup.id, aGroup.epoch, {}, {}, {}, {}, {}, {} }, aId, aFleet);
     });
   const bool taken = std::any_of(mFormations.begin(), mFormations.end(), [&](const auto& aOne) {
     return std::any_of(aOne.members.begin(), aOne.members.end(), [&](const auto& aMember) {
--- a/src/assembly/internal/formationcourse.cpp
+++ b/src/assembly/internal/formationcourse.cpp
@@ -232,36 +232,49 @@
   }
 }
 
+bool
+assembler::HasLeft(const formation& aFormation,
+                   const formation_member& aMember,
+                   const fleet::fleet_view& aFleet) const
+{
+  const auto host = mHosts.find(aMember.instance);
+  if (aMember.left || host == mHosts.end()) {
+    return aMember.left;
+  }
+  if (host->second.life > aMember.life) {
+    return true;
+  }
+  const bool answered = host->second.misses == 0 && host->second.answeredAt > aFormation.since;
+  return answered && !IsIn(aFormation, aMember.instance, aFleet);
+}
+
 void
 assembler::AdvanceReleasing(formation& aFormation,
                             const fleet::fleet_view& aFleet,
                             time_point aNow,
                             actions& aActions)
 {
-  formation_member& head = aFormation.Head();
-  const auto host = mHosts.find(head.instance);
-  const bool known = host != mHosts.end();
-  if (known && host->second.life > head.life) {
-    Free(aFormation, "head restarted", aNow, aActions);
-    return;
+  for (formation_member& member : aFormation.members) {
+    member.left = HasLeft(aFormation, member, aFleet);
   }
-  const bool answers =
-    known && host->second.misses == 0 && host->second.answeredAt > aFormation.since;
-  if (head.left || (answers && !IsIn(aFormation, head.instance, aFleet))) {
+  if (aFormation.Head().left) {
     Free(aFormation, "head left", aNow, aActions);
     return;
   }
-  if (aFormation.brokenSince &&
-      aNow - *aFormation.brokenSince > mOptions.stallTime + mOptions.stallMargin) {
-    Free(aFormation, "head must have noticed the loss", aNow, aActions);
-    return;
-  }
-  bool anyKnown = known && aFleet.Find(head.instance) != nullptr;
+  // A head that cannot be seen may live; whoever has left it for sure is bound no more.
+  const instance_id head = aFormation.Head().instance;
+  std::erase_if(aFormation.members, [&](const formation_member& aMember) {
+    const bool leaves = aMember.left && aMember.instance != head;
+    if (leaves) {
+      FreeMember(aFormation, aMember, aNow);
+    }
+    return leaves;
+  });
+  bool anyKnown = false;
   for (formation_member& member : aFormation.members) {
-    const bool isHead = &member == &head;
     anyKnown = anyKnown || aFleet.Find(member.instance) != nullptr;
-    const bool wanted = isHead || IsLost(head.instance);
-    if (!wanted || member.left || !Due(member.leaveAskedAt, mOptions.orderAgain, aNow)) {
+    const bool wanted = member.instance == head || IsLost(head);
+    if (!wanted || !Due(member.leaveAskedAt, mOptions.orderAgain, aNow)) {
       continue;
     }
     member.leaveAskedAt = aNow;
@@ -297,17 +310,24 @@
   Note(note_decision::what::freed, aFormation, aCause, aActions);
   mEnded.emplace(aFormation.id, aFormation.epoch);
   for (const formation_member& member : aFormation.members) {
-    const auto host = mHosts.find(member.instance);
-    if (host != mHosts.end() && host->second.life == member.life) {
-      if (member.wasReady) {
-        host->second.lastModel = aFormation.model;
-      }
-      host->second.askAt = aNow;
-    }
+    FreeMember(aFormation, member, aNow);
   }
   aFormation.members.clear();
 }
 
+void
+assembler::FreeMember(const formation& aFormation, const formation_member& aMember, time_point aNow)
+{
+  const auto host = mHosts.find(aMember.instance);
+  if (host == mHosts.end() || host->second.life != aMember.life) {
+    return;
+  }
+  if (aMember.wasReady) {
+    host->second.lastModel = aFormation.model;
+  }
+  host->second.askAt = aNow;
+}
+
 void
 assembler::NoteOutcome(order_id aOrder, order_outcome aOutcome, time_point aNow)
 {
@@ -336,13 +356,8 @@
     if (order.kind == order_kind::join && Succeeded(aOutcome)) {
       member.accepted = true;
     }
-    // The instance says that it is no member of this group.
-    const bool gone = Succeeded(aOutcome) || aOutcome == order_outcome::conflict;
-    if (order.kind == order_kind::leave && gone) {
+    if (order.kind == order_kind::leave && Succeeded(aOutcome)) {
       member.left = true;
-      if (&member != &its->Head() && !its->brokenSince) {
-        its->brokenSince = aNow;
-      }
     }
   }
 }
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -25,7 +25,6 @@
   aSettings.Add("repeat-ratio", "0.2", "repeats that a service may get for each call");
   aSettings.Add("repeat-slack", "20", "repeats in a window on top, for all gateways together");
   aSettings.Add("repeat-window-ms", "10000", "window in which repeats are counted");
-  aSettings.Add("stall-ms", "5000", "time that an engine takes to notice a lost member");
   aSettings.AddLogLevel();
 }
 
@@ -48,7 +47,6 @@
   result.repeats.ratio = aSettings.Fraction("repeat-ratio", 0, kMaxRatio);
   result.repeats.slack = aSettings.Fraction("repeat-slack", 0, kMaxSlack);
   result.repeats.window.ms = aSettings.Number("repeat-window-ms", 1, kMaxSpanMs);
-  result.assembly.stallTime.ms = aSettings.Number("stall-ms", 0, kMaxSpanMs);
   result.lowestLevel = aSettings.LogLevel();
   return result;
 }
