--- a/src/assembly/tests/assemblertests.cpp
+++ b/src/assembly/tests/assemblertests.cpp
@@ -1,3 +1,167 @@
-#include "assembly/assembler.h"
+#include "assembly/tests/mocks/assemblyrig.h"
 
 #include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::assembly;
+
+// clang-format off
+TEST_GROUP(assembler)
+{
+  assembly_rig rig;
+
+  void Start(std::size_t aDomains, std::size_t aHosts)
+  {
+    rig.Fill(aDomains, aHosts);
+    rig.leader.Lead({ 1 }, rig.now);
+    rig.Run(8_s);
+  }
+
+  std::size_t Count(order_kind aKind)
+  {
+    return static_cast<std::size_t>(
+      std::count_if(rig.given.begin(), rig.given.end(), [aKind](const engine_order& aOrder) {
+        return aOrder.kind == aKind;
+      }));
+  }
+};
+// clang-format on
+
+TEST(assembler, FreshInstancesBecomeOpenGroupsOfBothModels)
+{
+  Start(2, 10);
+  // One domain holds two groups of four, the other five pairs.
+  UNSIGNED_LONGS_EQUAL(7, rig.engines.OpenGroups());
+  CHECK(rig.engines.broken.empty());
+}
+
+TEST(assembler, DoesNothingWithoutTheLease)
+{
+  rig.Fill(2, 10);
+  rig.Run(3_s);
+  UNSIGNED_LONGS_EQUAL(0, rig.given.size());
+}
+
+TEST(assembler, SteadyGroupsGetNoOrders)
+{
+  Start(2, 10);
+  const std::size_t before = rig.given.size();
+  rig.Run(20_s);
+  UNSIGNED_LONGS_EQUAL(before, rig.given.size());
+}
+
+TEST(assembler, LostMemberEndsTheGroupAndSurvivorsServeAgain)
+{
+  Start(2, 10);
+  rig.Member(false)->alive = false;
+  rig.Run(1500_ms);
+  CHECK(Count(order_kind::leave) > 0);
+  rig.Run(4_s);
+  CHECK(rig.engines.OpenGroups() >= 6);
+  CHECK(rig.engines.broken.empty());
+}
+
+TEST(assembler, SurvivorsOfAHeadThatLivesUnseenLeaveBeforeTheyJoin)
+{
+  Start(1, 10);
+  engine_sim::host* head = rig.Member(true);
+  head->reachable = false;
+  rig.given.clear();
+  rig.Run(4_s);
+  CHECK(rig.engines.broken.empty());
+  // The survivor serves again with another.
+  CHECK(Count(order_kind::leave) > 0);
+}
+
+TEST(assembler, SurvivorWhoseLeaveHasNoAnswerJoinsNothing)
+{
+  Start(1, 4);
+  engine_sim::host* head = rig.Member(true);
+  head->reachable = false;
+  for (auto& [id, one] : rig.engines.hosts) {
+    one.mute = true;
+  }
+  rig.holds = true;
+  rig.given.clear();
+  rig.Run(3_s);
+  UNSIGNED_LONGS_EQUAL(0, Count(order_kind::join));
+}
+
+TEST(assembler, RestartedMemberIsNoMemberUnderItsOldId)
+{
+  Start(1, 10);
+  engine_sim::host* member = rig.Member(false);
+  rig.engines.Restart(*member);
+  rig.Run(3_s);
+  CHECK(Count(order_kind::leave) > 0);
+  CHECK(rig.engines.broken.empty());
+}
+
+TEST(assembler, JoinThatLandsLateDoesNotUndoANewerGroup)
+{
+  rig.Fill(1, 10);
+  rig.leader.Lead({ 1 }, rig.now);
+  rig.holds = true;
+  rig.Run(2_s);
+  rig.holds = false;
+  rig.Run(60_s);
+  const std::size_t open = rig.engines.OpenGroups();
+  CHECK(open > 0);
+  rig.Land();
+  rig.Run(5_s);
+  CHECK(rig.engines.broken.empty());
+  CHECK(rig.engines.OpenGroups() >= open - 1);
+}
+
+TEST(assembler, NextLeaderKeepsTheGroupsThatServe)
+{
+  Start(2, 10);
+  const std::size_t open = rig.engines.OpenGroups();
+  rig.leader.StopLeading();
+  assembler next(rig.engines.service, assembly_options{});
+  next.Lead({ 2 }, rig.now);
+  rig.given.clear();
+  for (int i = 0; i < 100; ++i) {
+    rig.now = rig.now + 50_ms;
+    rig.Step(next);
+  }
+  UNSIGNED_LONGS_EQUAL(open, rig.engines.OpenGroups());
+  UNSIGNED_LONGS_EQUAL(0, Count(order_kind::leave));
+}
+
+TEST(assembler, LeaderThatSeesNobodyGivesNoOrders)
+{
+  Start(2, 10);
+  for (auto& [id, one] : rig.engines.hosts) {
+    one.reachable = false;
+  }
+  rig.given.clear();
+  rig.Run(5_s);
+  UNSIGNED_LONGS_EQUAL(0, rig.given.size());
+}
+
+TEST(assembler, LeavingMemberClosesItsGroupBeforeOthersJoinElsewhere)
+{
+  Start(1, 10);
+  rig.Member(false)->self.draining = true;
+  rig.given.clear();
+  rig.Run(3_s);
+  CHECK(Count(order_kind::close) > 0);
+  CHECK(rig.engines.broken.empty());
+}
+
+TEST(assembler, OnceCallersComeLoadsKeepToTheRate)
+{
+  rig.Fill(4, 10);
+  rig.leader.SetDemand({ { { "quad" }, 1 }, { { "pair" }, 1 } });
+  rig.leader.Lead({ 1 }, rig.now);
+  rig.Run(20_s);
+  const std::vector<time_point>& loads = rig.engines.loads;
+  UNSIGNED_LONGS_EQUAL(40, loads.size());
+  for (const time_point start : loads) {
+    const auto within = std::count_if(loads.begin(), loads.end(), [start](time_point aAt) {
+      return aAt >= start && aAt < start + 5_s;
+    });
+    CHECK(static_cast<double>(within) <= 5 * 5 * 1.1 + 3);
+  }
+}
--- a/src/entry/serverrequest.h
+++ b/src/entry/serverrequest.h
@@ -16,8 +16,6 @@
 struct server_request
 {
   std::string method;
-  /// Path and query as the caller sent them.
-  std::string target;
   /// Path without the query.
   std::string path;
   /// Text after the question mark, or empty.
@@ -26,6 +24,8 @@
   std::string body;
   /// Which of the server's loops carries the connection.
   std::size_t loop = 0;
+  /// Path and query as the caller sent them.
+  std::string target{};
 
   /// Returns the first header of that name, compared without case; empty when missing.
   [[nodiscard]] std::string Header(const std::string& aName) const;
