--- a/src/gateway/callfront.h
+++ b/src/gateway/callfront.h
@@ -52,12 +52,17 @@
 constexpr duration kDefaultPatience = 30_s;
 /// A caller comes back when the configuration is likely to be known.
 constexpr duration kReturnWhenUnconfigured = 1_s;
+/// A caller that comes back reaches another gateway.
+constexpr duration kReturnElsewhere = 50_ms;
 
 template<gateway_dialect Dialect>
 typename call_front<Dialect>::admission
 call_front<Dialect>::Admit(const entry::server_request& aRequest, const caller_call& aCall) const
 {
   const auto& table = mContext.board.Routes();
+  if (mContext.closing) {
+    return { kStatusUnavailable, "stopping", nullptr, {} };
+  }
   if (!table) {
     return { kStatusUnavailable, "no_configuration", nullptr, {} };
   }
@@ -126,11 +131,12 @@
                mContext.board.Routes() ? std::to_string(mContext.board.Routes()->Source().version)
                                        : "none" } });
   mContext.metrics.Count(kRefusals, { { "cause", aWhy.cause } });
-  const bool unavailable = aWhy.status == kStatusUnavailable;
-  aResponder.Send({ aWhy.status,
-                    Dialect::RefusalHeaders(unavailable ? kReturnWhenUnconfigured : duration{}),
-                    aWhy.cause,
-                    mContext.stopping });
+  duration comeBack;
+  if (aWhy.status == kStatusUnavailable) {
+    comeBack = mContext.closing ? kReturnElsewhere : kReturnWhenUnconfigured;
+  }
+  aResponder.Send(
+    { aWhy.status, Dialect::RefusalHeaders(comeBack), aWhy.cause, mContext.stopping });
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -28,6 +28,8 @@
   std::size_t gateways = 1;
   /// This process is stopping; answers close their connections.
   bool stopping = false;
+  /// Too little of the stop's grace time is left for new calls.
+  bool closing = false;
   /// Called when a group stands still; its head is given.
   std::function<void(const instance_id&)> onStandstill{};
 
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -7,8 +7,11 @@
 
 constexpr duration kOften = 50_ms;
 constexpr duration kSecond = 1_s;
-/// Time after a signal to stop until the balancer sends no new callers.
-constexpr duration kNotice = 2300_ms;
+/// Time after a signal to stop in which new calls are taken: the balancer needs two questions, a
+/// second apart, to send no new callers, and some it never stops sending.
+constexpr duration kNotice = 2700_ms;
+/// Part of the grace time that is spent on the notice at most.
+constexpr std::int64_t kNoticeParts = 2;
 /// Time left for the end of the process within the grace time.
 constexpr duration kReserve = 900_ms;
 constexpr duration kDrainPoll = 20_ms;
@@ -389,7 +392,8 @@
   const auto sleep = [](duration aSpan) {
     std::this_thread::sleep_for(std::chrono::milliseconds(aSpan.ms));
   };
-  sleep(process_limits::kNotice);
+  sleep(std::min(process_limits::kNotice, mSettings.grace / process_limits::kNoticeParts));
+  OnLoop([this] { return mContext.closing = true; });
   while (steady_clock().Now() < last && OnLoop([this] { return mExchanges.Count(); }) > 0) {
     sleep(process_limits::kDrainPoll);
   }
