--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -126,6 +126,10 @@
   [[nodiscard]] const routes::model_profile* ModelToStage(
     const std::vector<const fleet::instance*>& aFree,
     const domain_name& aDomain) const;
+  void Stage(const fleet::instance& aInstance,
+             const routes::model_profile* aModel,
+             time_point aNow,
+             actions& aActions);
   void StageIdle(const std::vector<const fleet::instance*>& aFree,
                  time_point aNow,
                  actions& aActions);
--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -12,7 +12,7 @@
 {
   /// How often an instance is asked for its state, in a group and while one forms.
   duration askInterval{ 700 };
-  duration askIntervalForming{ 250 };
+  duration askIntervalForming{ 150 };
   /// Pause before an instance that did not answer is asked again.
   duration askAgain{ 60 };
   /// Questions without an answer after which an instance counts as lost.
--- a/src/assembly/internal/formationcourse.cpp
+++ b/src/assembly/internal/formationcourse.cpp
@@ -31,13 +31,17 @@
 std::optional<fleet::membership>
 assembler::MembershipOf(const instance_id& aInstance, const fleet::fleet_view& aFleet) const
 {
-  // What an instance answers is newer than its entry, which lags.
   const auto host = mHosts.find(aInstance);
-  if (host != mHosts.end() && host->second.report) {
-    return host->second.report->member;
-  }
   const fleet::instance* entry = aFleet.Find(aInstance);
-  return entry == nullptr ? std::nullopt : entry->member;
+  const auto registered = entry == nullptr ? std::nullopt : entry->member;
+  if (host == mHosts.end() || !host->second.report) {
+    return registered;
+  }
+  // What an instance answers is newer than its entry, which lags, but for progress in one group.
+  const auto& answered = host->second.report->member;
+  const bool same = answered && registered && answered->group == registered->group &&
+                    answered->epoch == registered->epoch && entry->life == host->second.life;
+  return same && registered->phase > answered->phase ? registered : answered;
 }
 
 bool
--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -237,27 +237,29 @@
 void
 assembler::AssignHomes(const fleet::fleet_view& aFleet)
 {
-  std::map<domain_name, free_list> domains = ByDomain(aFleet.OfService(mService.name));
+  const std::map<domain_name, free_list> domains = ByDomain(aFleet.OfService(mService.name));
   std::map<routes::model_name, double> homed;
   for (const auto& [domain, model] : mHomes) {
-    homed[model] += static_cast<double>(domains[domain].size());
+    const auto found = domains.find(domain);
+    homed[model] += found == domains.end() ? 0 : static_cast<double>(found->second.size());
   }
   for (const auto& [domain, instances] : domains) {
-    if (mHomes.count(domain) != 0 || instances.empty()) {
+    if (mHomes.count(domain) != 0) {
       continue;
     }
     const routes::model_profile* chosen = nullptr;
-    double best = 0;
+    double most = 0;
     for (const routes::model_profile& model : mService.engine->models) {
       double held = 0;
       for (const fleet::instance* one : instances) {
         held += Holds(*one, model.name) ? 1 : 0;
       }
+      // What instances hold already decides; a new domain goes to the model that lacks most.
       const double lacking = 1 / (1 + homed[model.name] / std::max(WantedPart(model.name), 1e-6));
       const double worth = held + lacking;
-      if (instances.size() >= model.size && (chosen == nullptr || worth > best)) {
+      if (instances.size() >= model.size && (chosen == nullptr || worth > most)) {
         chosen = &model;
-        best = worth;
+        most = worth;
       }
     }
     if (chosen != nullptr) {
@@ -351,23 +353,41 @@
 {
   for (const auto& [domain, free] : ByDomain(aFree)) {
     for (const fleet::instance* one : Cold(free)) {
-      const routes::model_profile* model = ModelToStage(free, domain);
-      if (model == nullptr || !MayLoad(1, aNow)) {
-        return;
+      Stage(*one, ModelToStage(free, domain), aNow, aActions);
+    }
+  }
+  // Instances that are left alone with another model's weights become spares of their domain.
+  for (const auto& [domain, free] : ByDomain(aFree)) {
+    const routes::model_profile* home = HomeOf(domain);
+    for (const fleet::instance* one : free) {
+      const bool foreign = home != nullptr && !one->staged.empty() && !Holds(*one, home->name);
+      if (foreign && mHosts.at(one->id).staging.Empty()) {
+        Stage(*one, home, aNow, aActions);
       }
-      CountLoads(1, aNow);
-      host_record& host = mHosts.at(one->id);
-      host.staging = model->name;
-      host.stagingUntil = aNow + model->load * kStagingFactor;
-      engine_order order;
-      order.kind = order_kind::stage;
-      order.instance = one->id;
-      order.model = model->name;
-      Give(std::move(order), aNow, aActions);
     }
   }
 }
 
+void
+assembler::Stage(const fleet::instance& aInstance,
+                 const routes::model_profile* aModel,
+                 time_point aNow,
+                 actions& aActions)
+{
+  if (aModel == nullptr || !MayLoad(1, aNow)) {
+    return;
+  }
+  CountLoads(1, aNow);
+  host_record& host = mHosts.at(aInstance.id);
+  host.staging = aModel->name;
+  host.stagingUntil = aNow + aModel->load * kStagingFactor;
+  engine_order order;
+  order.kind = order_kind::stage;
+  order.instance = aInstance.id;
+  order.model = aModel->name;
+  Give(std::move(order), aNow, aActions);
+}
+
 void
 assembler::StartFormation(const routes::model_profile& aModel,
                           const free_list& aMembers,
--- a/src/dispatch/callfacts.h
+++ b/src/dispatch/callfacts.h
@@ -31,6 +31,8 @@
   /// When the caller or the route no longer waits.
   time_point deadline;
   duration latencyTarget;
+  /// Longest pause between events that is still on time.
+  duration gapTarget;
   std::uint32_t maxAttempts = 1;
   /// The same for repeats of the call through any router.
   std::uint64_t fingerprint = 0;
--- a/src/dispatch/callplan.h
+++ b/src/dispatch/callplan.h
@@ -48,8 +48,11 @@
 
 private:
   plan_step Choose(time_point aNow);
+  /// How long the call may wait here: for a place when all upstreams are full, or for one to come.
+  [[nodiscard]] duration Patience(bool aFull) const;
   [[nodiscard]] plan_step GiveUp(plan_cause aCause) const;
   [[nodiscard]] choice_request Choice();
+  [[nodiscard]] plan_step SendOrGiveUp(const instance_id& aUpstream, time_point aNow);
   [[nodiscard]] send_step SendTo(const instance_id& aUpstream) const;
   void Exclude(const instance_id& aUpstream);
   /// An upstream no longer holds the call.
@@ -70,6 +73,8 @@
   bool mMayHaveRun = false;
   bool mRefusedAsFull = false;
   bool mAnswerBegan = false;
+  /// No upstream had a place in time; the answer will be late.
+  bool mLate = false;
   std::optional<std::uint64_t> mLastEvent;
 };
 
--- a/src/dispatch/choicerequest.h
+++ b/src/dispatch/choicerequest.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "routes/engineprofile.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace persimmon::dispatch {
@@ -17,6 +19,8 @@
   std::uint64_t promptTokens = 0;
   /// Upstreams that have failed this call already.
   std::vector<instance_id> excluded;
+  /// Longest time that the call may wait for a place at its upstream; nothing for any time.
+  std::optional<duration> longestWait;
   /// Breaks ties; uniformly distributed.
   std::uint64_t draw = 0;
   /// The call crashed upstreams before; only one that runs nothing else may take it.
--- a/src/dispatch/internal/callplan.cpp
+++ b/src/dispatch/internal/callplan.cpp
@@ -11,12 +11,17 @@
 constexpr duration kLongestWait = 800_ms;
 /// Part of the caller's time that it may wait here.
 constexpr std::int64_t kWaitDivisor = 4;
+/// Part of the latency target that a call may wait for a place, here or at its upstream; the rest
+/// is for its prompt to be read. A call that finds none in that time is late.
+constexpr std::int64_t kTargetPartForWaiting = 2;
+/// Part of the time left that a late call may wait at its upstream; beyond it, it is refused.
+constexpr std::int64_t kDeadlinePartForWaiting = 3;
 /// How often a waiting call looks for an upstream, beside changes of the upstreams.
 constexpr duration kWaitStep = 50_ms;
 /// Time in which a lost group is usually replaced.
 constexpr duration kReturnWithoutUpstream = 1_s;
 /// Time in which a full upstream usually has a place again.
-constexpr duration kReturnWhenFull = 400_ms;
+constexpr duration kReturnWhenFull = 1_s;
 /// Time until a stopping process is out of the balancer's choice.
 constexpr duration kReturnWhenStopping = 100_ms;
 constexpr duration kQuarantineReturn = 2_s;
@@ -63,6 +68,20 @@
   return "unknown";
 }
 
+const char*
+UrgencyName(urgency aUrgency)
+{
+  switch (aUrgency) {
+    case urgency::resumed:
+      return "resumed";
+    case urgency::normal:
+      return "normal";
+    case urgency::late:
+      return "late";
+  }
+  return "unknown";
+}
+
 call_plan::call_plan(call_facts aFacts,
                      const upstream_board& aBoard,
                      repeat_budget& aBudget,
@@ -86,13 +105,18 @@
   request.promptTokens = mFacts.promptTokens;
   request.excluded = mExcluded;
   request.draw = mDraw;
+  if (!mAnswerBegan && mFacts.latencyTarget.ms > 0) {
+    request.longestWait = mFacts.latencyTarget / kTargetPartForWaiting;
+  }
   return request;
 }
 
 send_step
 call_plan::SendTo(const instance_id& aUpstream) const
 {
-  return { aUpstream, mFacts.deadline, mLastEvent, mSent > 1 };
+  urgency rank = mLate ? urgency::late : urgency::normal;
+  rank = mAnswerBegan ? urgency::resumed : rank;
+  return { aUpstream, mFacts.deadline, mLastEvent, mSent > 1, rank };
 }
 
 void
@@ -121,28 +145,46 @@
   return refuse_step{ aCause, ReturnAfter(aCause) };
 }
 
+duration
+call_plan::Patience(bool aFull) const
+{
+  const duration longest =
+    std::min(kLongestWait, (mFacts.deadline - mFacts.arrived) / kWaitDivisor);
+  const bool targeted = aFull && mFacts.latencyTarget.ms > 0;
+  return targeted ? std::min(longest, mFacts.latencyTarget / kTargetPartForWaiting) : longest;
+}
+
 plan_step
 call_plan::Choose(time_point aNow)
 {
-  const auto chosen = mBoard.Choose(Choice(), aNow);
-  if (!chosen) {
-    const duration patience =
-      std::min(kLongestWait, (mFacts.deadline - mFacts.arrived) / kWaitDivisor);
-    const time_point until = mFacts.arrived + patience;
-    // A stream that has begun waits for its next upstream as long as its caller does.
-    if (aNow < until || mAnswerBegan) {
-      return wait_step{ std::min(aNow + kWaitStep, mFacts.deadline) };
-    }
-    return GiveUp(mRefusedAsFull ? plan_cause::upstream_full : plan_cause::no_upstream);
-  }
-  if (mSent > 0) {
-    if (mSent >= mFacts.maxAttempts || !mBudget.TryTake(aNow)) {
-      return GiveUp(mRefusedAsFull ? plan_cause::upstream_full : plan_cause::upstream_lost);
-    }
+  if (const auto chosen = mBoard.Choose(Choice(), aNow)) {
+    return SendOrGiveUp(*chosen, aNow);
+  }
+  const bool full = mBoard.Serves(mFacts.service, mFacts.model, aNow);
+  const time_point until = mFacts.arrived + Patience(full);
+  // A stream that has begun waits for its next upstream as long as its caller does.
+  if (aNow < until || mAnswerBegan) {
+    return wait_step{ std::min(aNow + kWaitStep, mFacts.deadline) };
+  }
+  choice_request anyPlace = Choice();
+  anyPlace.longestWait = (mFacts.deadline - aNow) / kDeadlinePartForWaiting;
+  if (const auto chosen = mBoard.Choose(anyPlace, aNow)) {
+    mLate = true;
+    return SendOrGiveUp(*chosen, aNow);
+  }
+  const bool isFull = full || mRefusedAsFull;
+  return GiveUp(isFull ? plan_cause::upstream_full : plan_cause::no_upstream);
+}
+
+plan_step
+call_plan::SendOrGiveUp(const instance_id& aUpstream, time_point aNow)
+{
+  if (mSent > 0 && (mSent >= mFacts.maxAttempts || !mBudget.TryTake(aNow))) {
+    return GiveUp(mRefusedAsFull ? plan_cause::upstream_full : plan_cause::upstream_lost);
   }
   ++mSent;
   ++mOutstanding;
-  return SendTo(*chosen);
+  return SendTo(aUpstream);
 }
 
 plan_step
--- a/src/dispatch/internal/upstreamboard.cpp
+++ b/src/dispatch/internal/upstreamboard.cpp
@@ -180,6 +180,18 @@
   return head != nullptr && MayTake(*head, aNow);
 }
 
+double
+upstream_board::WaitMs(const fleet::engine_group& aGroup, time_point aNow) const
+{
+  const routes::engine_profile& engine = *mRoutes->FindService(aGroup.service)->engine;
+  const routes::model_profile* model = engine.Find(aGroup.model);
+  const auto slots = static_cast<double>(std::max<std::size_t>(engine.slots, 1));
+  const double calls = EstimatedCalls(aGroup.Head(), aNow);
+  const double stepMs = engine.stepMs + engine.stepPerRequestMs * slots;
+  const double holdMs = engine.usualOutput * stepMs * (model == nullptr ? 1 : model->pace);
+  return std::max(0.0, calls + 1 - slots) * holdMs / slots;
+}
+
 double
 upstream_board::GroupCostMs(const fleet::engine_group& aGroup,
                             std::uint64_t aPromptTokens,
@@ -199,9 +211,7 @@
   const double passes =
     std::ceil(tokens / static_cast<double>(std::max<std::uint64_t>(engine.chunkTokens, 1)));
   const double writeMs = stepMs * static_cast<double>(engine.stride) * (passes + calls / slots);
-  const double overflow = std::max(0.0, calls + 1 - slots);
-  const double waitMs = overflow * stepMs * static_cast<double>(engine.stride) * slots;
-  double cost = (readMs + writeMs + waitMs) * pace;
+  double cost = (readMs + writeMs) * pace + WaitMs(aGroup, aNow);
   const double expectedGap = stepMs * static_cast<double>(engine.stride) * pace;
   if (record != nullptr && record->paceMs > kSlowFactor * expectedGap + kTieMs) {
     cost *= record->paceMs / std::max(expectedGap, 1.0);
@@ -221,6 +231,10 @@
     if (!fits || !MayTake(group, aNow) || IsExcluded(aRequest, group.Head())) {
       continue;
     }
+    if (aRequest.longestWait &&
+        WaitMs(group, aNow) > static_cast<double>(aRequest.longestWait->ms)) {
+      continue;
+    }
     if (aRequest.isolated && EstimatedCalls(group.Head(), aNow) > 0) {
       continue;
     }
--- a/src/dispatch/planstep.h
+++ b/src/dispatch/planstep.h
@@ -29,6 +29,19 @@
 const char*
 PlanCauseName(plan_cause aCause);
 
+/// How an upstream should rank a call among those that wait for a place.
+enum class urgency
+{
+  /// Its stream has begun and stands still.
+  resumed,
+  normal,
+  /// Its answer will be late whatever is done; those that can be in time go first.
+  late
+};
+
+const char*
+UrgencyName(urgency aUrgency);
+
 /// Send the call to an upstream.
 struct send_step
 {
@@ -39,6 +52,7 @@
   std::optional<std::uint64_t> resumeAfter;
   /// Not the first upstream that gets the call.
   bool repeat = false;
+  urgency rank = urgency::normal;
 };
 
 /// Ask again at a time, or when the upstreams change.
--- a/src/dispatch/upstreamboard.h
+++ b/src/dispatch/upstreamboard.h
@@ -75,6 +75,8 @@
   [[nodiscard]] double GroupCostMs(const fleet::engine_group& aGroup,
                                    std::uint64_t aPromptTokens,
                                    time_point aNow) const;
+  /// Time that one more call would wait for a place in a group.
+  [[nodiscard]] double WaitMs(const fleet::engine_group& aGroup, time_point aNow) const;
   [[nodiscard]] double PlainCost(const fleet::instance& aUpstream, time_point aNow) const;
   [[nodiscard]] std::optional<instance_id> ChooseGroup(const choice_request& aRequest,
                                                        time_point aNow) const;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -138,6 +138,7 @@
     }
   }
   std::vector<engine_group> groups;
+  groups.reserve(found.size());
   for (const auto& [key, members] : found) {
     groups.push_back(MakeGroup(key, members, aService));
   }
--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -106,7 +106,8 @@
 assembly_runner<Dialect>::Step()
 {
   const time_point now = mContext.Now();
-  for (auto& [name, one] : mAssemblers) {
+  for (const auto& entry : mAssemblers) {
+    const service_assembler& one = entry.second;
     if (!one->Leads()) {
       continue;
     }
--- a/src/gateway/callfront.h
+++ b/src/gateway/callfront.h
@@ -110,6 +110,7 @@
   const duration patience = std::min(aCall.patience.value_or(longest), kLongestPatience);
   facts.deadline = now + std::min(patience, longest);
   facts.latencyTarget = route.latencyTarget;
+  facts.gapTarget = route.gapTarget;
   facts.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
   facts.fingerprint =
     HashText(aRequest.body, HashText(aRequest.target + aAdmission.customer.value));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -76,7 +76,7 @@
   void Answer(int aStatus, std::vector<entry::server_header> aHeaders, std::string aBody);
   void Finish(const char* aOutcome);
   void ArmDeadline();
-  void NoteFirstByte();
+  void NoteBytes();
   [[nodiscard]] attempt* Find(const attempt* aAttempt);
   [[nodiscard]] const dispatch::call_facts& Facts() const { return mPlan.Facts(); }
 
@@ -91,7 +91,11 @@
   upstream::timer_id mDeadline;
   std::optional<upstream::timer_id> mWait;
   bool mStreaming = false;
-  bool mFirstByte = false;
+  /// Time from the arrival to the first byte of the answer.
+  std::optional<duration> mFirstByte;
+  /// Longest pause between two events that the caller has seen.
+  duration mLongestGap;
+  time_point mLastByte;
   bool mEnded = false;
 };
 
--- a/src/gateway/internal/exchangecourse.h
+++ b/src/gateway/internal/exchangecourse.h
@@ -63,7 +63,7 @@
 exchange<Dialect>::Do(const dispatch::plan_step& aStep)
 {
   if (!mEnded) {
-    std::visit([this](const auto& aOne) { Do(aOne); }, aStep);
+    std::visit([this](const auto& aOne) { this->Do(aOne); }, aStep);
   }
 }
 
@@ -83,6 +83,7 @@
   where.customer = mCustomer;
   where.remaining = aStep.deadline - now;
   where.resumeAfter = aStep.resumeAfter;
+  where.rank = aStep.rank;
   auto made = std::make_unique<attempt>();
   attempt* raw = made.get();
   raw->upstream = target->id;
@@ -98,6 +99,7 @@
              { "upstream", raw->upstream.value },
              { "attempt", std::to_string(mPlan.Sent()) },
              { "resume_after", aStep.resumeAfter ? std::to_string(*aStep.resumeAfter) : "none" },
+             { "rank", dispatch::UrgencyName(aStep.rank) },
              { "left_ms", std::to_string(where.remaining.ms) } });
   upstream::call_handlers handlers;
   const auto weak = this->weak_from_this();
@@ -263,7 +265,7 @@
     }
     aAttempt.sawEvent = true;
     aAttempt.heardAt = now;
-    NoteFirstByte();
+    NoteBytes();
     if (const auto last = aAttempt.framer.LastEvent()) {
       mPlan.EventPassed(*last);
     }
@@ -365,7 +367,7 @@
   if (good) {
     mContext.board.NotePace(aAttempt.upstream, now - aAttempt.startedAt);
   }
-  NoteFirstByte();
+  NoteBytes();
   Answer(aAttempt.facts->status, Dialect::AnswerHeaders(aAttempt.head), std::move(aAttempt.body));
   Drop(aAttempt, "whole");
   Finish("answered");
@@ -382,15 +384,18 @@
 
 template<gateway_dialect Dialect>
 void
-exchange<Dialect>::NoteFirstByte()
+exchange<Dialect>::NoteBytes()
 {
-  if (!mFirstByte) {
-    mFirstByte = true;
-    const duration span = mContext.Now() - Facts().arrived;
+  const time_point now = mContext.Now();
+  if (mFirstByte) {
+    mLongestGap = std::max(mLongestGap, now - mLastByte);
+  } else {
+    mFirstByte = now - Facts().arrived;
     mContext.metrics.Observe(kFirstByte,
-                             static_cast<double>(span.ms) / 1000,
+                             static_cast<double>(mFirstByte->ms) / 1000,
                              { { "kind", routes::CallKindName(Facts().kind) } });
   }
+  mLastByte = now;
 }
 
 template<gateway_dialect Dialect>
@@ -447,6 +452,12 @@
            { { "request", Facts().id.value },
              { "service", Facts().service.value },
              { "outcome", aOutcome },
+             { "model", Facts().model.value },
+             { "sent", std::to_string(mPlan.Sent()) },
+             { "first_ms", mFirstByte ? std::to_string(mFirstByte->ms) : "none" },
+             { "target_ms", std::to_string(Facts().latencyTarget.ms) },
+             { "longest_gap_ms", std::to_string(mLongestGap.ms) },
+             { "gap_target_ms", std::to_string(Facts().gapTarget.ms) },
              { "after_ms", std::to_string((mContext.Now() - Facts().arrived).ms) } });
   const auto self = this->shared_from_this();
   mRegistry.Remove(this);
--- a/src/gateway/upstreamtarget.h
+++ b/src/gateway/upstreamtarget.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "dispatch/planstep.h"
 
 #include <cstdint>
 #include <optional>
@@ -16,6 +17,7 @@
   customer_name customer;
   duration remaining;
   std::optional<std::uint64_t> resumeAfter;
+  dispatch::urgency rank = dispatch::urgency::normal;
 };
 
 } // namespace persimmon::gateway
--- a/src/routes/engineprofile.h
+++ b/src/routes/engineprofile.h
@@ -37,6 +37,8 @@
   /// Time of a step that makes one token of each running request, and what each of them adds.
   double stepMs = 0;
   double stepPerRequestMs = 0;
+  /// Mean tokens of an answer.
+  double usualOutput = 0;
   /// Prompt tokens that are read in a second.
   double readPerSecond = 1;
   /// Prompt tokens that are read at most between two steps.
