--- a/src/dispatch/internal/upstreamboard.cpp
+++ b/src/dispatch/internal/upstreamboard.cpp
@@ -19,6 +19,8 @@
 constexpr double kPaceWeight = 0.15;
 /// An upstream slower than expected by this factor counts as slow.
 constexpr double kSlowFactor = 1.5;
+/// What is known of a pace counts for this long; then the upstream is tried again.
+constexpr duration kToldPaceLifetime = 3_s;
 /// Cost of another availability zone, as a part of a call.
 constexpr double kOtherZoneCost = 0.15;
 /// Costs that differ by less count as equal, so that routers with like views do not choose alike.
@@ -192,6 +194,24 @@
   return std::max(0.0, calls + 1 - slots) * holdMs / slots;
 }
 
+double
+upstream_board::Slowness(const fleet::engine_group& aGroup,
+                         double aExpectedGapMs,
+                         time_point aNow) const
+{
+  const upstream_record* record = Record(aGroup.Head());
+  if (record == nullptr) {
+    return 1;
+  }
+  const bool told = aNow - record->toldPaceAt < kToldPaceLifetime;
+  double slowness = told ? std::max(record->toldPace, 1.0) : 1;
+  const bool seen = aNow - record->heardAt < kToldPaceLifetime;
+  if (seen && record->paceMs > kSlowFactor * aExpectedGapMs + kTieMs) {
+    slowness = std::max(slowness, record->paceMs / std::max(aExpectedGapMs, 1.0));
+  }
+  return slowness;
+}
+
 double
 upstream_board::GroupCostMs(const fleet::engine_group& aGroup,
                             std::uint64_t aPromptTokens,
@@ -213,9 +233,7 @@
   const double writeMs = stepMs * static_cast<double>(engine.stride) * (passes + calls / slots);
   double cost = (readMs + writeMs) * pace + WaitMs(aGroup, aNow);
   const double expectedGap = stepMs * static_cast<double>(engine.stride) * pace;
-  if (record != nullptr && record->paceMs > kSlowFactor * expectedGap + kTieMs) {
-    cost *= record->paceMs / std::max(expectedGap, 1.0);
-  }
+  cost *= Slowness(aGroup, expectedGap, aNow);
   if (FailureRate(aGroup.Head(), aNow) > kFailureLimit) {
     cost *= kFailurePenalty;
   }
@@ -363,6 +381,14 @@
   record.paceMs = record.paceMs == 0 ? span : record.paceMs + kPaceWeight * (span - record.paceMs);
 }
 
+void
+upstream_board::NoteToldPace(const instance_id& aUpstream, double aFactor, time_point aNow)
+{
+  upstream_record& record = Touch(aUpstream);
+  record.toldPace = aFactor;
+  record.toldPaceAt = aNow;
+}
+
 void
 upstream_board::Ended(const instance_id& aUpstream, std::uint64_t aPendingTokens)
 {
--- a/src/dispatch/tests/callplantests.cpp
+++ b/src/dispatch/tests/callplantests.cpp
@@ -147,6 +147,32 @@
   CHECK(As<refuse_step>(refused).retryAfter.ms > 0);
 }
 
+TEST(call_plan, CallThatFindsNoPlaceInTimeIsRankedBehindThoseThatDo)
+{
+  for (const char* head : { "head-0", "head-1", "head-2" }) {
+    rig.board.NoteLoad({ head }, { 17, 5, 17 }, now);
+  }
+  call_facts facts = Stream();
+  facts.latencyTarget = 300_ms;
+  call_plan plan(facts, rig.board, budget, 1);
+  CHECK(std::holds_alternative<wait_step>(plan.Begin(now)));
+  const plan_step step = plan.Retry(now + 200_ms);
+  CHECK(As<send_step>(step).rank == urgency::late);
+}
+
+TEST(call_plan, CallThatCouldOnlyBeAnsweredAfterItsDeadlineIsRefusedAtOnce)
+{
+  for (const char* head : { "head-0", "head-1", "head-2" }) {
+    rig.board.NoteLoad({ head }, { 17, 500, 17 }, now);
+  }
+  call_facts facts = Stream();
+  facts.latencyTarget = 300_ms;
+  call_plan plan(facts, rig.board, budget, 1);
+  plan.Begin(now);
+  const plan_step step = plan.Retry(now + 200_ms);
+  CHECK(As<refuse_step>(step).cause == plan_cause::upstream_full);
+}
+
 TEST(call_plan, BegunStreamWaitsForItsNextGroupUntilTheDeadline)
 {
   call_plan plan(Stream(), rig.board, budget, 1);
--- a/src/dispatch/tests/mocks/boardrig.h
+++ b/src/dispatch/tests/mocks/boardrig.h
@@ -37,6 +37,7 @@
     engine.slots = 17;
     engine.models = { { { "pair" }, 2, 1, 1, 12_s, 1_s } };
     engine.stepMs = 8;
+    engine.usualOutput = 150;
     engine.stepPerRequestMs = 0.1;
     engine.readPerSecond = 45900;
     engine.chunkTokens = 2048;
--- a/src/dispatch/tests/upstreamboardtests.cpp
+++ b/src/dispatch/tests/upstreamboardtests.cpp
@@ -78,6 +78,26 @@
   UNSIGNED_LONGS_EQUAL(1, Chosen(rig.PlainRequest()).count("desk-0"));
 }
 
+TEST(upstream_board, GroupThatTellsToBeSlowGetsLittleUntilThatIsOld)
+{
+  rig.board.NoteToldPace({ "head-0" }, 4, now);
+  UNSIGNED_LONGS_EQUAL(0, Chosen(rig.PairRequest()).count("head-0"));
+  now = now + 5_s;
+  UNSIGNED_LONGS_EQUAL(1, Chosen(rig.PairRequest()).count("head-0"));
+}
+
+TEST(upstream_board, GroupWithoutAPlaceInTimeIsLeftOut)
+{
+  for (const char* head : { "head-0", "head-1", "head-2" }) {
+    rig.board.NoteLoad({ head }, { 17, 30, 17 }, now);
+  }
+  choice_request request = rig.PairRequest();
+  request.longestWait = 150_ms;
+  CHECK(Chosen(request) == std::set<std::string>{ "none" });
+  rig.board.NoteLoad({ "head-1" }, { 16, 0, 17 }, now);
+  CHECK(Chosen(request) == std::set<std::string>{ "head-1" });
+}
+
 TEST(upstream_board, NewLifeOfAnUpstreamStartsWithoutItsPast)
 {
   for (int i = 0; i < 5; ++i) {
--- a/src/dispatch/upstreamboard.h
+++ b/src/dispatch/upstreamboard.h
@@ -55,6 +55,8 @@
   void Heard(const instance_id& aUpstream, time_point aNow);
   /// Records the time between two events, or of a whole answer of a plain service.
   void NotePace(const instance_id& aUpstream, duration aSpan);
+  /// Records how slow an upstream says to be, as a factor on what is expected.
+  void NoteToldPace(const instance_id& aUpstream, double aFactor, time_point aNow);
   void Ended(const instance_id& aUpstream, std::uint64_t aPendingTokens);
   /// Records whether an upstream did what it was asked.
   void NoteOutcome(const instance_id& aUpstream, bool aGood, time_point aNow);
@@ -75,6 +77,10 @@
   [[nodiscard]] double GroupCostMs(const fleet::engine_group& aGroup,
                                    std::uint64_t aPromptTokens,
                                    time_point aNow) const;
+  /// Factor by which a group is slower than expected, from what is told and what was seen.
+  [[nodiscard]] double Slowness(const fleet::engine_group& aGroup,
+                                double aExpectedGapMs,
+                                time_point aNow) const;
   /// Time that one more call would wait for a place in a group.
   [[nodiscard]] double WaitMs(const fleet::engine_group& aGroup, time_point aNow) const;
   [[nodiscard]] double PlainCost(const fleet::instance& aUpstream, time_point aNow) const;
--- a/src/dispatch/upstreamrecord.h
+++ b/src/dispatch/upstreamrecord.h
@@ -25,6 +25,9 @@
   time_point failureAt{ INT64_MIN / 2 };
   /// Smoothed time between events of its streams, or of an answer of a plain service.
   double paceMs = 0;
+  /// Time for its work against what is expected, as its members tell; above 1 it is slow.
+  double toldPace = 1;
+  time_point toldPaceAt{ INT64_MIN / 2 };
   /// Gets no new call before this time.
   time_point avoidedUntil{ INT64_MIN / 2 };
   /// Last time that any byte came from it.
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <unordered_map>
 
 namespace persimmon::gateway {
 
@@ -47,6 +48,7 @@
   void OnPresence(const peers::presence_message& aPresence);
   void OnBroken(const fleet::engine_group& aGroup, const std::string& aCause, bool aTell);
   void OnReport(const instance_id& aInstance, const fleet::engine_report& aReport);
+  [[nodiscard]] double SlowestPace(const fleet::engine_group& aGroup) const;
   void OnLease();
   void TickOften();
   void TickEachSecond();
@@ -79,6 +81,8 @@
   std::unique_ptr<kind_watch<store>> mConfigWatch;
   std::unique_ptr<kind_watch<store>> mInstanceWatch;
   revision mConfigRevision;
+  /// Paces that instances told, while this process asks them.
+  std::unordered_map<instance_id, double> mPaces;
   bool mWasReady = false;
   entry::http_server mServer;
 };
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -19,6 +19,8 @@
 constexpr duration kLastAnswers = 150_ms;
 /// Entries that vanish this soon after the store's return lapsed while it was away.
 constexpr duration kAfterOutage = 2_s;
+/// Paces beyond this make no difference.
+constexpr double kHighestPace = 100;
 /// Name of the configuration among the mesh's documents.
 constexpr const char* kConfigurationDocument = "configuration";
 /// A body beyond the declared limit is read up to this factor, to be refused with a reason.
@@ -227,6 +229,8 @@
 gateway_process<Dialect>::OnInstances()
 {
   mBoard.FleetChanged();
+  std::erase_if(
+    mPaces, [this](const auto& aEntry) { return mBoard.Fleet().Find(aEntry.first) == nullptr; });
   for (const auto& one : mExchanges.All()) {
     one->UpstreamsChanged();
   }
@@ -316,6 +320,7 @@
 gateway_process<Dialect>::OnReport(const instance_id& aInstance,
                                    const fleet::engine_report& aReport)
 {
+  mPaces[aInstance] = aReport.pace;
   const fleet::instance* before = mBoard.Fleet().Find(aInstance);
   const bool changed =
     before != nullptr && (before->member != aReport.member || before->life != aReport.life);
@@ -325,15 +330,32 @@
   }
   const fleet::engine_group* group = mBoard.GroupOfHead(aInstance);
   if (group != nullptr && group->Serves() && !mBoard.IsBroken(group->id, group->epoch)) {
-    mBoard.NoteLoad(aInstance, { aReport.running, aReport.queued, 0 }, mContext.Now());
-    mMesh.Publish(peers::presence_message{ group->id,
-                                           group->epoch,
-                                           mSettings.id,
-                                           {},
-                                           true,
-                                           static_cast<std::uint32_t>(aReport.running),
-                                           static_cast<std::uint32_t>(aReport.queued) });
+    const time_point now = mContext.Now();
+    const double pace = SlowestPace(*group);
+    mBoard.NoteLoad(aInstance, { aReport.running, aReport.queued, 0 }, now);
+    mBoard.NoteToldPace(aInstance, pace, now);
+    peers::presence_message presence;
+    presence.group = group->id;
+    presence.version = group->epoch;
+    presence.observer = mSettings.id;
+    presence.whole = true;
+    presence.running = static_cast<std::uint32_t>(aReport.running);
+    presence.queued = static_cast<std::uint32_t>(aReport.queued);
+    presence.pacePercent = static_cast<std::uint32_t>(pace * peers::kExpectedPace);
+    mMesh.Publish(presence);
+  }
+}
+
+template<gateway_dialect Dialect>
+double
+gateway_process<Dialect>::SlowestPace(const fleet::engine_group& aGroup) const
+{
+  double slowest = 1;
+  for (const instance_id& member : aGroup.members) {
+    const auto found = mPaces.find(member);
+    slowest = std::max(slowest, found == mPaces.end() ? 1 : found->second);
   }
+  return std::min(slowest, process_limits::kHighestPace);
 }
 
 template<gateway_dialect Dialect>
--- a/src/peers/internal/recordcodec.cpp
+++ b/src/peers/internal/recordcodec.cpp
@@ -75,6 +75,8 @@
   }
 
   [[nodiscard]] bool Good() const { return mGood; }
+  /// Whether a field is left, as those that later versions add.
+  [[nodiscard]] bool HasMore() const { return mNext < mRecord.fields.size(); }
 
 private:
   const wire_value* Next()
@@ -134,7 +136,8 @@
                aIt.version.value,
                aIt.whole ? kWhole : 0ULL,
                std::uint64_t{ aIt.running },
-               std::uint64_t{ aIt.queued } } };
+               std::uint64_t{ aIt.queued },
+               std::uint64_t{ aIt.pacePercent } } };
   }
   wire_record operator()(const leaving_message& aIt)
   {
@@ -205,6 +208,8 @@
   read.whole = (aFields.Number() & kWhole) != 0;
   read.running = aFields.Count();
   read.queued = aFields.Count();
+  // Routers of an older version do not tell it.
+  read.pacePercent = aFields.HasMore() ? aFields.Count() : kExpectedPace;
   return { read, stamp, aNow - read.age };
 }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -30,6 +30,9 @@
   bool operator==(const table_message&) const = default;
 };
 
+/// Pace of a member that is as fast as expected.
+constexpr std::uint32_t kExpectedPace = 100;
+
 /// What an observer saw when it polled the head of a group.
 struct presence_message
 {
@@ -43,6 +46,8 @@
   bool whole = false;
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  /// Time that the slowest member takes for its work, in percent of what is expected.
+  std::uint32_t pacePercent = kExpectedPace;
 
   bool operator==(const presence_message&) const = default;
 };
