--- a/src/app/gatewaymain.cpp
+++ b/src/app/gatewaymain.cpp
@@ -7,10 +7,34 @@
 
 #include <csignal>
 
+namespace {
+
+using namespace persimmon;
+
+/// Log lines that may wait for a slow reader: some seconds of a busy gateway.
+constexpr std::size_t kWaitingLogLines = 2000;
+
+int
+Serve(const gateway::gateway_settings& aSettings)
+{
+  gateway::gateway_process<dialect::platform_dialect> process(aSettings);
+  if (!process.Start()) {
+    WriteLog(gateway::kGatewayNotStarted, { { "reason", process.LastReason() } });
+    return exit_failure;
+  }
+  while (WaitForSignal() == SIGHUP) {
+    // Flags and variables hold for the life of a process.
+    WriteLog(gateway::kReloaded, { { "changed", "nothing" } });
+  }
+  process.Stop();
+  return exit_success;
+}
+
+} // namespace
+
 int
 main(int aCount, char** aArguments)
 {
-  using namespace persimmon;
   settings values("persimmon-gateway",
                   "Routes callers' calls to upstreams and forms the groups of model engines.",
                   PERSIMMON_VERSION);
@@ -25,15 +49,8 @@
   StartLog(parsed.id.value, parsed.lowestLevel);
   std::signal(SIGPIPE, SIG_IGN);
   BlockStopSignals();
-  gateway::gateway_process<dialect::platform_dialect> process(parsed);
-  if (!process.Start()) {
-    WriteLog(gateway::kGatewayNotStarted, { { "reason", process.LastReason() } });
-    return exit_failure;
-  }
-  while (WaitForSignal() == SIGHUP) {
-    // Flags and variables hold for the life of a process; what the file holds is the same.
-    WriteLog(gateway::kReloaded, { { "changed", "nothing" } });
-  }
-  process.Stop();
-  return exit_success;
+  StartLogThread(kWaitingLogLines);
+  const int code = Serve(parsed);
+  StopLogThread();
+  return code;
 }
--- a/src/app/tests/cataloguetests.cpp
+++ b/src/app/tests/cataloguetests.cpp
@@ -37,7 +37,7 @@
 ProgramSources()
 {
   std::map<std::string, std::string> sources;
-  for (const char* folder : { "src", "standins", "bench" }) {
+  for (const char* folder : { "src", "platform", "standins", "bench" }) {
     for (const auto& entry : fs::recursive_directory_iterator(kRoot / folder)) {
       if (entry.is_regular_file() && IsProgramSource(entry.path())) {
         sources[entry.path().string()] = ReadText(entry.path());
--- a/src/assembly/internal/formationcourse.cpp
+++ b/src/assembly/internal/formationcourse.cpp
@@ -33,7 +33,7 @@
 {
   const auto host = mHosts.find(aInstance);
   const fleet::instance* entry = aFleet.Find(aInstance);
-  const auto registered = entry == nullptr ? std::nullopt : entry->member;
+  auto registered = entry == nullptr ? std::nullopt : entry->member;
   if (host == mHosts.end() || !host->second.report) {
     return registered;
   }
--- a/src/base/internal/log.cpp
+++ b/src/base/internal/log.cpp
@@ -1,7 +1,10 @@
 #include "base/log.h"
 
+#include "base/logwriter.h"
+
 #include <easylogging++.h>
 #include <fmt/format.h>
+#include <memory>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -27,6 +30,40 @@
   aLine += '"';
 }
 
+/// Lowest level that is written.
+log_level&
+Lowest()
+{
+  static log_level lowest = log_level::debug;
+  return lowest;
+}
+
+std::unique_ptr<log_writer>&
+Writer()
+{
+  static std::unique_ptr<log_writer> writer;
+  return writer;
+}
+
+void
+Put(log_level aLevel, const std::string& aLine)
+{
+  switch (aLevel) {
+    case log_level::debug:
+      LOG(DEBUG) << aLine;
+      break;
+    case log_level::info:
+      LOG(INFO) << aLine;
+      break;
+    case log_level::warning:
+      LOG(WARNING) << aLine;
+      break;
+    case log_level::error:
+      LOG(ERROR) << aLine;
+      break;
+  }
+}
+
 void
 Enable(el::Configurations& aConfiguration, el::Level aLevel, bool aOn)
 {
@@ -38,6 +75,7 @@
 void
 StartLog(std::string_view aProcess, log_level aLowest)
 {
+  Lowest() = aLowest;
   el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
   el::Configurations configuration;
   configuration.setToDefault();
@@ -69,23 +107,35 @@
   return line;
 }
 
+void
+StartLogThread(std::size_t aCapacity)
+{
+  Writer() = std::make_unique<log_writer>(Put, aCapacity);
+}
+
+void
+StopLogThread()
+{
+  Writer().reset();
+}
+
+std::uint64_t
+DroppedLogLines()
+{
+  return Writer() ? Writer()->Dropped() : 0;
+}
+
 void
 WriteLog(const log_event& aEvent, std::initializer_list<log_field> aFields)
 {
-  const std::string line = FormatLog(aEvent, aFields);
-  switch (aEvent.level) {
-    case log_level::debug:
-      LOG(DEBUG) << line;
-      break;
-    case log_level::info:
-      LOG(INFO) << line;
-      break;
-    case log_level::warning:
-      LOG(WARNING) << line;
-      break;
-    case log_level::error:
-      LOG(ERROR) << line;
-      break;
+  if (aEvent.level < Lowest()) {
+    return;
+  }
+  std::string line = FormatLog(aEvent, aFields);
+  if (Writer()) {
+    Writer()->Write(aEvent.level, std::move(line));
+  } else {
+    Put(aEvent.level, line);
   }
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -29,10 +31,23 @@
   std::string value;
 };
 
-/// Sets up logging to standard error; aProcess names the process in each line. Call once, first.
+/// Sets up logging to standard output; aProcess names the process in each line. Call once, first.
 void
 StartLog(std::string_view aProcess, log_level aLowest);
 
+/// Lets a thread of its own write all further lines, at most aCapacity of which wait; whoever logs
+/// never waits. Call StopLogThread() before the end of the process.
+void
+StartLogThread(std::size_t aCapacity);
+
+/// Writes what waits and ends the thread.
+void
+StopLogThread();
+
+/// Lines that were dropped because the thread could not keep up.
+std::uint64_t
+DroppedLogLines();
+
 /// Writes one line `event=NUMBER name=NAME key=value ...`; values with spaces are quoted.
 void
 WriteLog(const log_event& aEvent, std::initializer_list<log_field> aFields);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -14,7 +14,6 @@
 constexpr log_event kReadinessChanged{ 8006, "readiness_changed", log_level::info };
 constexpr log_event kConfigurationInForce{ 8010, "configuration_in_force", log_level::info };
 constexpr log_event kConfigurationRejected{ 8011, "configuration_rejected", log_level::error };
-constexpr log_event kInstancesChanged{ 8012, "instances_changed", log_level::info };
 constexpr log_event kEntrySkipped{ 8013, "entry_skipped", log_level::warning };
 constexpr log_event kStoreLost{ 8014, "store_lost", log_level::warning };
 constexpr log_event kStoreRegained{ 8015, "store_regained", log_level::info };
@@ -45,7 +44,6 @@
                                             kReadinessChanged,
                                             kConfigurationInForce,
                                             kConfigurationRejected,
-                                            kInstancesChanged,
                                             kEntrySkipped,
                                             kStoreLost,
                                             kStoreRegained,
@@ -64,6 +62,7 @@
                                             kLeaseWriteFailed,
                                             kGroupDecided,
                                             kOrderGiven,
-                                            kReportNotUnderstood };
+                                            kReportNotUnderstood,
+                                            kInstancesIdle };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -392,6 +392,7 @@
   const time_point now = mContext.Now();
   mContext.gateways = mMesh.LiveCount();
   mProber.Recheck();
+  mMetrics.Set(kLogLinesLost, static_cast<double>(DroppedLogLines()));
   mMetrics.Set(kPeers, static_cast<double>(mContext.gateways));
   mMetrics.Set(
     kGroups, static_cast<double>(mBoard.ServingGroups(now).size()), { { "state", "serving" } });
