--- a/src/gateway/instancekeeper.h
+++ b/src/gateway/instancekeeper.h
@@ -4,7 +4,7 @@
 #include "base/ids.h"
 #include "fleet/fleetview.h"
 
-#include <map>
+#include <set>
 #include <vector>
 
 namespace persimmon::gateway {
@@ -20,20 +20,22 @@
   {
   }
 
-  /// Takes a whole list. After an outage, instances that are missing get a grace time.
-  void Replace(const std::vector<fleet::instance>& aList, bool aAfterOutage, time_point aNow);
+  /// The store answers again, or for the first time.
+  void StoreReturned(time_point aNow);
+  /// Takes a whole list.
+  void Replace(const std::vector<fleet::instance>& aList, time_point aNow);
   void Put(const fleet::instance& aInstance);
-  /// The store removed an entry; with aInOutage it had been away just before.
-  void Remove(const instance_id& aId, bool aInOutage, time_point aNow);
+  /// The store has no entry of this instance any more.
+  void Remove(const instance_id& aId, time_point aNow);
   /// Removes what has not come back in time; true when something was removed.
   bool Expire(time_point aNow);
 
 private:
-  void Lapse(const instance_id& aId, time_point aNow);
-
   fleet::fleet_view& mView;
-  /// Instances whose entry is gone, with the time at which they are given up.
-  std::map<instance_id, time_point> mLapsed;
+  /// Entries that vanish before this time may have lapsed while the store was away.
+  time_point mKeepUntil{ INT64_MIN / 2 };
+  /// Instances whose entry is gone and that are kept until then.
+  std::set<instance_id> mLapsed;
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -17,8 +17,6 @@
 constexpr duration kDrainPoll = 20_ms;
 /// Answers that were handed to connections still leave in this time.
 constexpr duration kLastAnswers = 150_ms;
-/// Entries that vanish this soon after the store's return lapsed while it was away.
-constexpr duration kAfterOutage = 2_s;
 /// Paces beyond this make no difference.
 constexpr double kHighestPace = 100;
 /// Name of the configuration among the mesh's documents.
@@ -131,7 +129,7 @@
 gateway_process<Dialect>::StartWatches()
 {
   watch_handlers onConfig;
-  onConfig.onList = [this](const platform::object_list& aList, bool) {
+  onConfig.onList = [this](const platform::object_list& aList) {
     for (const platform::stored_object& one : aList.objects) {
       if (one.key.name == Dialect::kConfigurationName) {
         ApplyConfiguration(one.value, one.version, "store");
@@ -161,31 +159,34 @@
     }
     return instance;
   };
-  const auto lost = std::make_shared<time_point>(time_point{ INT64_MIN / 2 });
   watch_handlers onInstances;
-  onInstances.onList = [this, read, lost](const platform::object_list& aList, bool aAfterOutage) {
+  onInstances.onList = [this, read](const platform::object_list& aList) {
     std::vector<fleet::instance> listed;
     for (const platform::stored_object& one : aList.objects) {
       if (auto instance = read(one.key, one.value)) {
         listed.push_back(std::move(*instance));
       }
     }
-    mInstances.Replace(listed, aAfterOutage, mContext.Now());
+    mInstances.Replace(listed, mContext.Now());
     OnInstances();
   };
-  onInstances.onChanges = [this, read, lost](const platform::object_changes& aChanges) {
+  onInstances.onChanges = [this, read](const platform::object_changes& aChanges) {
     const time_point now = mContext.Now();
     for (const platform::object_change& one : aChanges.changes) {
       auto instance = one.deleted ? std::nullopt : read(one.key, one.value);
       if (instance) {
         mInstances.Put(*instance);
       } else {
-        mInstances.Remove({ one.key.name }, now - *lost < process_limits::kAfterOutage, now);
+        mInstances.Remove({ one.key.name }, now);
       }
     }
     OnInstances();
   };
-  onInstances.onState = [this, lost](bool) { *lost = mContext.Now(); };
+  onInstances.onState = [this](bool aAnswers) {
+    if (aAnswers) {
+      mInstances.StoreReturned(mContext.Now());
+    }
+  };
   mInstanceWatch = std::make_unique<kind_watch<store>>(
     mStore, mCalls, mMetrics, Dialect::kInstanceKind, watch_pace{}, std::move(onInstances));
   mConfigWatch->Start();
--- a/src/gateway/internal/instancekeeper.cpp
+++ b/src/gateway/internal/instancekeeper.cpp
@@ -1,25 +1,22 @@
 #include "gateway/instancekeeper.h"
 
-#include <set>
-
 namespace persimmon::gateway {
 namespace {
 
-/// Entries of living instances are back this soon after the store's return.
-constexpr duration kReturnOfEntries = 2200_ms;
+/// Entries of living instances are back this soon after the store's return. Below the time in
+/// which a leaving instance must get no more calls.
+constexpr duration kReturnOfEntries = 1900_ms;
 
 } // namespace
 
 void
-instance_keeper::Lapse(const instance_id& aId, time_point aNow)
+instance_keeper::StoreReturned(time_point aNow)
 {
-  mLapsed.try_emplace(aId, aNow + kReturnOfEntries);
+  mKeepUntil = aNow + kReturnOfEntries;
 }
 
 void
-instance_keeper::Replace(const std::vector<fleet::instance>& aList,
-                         bool aAfterOutage,
-                         time_point aNow)
+instance_keeper::Replace(const std::vector<fleet::instance>& aList, time_point aNow)
 {
   std::set<instance_id> listed;
   for (const fleet::instance& one : aList) {
@@ -33,7 +30,7 @@
     }
   }
   for (const instance_id& id : missing) {
-    Remove(id, aAfterOutage, aNow);
+    Remove(id, aNow);
   }
 }
 
@@ -45,10 +42,10 @@
 }
 
 void
-instance_keeper::Remove(const instance_id& aId, bool aInOutage, time_point aNow)
+instance_keeper::Remove(const instance_id& aId, time_point aNow)
 {
-  if (aInOutage) {
-    Lapse(aId, aNow);
+  if (aNow < mKeepUntil) {
+    mLapsed.insert(aId);
     return;
   }
   mLapsed.erase(aId);
@@ -58,17 +55,14 @@
 bool
 instance_keeper::Expire(time_point aNow)
 {
-  bool removed = false;
-  for (auto it = mLapsed.begin(); it != mLapsed.end();) {
-    if (it->second > aNow) {
-      ++it;
-      continue;
-    }
-    mView.Remove(it->first);
-    it = mLapsed.erase(it);
-    removed = true;
+  if (aNow < mKeepUntil || mLapsed.empty()) {
+    return false;
+  }
+  for (const instance_id& id : mLapsed) {
+    mView.Remove(id);
   }
-  return removed;
+  mLapsed.clear();
+  return true;
 }
 
 } // namespace persimmon::gateway
--- a/src/gateway/kindwatch.h
+++ b/src/gateway/kindwatch.h
@@ -14,7 +14,7 @@
 struct watch_handlers
 {
   /// All objects of the kind; those that are not among them are gone.
-  std::function<void(const platform::object_list&, bool aAfterOutage)> onList;
+  std::function<void(const platform::object_list&)> onList;
   std::function<void(const platform::object_changes&)> onChanges;
   /// The store answers, or no longer does.
   std::function<void(bool aAnswers)> onState;
@@ -120,7 +120,9 @@
 kind_watch<Store>::Failed(const platform::store_reason& aReason)
 {
   ++mFailures;
-  if (mAnswers || mFailures == 1) {
+  const bool compacted = aReason.code == platform::store_error::compacted;
+  // A store that has dropped its history answers; nothing lapsed.
+  if (!compacted && (mAnswers || mFailures == 1)) {
     mAnswers = false;
     WriteLog(kStoreLost,
              { { "kind", mKind },
@@ -130,7 +132,7 @@
     mHandlers.onState(false);
   }
   const duration pause = std::min(mPace.retry * mFailures, mPace.longestRetry);
-  const bool again = aReason.code == platform::store_error::compacted || !mListed;
+  const bool again = compacted || !mListed;
   Later(again ? mPace.retry : pause, again ? &kind_watch::List : &kind_watch::Watch);
 }
 
@@ -154,7 +156,7 @@
       mAt = aList->asOf;
       mListed = true;
       Answered();
-      mHandlers.onList(*aList, afterOutage);
+      mHandlers.onList(*aList);
       Watch();
     });
 }
--- a/src/gateway/tests/instancekeepertests.cpp
+++ b/src/gateway/tests/instancekeepertests.cpp
@@ -28,25 +28,36 @@
 
 TEST(instance_keeper, RemovedEntryIsGoneAtOnceWhileTheStoreIsWell)
 {
-  keeper.Replace({ Named("a"), Named("b") }, false, now);
-  keeper.Remove({ "a" }, false, now);
+  keeper.Replace({ Named("a"), Named("b") }, now);
+  keeper.Remove({ "a" }, now);
   POINTERS_EQUAL(nullptr, view.Find({ "a" }));
 }
 
 TEST(instance_keeper, EntryThatLapsedInAnOutageIsKeptForAShortTime)
 {
-  keeper.Replace({ Named("a"), Named("b") }, false, now);
-  keeper.Replace({ Named("b") }, true, now);
+  keeper.Replace({ Named("a"), Named("b") }, now);
+  keeper.StoreReturned(now);
+  keeper.Replace({ Named("b") }, now);
   CHECK(view.Find({ "a" }) != nullptr);
-  CHECK_FALSE(keeper.Expire(now + 2_s));
-  CHECK(keeper.Expire(now + 3_s));
+  CHECK_FALSE(keeper.Expire(now + 1_s));
+  CHECK(keeper.Expire(now + 2_s));
+  POINTERS_EQUAL(nullptr, view.Find({ "a" }));
+}
+
+TEST(instance_keeper, EntryThatGoesSoonAfterTheReturnIsNotKeptLongerThanALeavingOneMayBe)
+{
+  keeper.Replace({ Named("a") }, now);
+  keeper.StoreReturned(now);
+  keeper.Remove({ "a" }, now + 1800_ms);
+  CHECK(keeper.Expire(now + 2_s));
   POINTERS_EQUAL(nullptr, view.Find({ "a" }));
 }
 
 TEST(instance_keeper, EntryThatComesBackStays)
 {
-  keeper.Replace({ Named("a") }, false, now);
-  keeper.Remove({ "a" }, true, now);
+  keeper.Replace({ Named("a") }, now);
+  keeper.StoreReturned(now);
+  keeper.Remove({ "a" }, now);
   keeper.Put(Named("a"));
   CHECK_FALSE(keeper.Expire(now + 10_s));
   CHECK(view.Find({ "a" }) != nullptr);
@@ -54,7 +65,7 @@
 
 TEST(instance_keeper, ListWithoutAnOutageDropsWhatIsMissing)
 {
-  keeper.Replace({ Named("a"), Named("b") }, false, now);
-  keeper.Replace({ Named("b") }, false, now);
+  keeper.Replace({ Named("a"), Named("b") }, now);
+  keeper.Replace({ Named("b") }, now);
   POINTERS_EQUAL(nullptr, view.Find({ "a" }));
 }
