--- a/src/gateway/kindwatch.h
+++ b/src/gateway/kindwatch.h
@@ -152,7 +152,6 @@
         Failed(aReason);
         return;
       }
-      const bool afterOutage = !mAnswers && mListed;
       mAt = aList->asOf;
       mListed = true;
       Answered();
