--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -11,7 +11,7 @@
 struct assembly_options
 {
   /// How often an instance is asked for its state, in a group and while one forms.
-  duration askInterval{ 700 };
+  duration askInterval{ 450 };
   duration askIntervalForming{ 150 };
   /// Pause before an instance that did not answer is asked again.
   duration askAgain{ 60 };
--- a/src/assembly/tests/assemblertests.cpp
+++ b/src/assembly/tests/assemblertests.cpp
@@ -61,6 +61,20 @@
   CHECK(rig.engines.broken.empty());
 }
 
+TEST(assembler, AnswersLostOnALossyLinkEndNoGroup)
+{
+  Start(2, 10);
+  rig.given.clear();
+  for (int i = 0; i < 20; ++i) {
+    engine_sim::host* member = rig.Member(i % 2 == 0);
+    member->reachable = false;
+    rig.Run(100_ms);
+    member->reachable = true;
+    rig.Run(900_ms);
+  }
+  UNSIGNED_LONGS_EQUAL(0, Count(order_kind::leave));
+}
+
 TEST(assembler, SurvivorsOfAHeadThatLivesUnseenLeaveBeforeTheyJoin)
 {
   Start(1, 10);
--- a/src/gateway/internal/exchangecourse.h
+++ b/src/gateway/internal/exchangecourse.h
@@ -8,7 +8,7 @@
 /// An upstream's own answer at the deadline is waited for this long.
 constexpr duration kDeadlineGrace = 80_ms;
 /// Silence between events after which the group is asked for its state.
-constexpr duration kSilence = 280_ms;
+constexpr duration kSilence = 230_ms;
 /// Wait for a first event after which the group is asked for its state.
 constexpr duration kFirstSilence = 700_ms;
 /// A stream that was heard later than this does not follow its group's loss.
