Assembly: one way to make an order, to find an instance's formation, to count load tokens

Behaviour unchanged. Removed beside it: a hash of every call's body that nothing read, and a measure that nothing called; free instances are looked for once in a quiet step instead of four times.

--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -61,7 +61,7 @@
 
   // Keeping up with what instances say.
   void UpdateHosts(const fleet::fleet_view& aFleet, time_point aNow);
-  void Ask(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
+  void Ask(time_point aNow, actions& aActions);
   [[nodiscard]] duration AskInterval(const instance_id& aInstance) const;
   [[nodiscard]] bool CutOff(const fleet::fleet_view& aFleet) const;
   void Adopt(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
@@ -108,7 +108,8 @@
   [[nodiscard]] std::optional<fleet::membership> MembershipOf(
     const instance_id& aInstance,
     const fleet::fleet_view& aFleet) const;
-  [[nodiscard]] bool IsIn(const formation& aFormation,
+  [[nodiscard]] bool IsIn(const group_id& aGroup,
+                          generation aEpoch,
                           const instance_id& aInstance,
                           const fleet::fleet_view& aFleet) const;
 
@@ -159,6 +160,8 @@
   [[nodiscard]] double WantedPart(const routes::model_name& aModel) const;
   [[nodiscard]] std::size_t RunningLoads(time_point aNow) const;
   [[nodiscard]] bool MayLoad(std::size_t aCount, time_point aNow) const;
+  /// Loads that the rate allows at once, of which aCount are wanted together.
+  [[nodiscard]] double LoadTokens(std::size_t aCount, time_point aNow) const;
   void CountLoads(std::size_t aCount, time_point aNow);
 
   void Give(engine_order aOrder, time_point aNow, actions& aActions);
@@ -167,6 +170,8 @@
             const std::string& aCause,
             actions& aActions) const;
   formation* Find(const group_id& aGroup, generation aEpoch);
+  /// Returns the formation that an instance is a member of; nullptr when there is none.
+  [[nodiscard]] const formation* FormationOf(const instance_id& aInstance) const;
 
   routes::service_profile mService;
   assembly_options mOptions;
--- a/src/assembly/internal/assembler.cpp
+++ b/src/assembly/internal/assembler.cpp
@@ -55,6 +55,19 @@
   return found == mFormations.end() ? nullptr : &*found;
 }
 
+const formation*
+assembler::FormationOf(const instance_id& aInstance) const
+{
+  for (const formation& one : mFormations) {
+    for (const formation_member& member : one.members) {
+      if (member.instance == aInstance) {
+        return &one;
+      }
+    }
+  }
+  return nullptr;
+}
+
 bool
 assembler::IsLost(const instance_id& aInstance) const
 {
@@ -75,7 +88,7 @@
   }
   UpdateHosts(aFleet, aNow);
   Adopt(aFleet, aNow, wanted);
-  Ask(aFleet, aNow, wanted);
+  Ask(aNow, wanted);
   if (!CutOff(aFleet)) {
     for (formation& one : mFormations) {
       Advance(one, aFleet, aNow, wanted);
@@ -104,33 +117,20 @@
     }
   }
   std::erase_if(mHosts, [&](const auto& aEntry) {
-    const bool used = std::any_of(mFormations.begin(), mFormations.end(), [&](const auto& aOne) {
-      return std::any_of(aOne.members.begin(), aOne.members.end(), [&](const auto& aMember) {
-        return aMember.instance == aEntry.first;
-      });
-    });
-    return !used && aFleet.Find(aEntry.first) == nullptr;
+    return FormationOf(aEntry.first) == nullptr && aFleet.Find(aEntry.first) == nullptr;
   });
 }
 
 duration
 assembler::AskInterval(const instance_id& aInstance) const
 {
-  for (const formation& one : mFormations) {
-    const bool settled = one.at == formation::stage::serving;
-    const bool member =
-      std::any_of(one.members.begin(), one.members.end(), [&](const formation_member& aMember) {
-        return aMember.instance == aInstance;
-      });
-    if (member) {
-      return settled ? mOptions.askInterval : mOptions.askIntervalForming;
-    }
-  }
-  return mOptions.askInterval;
+  const formation* its = FormationOf(aInstance);
+  const bool settled = its == nullptr || its->at == formation::stage::serving;
+  return settled ? mOptions.askInterval : mOptions.askIntervalForming;
 }
 
 void
-assembler::Ask(const fleet::fleet_view&, time_point aNow, actions& aActions)
+assembler::Ask(time_point aNow, actions& aActions)
 {
   for (auto& [id, host] : mHosts) {
     if (!host.asked && host.askAt <= aNow) {
@@ -225,14 +225,12 @@
     std::all_of(aGroup.members.begin(), aGroup.members.end(), [&](const instance_id& aId) {
       const auto found = mHosts.find(aId);
       return found != mHosts.end() && found->second.answeredAt > mLeadsSince &&
-             IsIn(formation{ aGroup.id, aGroup.epoch, {}, {}, {}, {}, {}, {} }, aId, aFleet);
+             IsIn(aGroup.id, aGroup.epoch, aId, aFleet);
     });
-  const bool taken = std::any_of(mFormations.begin(), mFormations.end(), [&](const auto& aOne) {
-    return std::any_of(aOne.members.begin(), aOne.members.end(), [&](const auto& aMember) {
-      return std::find(aGroup.members.begin(), aGroup.members.end(), aMember.instance) !=
-             aGroup.members.end();
+  const bool taken =
+    std::any_of(aGroup.members.begin(), aGroup.members.end(), [this](const instance_id& aId) {
+      return FormationOf(aId) != nullptr;
     });
-  });
   const bool waited = aNow - mLeadsSince > mOptions.adoptionGrace;
   if (taken || (!aGroup.whole && !waited) || (!fresh && !waited)) {
     return;
--- a/src/assembly/internal/formationcourse.cpp
+++ b/src/assembly/internal/formationcourse.cpp
@@ -26,6 +26,18 @@
   return aOutcome == order_outcome::begun || aOutcome == order_outcome::done;
 }
 
+/// Returns an order about a formation to one of its members.
+engine_order
+OrderTo(const formation& aFormation, const instance_id& aMember, order_kind aKind)
+{
+  engine_order order;
+  order.kind = aKind;
+  order.instance = aMember;
+  order.group = aFormation.id;
+  order.epoch = aFormation.epoch;
+  return order;
+}
+
 } // namespace
 
 std::optional<fleet::membership>
@@ -45,12 +57,13 @@
 }
 
 bool
-assembler::IsIn(const formation& aFormation,
+assembler::IsIn(const group_id& aGroup,
+                generation aEpoch,
                 const instance_id& aInstance,
                 const fleet::fleet_view& aFleet) const
 {
   const auto member = MembershipOf(aInstance, aFleet);
-  return member && member->group == aFormation.id && member->epoch == aFormation.epoch;
+  return member && member->group == aGroup && member->epoch == aEpoch;
 }
 
 std::string
@@ -71,7 +84,7 @@
   }
   const bool settled =
     aMember.accepted && aMember.askedAt && host.answeredAt > *aMember.askedAt + kOrderSettle;
-  if (settled && !IsIn(aFormation, aMember.instance, aFleet)) {
+  if (settled && !IsIn(aFormation.id, aFormation.epoch, aMember.instance, aFleet)) {
     return "left " + aMember.instance.value;
   }
   return {};
@@ -127,18 +140,14 @@
   bool ready = true;
   for (formation_member& member : aFormation.members) {
     const auto membership = MembershipOf(member.instance, aFleet);
-    if (IsIn(aFormation, member.instance, aFleet)) {
+    if (IsIn(aFormation.id, aFormation.epoch, member.instance, aFleet)) {
       member.accepted = true;
       member.wasReady = membership->phase != fleet::member_phase::joining;
     }
     ready = ready && member.wasReady;
     if (!member.accepted && Due(member.askedAt, mOptions.orderAgain, aNow)) {
       member.askedAt = aNow;
-      engine_order order;
-      order.kind = order_kind::join;
-      order.instance = member.instance;
-      order.group = aFormation.id;
-      order.epoch = aFormation.epoch;
+      engine_order order = OrderTo(aFormation, member.instance, order_kind::join);
       order.model = aFormation.model;
       for (const formation_member& one : aFormation.members) {
         order.members.push_back(one.instance);
@@ -194,12 +203,7 @@
   }
   if (Due(aFormation.openAskedAt, mOptions.orderAgain, aNow)) {
     aFormation.openAskedAt = aNow;
-    engine_order order;
-    order.kind = order_kind::open;
-    order.instance = head;
-    order.group = aFormation.id;
-    order.epoch = aFormation.epoch;
-    Give(std::move(order), aNow, aActions);
+    Give(OrderTo(aFormation, head, order_kind::open), aNow, aActions);
   }
 }
 
@@ -211,7 +215,8 @@
 {
   const instance_id head = aFormation.Head().instance;
   const auto membership = MembershipOf(head, aFleet);
-  const bool closed = aFormation.closeAskedAt && IsIn(aFormation, head, aFleet) &&
+  const bool closed = aFormation.closeAskedAt &&
+                      IsIn(aFormation.id, aFormation.epoch, head, aFleet) &&
                       membership->phase == fleet::member_phase::ready;
   if (closed) {
     Free(aFormation, "closed", aNow, aActions);
@@ -227,12 +232,7 @@
   }
   if (Due(aFormation.closeAskedAt, mOptions.orderAgain * 2, aNow)) {
     aFormation.closeAskedAt = aNow;
-    engine_order order;
-    order.kind = order_kind::close;
-    order.instance = head;
-    order.group = aFormation.id;
-    order.epoch = aFormation.epoch;
-    Give(std::move(order), aNow, aActions);
+    Give(OrderTo(aFormation, head, order_kind::close), aNow, aActions);
   }
 }
 
@@ -249,7 +249,7 @@
     return true;
   }
   const bool answered = host->second.misses == 0 && host->second.answeredAt > aFormation.since;
-  return answered && !IsIn(aFormation, aMember.instance, aFleet);
+  return answered && !IsIn(aFormation.id, aFormation.epoch, aMember.instance, aFleet);
 }
 
 void
@@ -282,12 +282,7 @@
       continue;
     }
     member.leaveAskedAt = aNow;
-    engine_order order;
-    order.kind = order_kind::leave;
-    order.instance = member.instance;
-    order.group = aFormation.id;
-    order.epoch = aFormation.epoch;
-    Give(std::move(order), aNow, aActions);
+    Give(OrderTo(aFormation, member.instance, order_kind::leave), aNow, aActions);
   }
   if (!anyKnown && aNow - aFormation.since > kForgetTime) {
     Free(aFormation, "all members gone", aNow, aActions);
--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -46,12 +46,7 @@
     const host_record& host = found->second;
     const bool present = host.misses == 0 && host.answeredAt > mLeadsSince &&
                          aNow - host.answeredAt < kFreshAnswer && host.life == one->life;
-    const bool used = std::any_of(mFormations.begin(), mFormations.end(), [&](const auto& aOne) {
-      return std::any_of(aOne.members.begin(), aOne.members.end(), [&](const auto& aMember) {
-        return aMember.instance == one->id;
-      });
-    });
-    if (present && !used && host.heldUntil <= aNow) {
+    if (present && FormationOf(one->id) == nullptr && host.heldUntil <= aNow) {
       free.push_back(one);
     }
   }
@@ -119,28 +114,29 @@
   return running;
 }
 
-bool
-assembler::MayLoad(std::size_t aCount, time_point aNow) const
+double
+assembler::LoadTokens(std::size_t aCount, time_point aNow) const
 {
-  const routes::engine_profile& engine = *mService.engine;
   const double elapsed = static_cast<double>((aNow - mLoadTokensAt).ms) / 1000;
   const double capacity = std::max(mOptions.loadBurst, static_cast<double>(aCount));
-  const double tokens =
-    std::min(capacity, mLoadTokens + std::max(elapsed, 0.0) * engine.loadsPerSecond);
+  return std::min(capacity, mLoadTokens + std::max(elapsed, 0.0) * mService.engine->loadsPerSecond);
+}
+
+bool
+assembler::MayLoad(std::size_t aCount, time_point aNow) const
+{
+  // Before callers come, loads are bounded by nothing.
   if (mDemand.empty()) {
     return true;
   }
-  return tokens >= static_cast<double>(aCount) && RunningLoads(aNow) < engine.concurrentLoads;
+  return LoadTokens(aCount, aNow) >= static_cast<double>(aCount) &&
+         RunningLoads(aNow) < mService.engine->concurrentLoads;
 }
 
 void
 assembler::CountLoads(std::size_t aCount, time_point aNow)
 {
-  const double elapsed = static_cast<double>((aNow - mLoadTokensAt).ms) / 1000;
-  const double capacity = std::max(mOptions.loadBurst, static_cast<double>(aCount));
-  mLoadTokens =
-    std::min(capacity, mLoadTokens + std::max(elapsed, 0.0) * mService.engine->loadsPerSecond) -
-    static_cast<double>(aCount);
+  mLoadTokens = LoadTokens(aCount, aNow) - static_cast<double>(aCount);
   mLoadTokensAt = aNow;
 }
 
@@ -154,15 +150,18 @@
       host.staging = {};
     }
   }
-  while (FormWarm(FreeInstances(aFleet, aNow), aNow, aActions)) {
+  free_list free = FreeInstances(aFleet, aNow);
+  while (FormWarm(free, aNow, aActions)) {
+    free = FreeInstances(aFleet, aNow);
   }
   if (Settled(aNow)) {
     AssignHomes(aFleet);
-    while (FormCold(FreeInstances(aFleet, aNow), aNow, aActions)) {
+    while (FormCold(free, aNow, aActions)) {
+      free = FreeInstances(aFleet, aNow);
     }
-    StageIdle(FreeInstances(aFleet, aNow), aNow, aActions);
+    StageIdle(free, aNow, aActions);
   }
-  NoteIdle(FreeInstances(aFleet, aNow), aNow, aActions);
+  NoteIdle(free, aNow, aActions);
 }
 
 bool
--- a/src/dispatch/callfacts.h
+++ b/src/dispatch/callfacts.h
@@ -34,8 +34,6 @@
   /// Longest pause between events that is still on time.
   duration gapTarget;
   std::uint32_t maxAttempts = 1;
-  /// The same for repeats of the call through any router.
-  std::uint64_t fingerprint = 0;
 };
 
 } // namespace persimmon::dispatch
--- a/src/dispatch/internal/upstreamboard.cpp
+++ b/src/dispatch/internal/upstreamboard.cpp
@@ -310,34 +310,6 @@
   return Choose(any, aNow).has_value();
 }
 
-double
-upstream_board::Occupancy(const service_name& aService,
-                          const routes::model_name& aModel,
-                          time_point aNow) const
-{
-  double places = 0;
-  double taken = 0;
-  const auto add = [&](const instance_id& aId, std::size_t aSlots) {
-    places += static_cast<double>(aSlots);
-    taken += EstimatedCalls(aId, aNow);
-  };
-  const routes::service_profile* service = mRoutes ? mRoutes->FindService(aService) : nullptr;
-  if (service != nullptr && service->engine) {
-    for (const fleet::engine_group& group : mGroups) {
-      if (group.service == aService && group.model == aModel && MayTake(group, aNow)) {
-        add(group.Head(), service->engine->slots);
-      }
-    }
-  } else {
-    for (const fleet::instance* one : mFleet.OfService(aService)) {
-      if (MayTake(*one, aNow)) {
-        add(one->id, one->slots);
-      }
-    }
-  }
-  return places > 0 ? taken / places : 1;
-}
-
 std::vector<fleet::engine_group>
 upstream_board::ServingGroups(time_point aNow) const
 {
--- a/src/dispatch/upstreamboard.h
+++ b/src/dispatch/upstreamboard.h
@@ -37,10 +37,6 @@
   [[nodiscard]] bool Serves(const service_name& aService,
                             const routes::model_name& aModel,
                             time_point aNow) const;
-  /// Part of the places of the upstreams that are taken, 0 to 1 and above.
-  [[nodiscard]] double Occupancy(const service_name& aService,
-                                 const routes::model_name& aModel,
-                                 time_point aNow) const;
   [[nodiscard]] std::vector<fleet::engine_group> ServingGroups(time_point aNow) const;
   /// Returns the group whose head an instance is; nullptr when it is none.
   [[nodiscard]] const fleet::engine_group* GroupOfHead(const instance_id& aHead) const;
--- a/src/gateway/callfront.h
+++ b/src/gateway/callfront.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/hash.h"
 #include "entry/responder.h"
 #include "entry/serverrequest.h"
 #include "gateway/exchange.h"
@@ -36,8 +35,7 @@
 
   [[nodiscard]] admission Admit(const entry::server_request& aRequest,
                                 const caller_call& aCall) const;
-  [[nodiscard]] dispatch::call_facts MakeFacts(const entry::server_request& aRequest,
-                                               const caller_call& aCall,
+  [[nodiscard]] dispatch::call_facts MakeFacts(const caller_call& aCall,
                                                const admission& aAdmission);
   void Refuse(const caller_call& aCall, const admission& aWhy, entry::responder& aResponder);
 
@@ -89,9 +87,7 @@
 
 template<gateway_dialect Dialect>
 dispatch::call_facts
-call_front<Dialect>::MakeFacts(const entry::server_request& aRequest,
-                               const caller_call& aCall,
-                               const admission& aAdmission)
+call_front<Dialect>::MakeFacts(const caller_call& aCall, const admission& aAdmission)
 {
   const routes::route& route = *aAdmission.route;
   const time_point now = mContext.Now();
@@ -112,8 +108,6 @@
   facts.latencyTarget = route.latencyTarget;
   facts.gapTarget = route.gapTarget;
   facts.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
-  facts.fingerprint =
-    HashText(aRequest.body, HashText(aRequest.target + aAdmission.customer.value));
   return facts;
 }
 
@@ -151,7 +145,7 @@
     Refuse(call, admitted, *aResponder);
     return;
   }
-  dispatch::call_facts facts = MakeFacts(aRequest, call, admitted);
+  dispatch::call_facts facts = MakeFacts(call, admitted);
   const routes::service_profile* service = mContext.board.Routes()->FindService(facts.service);
   if (service != nullptr && service->engine) {
     mContext.demand.Note(
