--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -4,6 +4,7 @@
 #include "assembly/assemblyoptions.h"
 #include "assembly/formation.h"
 #include "assembly/hostrecord.h"
+#include "assembly/modelhomes.h"
 #include "assembly/orderoutcome.h"
 #include "base/clock.h"
 #include "fleet/fleetview.h"
@@ -137,9 +138,10 @@
   void NoteIdle(const std::vector<const fleet::instance*>& aFree,
                 time_point aNow,
                 actions& aActions);
-  /// Gives each new domain the model that most of its instances hold, or else the one that lacks
-  /// instances most. Domains of one model mend their groups out of their own survivors.
-  void AssignHomes(const fleet::fleet_view& aFleet);
+  /// Divides the domains among the models again when instances have come.
+  void DivideDomains(const fleet::fleet_view& aFleet, time_point aNow);
+  /// Returns the model that an instance loads or is about to; empty when it is none.
+  [[nodiscard]] routes::model_name Loading(const instance_id& aInstance) const;
   /// Returns the model of a domain; nullptr when models share domains.
   [[nodiscard]] const routes::model_profile* HomeOf(const domain_name& aDomain) const;
   /// The first instances have all been seen, so that domains can be divided well.
@@ -189,7 +191,8 @@
   /// Groups that have ended; members that still report them are free.
   std::set<std::pair<group_id, generation>> mEnded;
   std::map<order_id, given_order> mGiven;
-  std::map<domain_name, routes::model_name> mHomes;
+  model_homes mHomes;
+  time_point mDividedAt{ INT64_MIN / 2 };
   std::map<routes::model_name, double> mDemand;
   double mLoadTokens = 0;
   time_point mLoadTokensAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/assembler.cpp
+++ b/src/assembly/internal/assembler.cpp
@@ -33,7 +33,8 @@
   mHosts.clear();
   mFormations.clear();
   mEnded.clear();
-  mHomes.clear();
+  mHomes.Clear();
+  mDividedAt = { INT64_MIN / 2 };
   mGiven.clear();
 }
 
@@ -125,8 +126,17 @@
 assembler::AskInterval(const instance_id& aInstance) const
 {
   const formation* its = FormationOf(aInstance);
-  const bool settled = its == nullptr || its->at == formation::stage::serving;
-  return settled ? mOptions.askInterval : mOptions.askIntervalForming;
+  if (its == nullptr) {
+    return mOptions.askInterval;
+  }
+  if (its->at != formation::stage::serving) {
+    return mOptions.askIntervalForming;
+  }
+  const bool isHead = its->Head().instance == aInstance;
+  const auto heads = static_cast<double>(mFormations.size());
+  const double asked = isHead ? heads : static_cast<double>(mHosts.size()) - heads;
+  const duration spread{ static_cast<std::int64_t>(1000 * asked / mOptions.questionsPerSecond) };
+  return std::clamp(spread, mOptions.askInterval, mOptions.longestAskInterval);
 }
 
 void
--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -155,7 +155,7 @@
     free = FreeInstances(aFleet, aNow);
   }
   if (Settled(aNow)) {
-    AssignHomes(aFleet);
+    DivideDomains(aFleet, aNow);
     while (FormCold(free, aNow, aActions)) {
       free = FreeInstances(aFleet, aNow);
     }
@@ -167,7 +167,8 @@
 bool
 assembler::Settled(time_point aNow) const
 {
-  return aNow - mLastNewHost >= mOptions.settleTime || aNow - mLeadsSince >= mOptions.longestSettle;
+  const duration longest = mDemand.empty() ? mOptions.longestSettleAtStart : mOptions.longestSettle;
+  return aNow - mLastNewHost >= mOptions.settleTime || aNow - mLeadsSince >= longest;
 }
 
 void
@@ -233,53 +234,47 @@
   return true;
 }
 
+routes::model_name
+assembler::Loading(const instance_id& aInstance) const
+{
+  const host_record& host = mHosts.at(aInstance);
+  const formation* its = host.staging.Empty() ? FormationOf(aInstance) : nullptr;
+  return its == nullptr ? host.staging : its->model;
+}
+
 void
-assembler::AssignHomes(const fleet::fleet_view& aFleet)
+assembler::DivideDomains(const fleet::fleet_view& aFleet, time_point aNow)
 {
-  const std::map<domain_name, free_list> domains = ByDomain(aFleet.OfService(mService.name));
-  std::map<routes::model_name, double> homed;
-  for (const auto& [domain, model] : mHomes) {
-    const auto found = domains.find(domain);
-    homed[model] += found == domains.end() ? 0 : static_cast<double>(found->second.size());
+  if (mDividedAt >= mLastNewHost) {
+    return;
   }
-  for (const auto& [domain, instances] : domains) {
-    if (mHomes.count(domain) != 0) {
-      continue;
-    }
-    const routes::model_profile* chosen = nullptr;
-    double most = 0;
-    for (const routes::model_profile& model : mService.engine->models) {
-      double held = 0;
-      for (const fleet::instance* one : instances) {
-        held += Holds(*one, model.name) ? 1 : 0;
-      }
-      // What instances hold already decides; a new domain goes to the model that lacks most.
-      const double lacking = 1 / (1 + homed[model.name] / std::max(WantedPart(model.name), 1e-6));
-      const double worth = held + lacking;
-      if (instances.size() >= model.size && (chosen == nullptr || worth > most)) {
-        chosen = &model;
-        most = worth;
+  mDividedAt = aNow;
+  std::vector<domain_holdings> domains;
+  for (const auto& [domain, instances] : ByDomain(aFleet.OfService(mService.name))) {
+    domain_holdings holdings{ domain, instances.size(), {} };
+    for (const fleet::instance* one : instances) {
+      const routes::model_name loading = Loading(one->id);
+      for (const routes::model_profile& model : mService.engine->models) {
+        holdings.held[model.name] += loading == model.name || Holds(*one, model.name) ? 1 : 0;
       }
     }
-    if (chosen != nullptr) {
-      mHomes[domain] = chosen->name;
-      homed[chosen->name] += static_cast<double>(instances.size());
-    }
+    domains.push_back(std::move(holdings));
   }
+  std::map<routes::model_name, double> wanted;
+  for (const routes::model_profile& model : mService.engine->models) {
+    wanted[model.name] = WantedPart(model.name);
+  }
+  mHomes.Divide(domains, mService.engine->models, wanted);
 }
 
 const routes::model_profile*
 assembler::HomeOf(const domain_name& aDomain) const
 {
-  for (const routes::model_profile& model : mService.engine->models) {
-    const bool homeless = std::none_of(
-      mHomes.begin(), mHomes.end(), [&](const auto& aHome) { return aHome.second == model.name; });
-    if (homeless) {
-      return nullptr;
-    }
+  if (!mHomes.Serves(mService.engine->models)) {
+    return nullptr;
   }
-  const auto found = mHomes.find(aDomain);
-  return found == mHomes.end() ? nullptr : mService.engine->Find(found->second);
+  const routes::model_name* home = mHomes.Of(aDomain);
+  return home == nullptr ? nullptr : mService.engine->Find(*home);
 }
 
 bool
--- a/src/assembly/tests/assemblertests.cpp
+++ b/src/assembly/tests/assemblertests.cpp
@@ -35,6 +35,21 @@
   CHECK(rig.engines.broken.empty());
 }
 
+TEST(assembler, FleetThatRegistersSlowlyIsDividedOnceItIsWhole)
+{
+  rig.leader.Lead({ 1 }, rig.now);
+  for (std::size_t i = 0; i < 10; ++i) {
+    for (std::size_t domain = 0; domain < 4; ++domain) {
+      rig.engines.Add("h" + std::to_string(domain) + "-" + std::to_string(i),
+                      "d" + std::to_string(domain));
+    }
+    rig.Run(400_ms);
+  }
+  rig.Run(8_s);
+  // Two domains hold two groups of four each, the others five pairs each.
+  UNSIGNED_LONGS_EQUAL(14, rig.engines.OpenGroups());
+}
+
 TEST(assembler, DoesNothingWithoutTheLease)
 {
   rig.Fill(2, 10);
@@ -179,3 +194,14 @@
     CHECK(static_cast<double>(within) <= 5 * 5 * 1.1 + 3);
   }
 }
+
+TEST(assembler, QuestionsToALargeFleetKeepToARate)
+{
+  Start(30, 18);
+  rig.questions = 0;
+  rig.Run(10_s);
+  // The instances without a group are asked as often as in a small fleet.
+  const double idle = static_cast<double>(30 * 18 - rig.engines.Members()) * 1000 / 450;
+  CHECK(static_cast<double>(rig.questions) / 10 < 1.6 * (300 + idle));
+  CHECK(rig.questions > 10 * 18 * 30 / 2);
+}
--- a/src/assembly/tests/mocks/assemblyrig.h
+++ b/src/assembly/tests/mocks/assemblyrig.h
@@ -18,6 +18,8 @@
   /// Orders that are on their way for long, when held is set.
   std::vector<engine_order> held;
   bool holds = false;
+  /// Questions that were asked.
+  std::size_t questions = 0;
 
   void Fill(std::size_t aDomains, std::size_t aHosts)
   {
@@ -34,6 +36,7 @@
     engines.Advance(now);
     for (const assembly_action& action : aWho.Step(engines.View(), now)) {
       if (const auto* ask = std::get_if<ask_report>(&action)) {
+        ++questions;
         aWho.NoteReport(ask->instance, engines.Report(ask->instance), now);
       } else if (const auto* give = std::get_if<give_order>(&action)) {
         given.push_back(give->order);
--- a/src/assembly/tests/mocks/enginesim.h
+++ b/src/assembly/tests/mocks/enginesim.h
@@ -162,6 +162,15 @@
       }));
   }
 
+  /// Instances that are members of a group.
+  [[nodiscard]] std::size_t Members() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(hosts.begin(), hosts.end(), [](const auto& aEntry) {
+        return aEntry.second.self.member.has_value();
+      }));
+  }
+
   routes::service_profile service;
   std::map<instance_id, host> hosts;
   std::vector<std::string> broken;
