--- a/src/dispatch/internal/upstreamboard.cpp
+++ b/src/dispatch/internal/upstreamboard.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/upstreamboard.h"
 
+#include "dispatch/loadspread.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,7 +9,11 @@
 namespace {
 
 /// A report of load counts for this long; afterwards only the own calls do.
-constexpr duration kReportLifetime = 1500_ms;
+constexpr duration kReportLifetime = 3_s;
+/// How old a report is on average when an upstream makes it.
+constexpr duration kReportLag = 200_ms;
+/// Keeps the number of calls finite where one more costs nothing.
+constexpr double kLeastSlopeMs = 0.01;
 /// A failure's weight halves in this time, so that an upstream that recovers is tried again.
 constexpr duration kFailureHalfLife = 2_s;
 /// Weight of the newest outcome in the failure rate.
@@ -240,10 +246,41 @@
   return cost;
 }
 
+double
+upstream_board::SlopeMs(const fleet::engine_group& aGroup) const
+{
+  const routes::engine_profile& engine = *mRoutes->FindService(aGroup.service)->engine;
+  const routes::model_profile* model = engine.Find(aGroup.model);
+  const auto slots = static_cast<double>(std::max<std::size_t>(engine.slots, 1));
+  const double stepMs = 2 * engine.stepPerRequestMs + engine.stepMs / slots;
+  return stepMs * static_cast<double>(engine.stride) * (model == nullptr ? 1 : model->pace);
+}
+
+double
+upstream_board::UnseenCalls(const choice_request& aRequest,
+                            const std::vector<const fleet::engine_group*>& aGroups,
+                            time_point aNow) const
+{
+  const auto rate = mRates.find({ aRequest.service, aRequest.model });
+  if (rate == mRates.end()) {
+    return 0;
+  }
+  double ages = 0;
+  for (const fleet::engine_group* group : aGroups) {
+    const upstream_record* record = Record(group->Head());
+    const duration age = record == nullptr ? kReportLifetime : aNow - record->reportedAt;
+    ages += static_cast<double>(std::min(age, kReportLifetime).ms) / 1000;
+  }
+  const double unseen =
+    ages / static_cast<double>(aGroups.size()) + static_cast<double>(kReportLag.ms) / 1000;
+  return rate->second.PerSecond(aNow) * static_cast<double>(mRouters - 1) * unseen;
+}
+
 std::optional<instance_id>
 upstream_board::ChooseGroup(const choice_request& aRequest, time_point aNow) const
 {
-  std::vector<scored_upstream> scored;
+  std::vector<const fleet::engine_group*> groups;
+  std::vector<double> costs;
   for (const fleet::engine_group& group : mGroups) {
     const bool fits = group.service == aRequest.service && group.model == aRequest.model;
     if (!fits || !MayTake(group, aNow) || IsExcluded(aRequest, group.Head())) {
@@ -256,9 +293,16 @@
     if (aRequest.isolated && EstimatedCalls(group.Head(), aNow) > 0) {
       continue;
     }
-    scored.push_back({ &group.Head(), GroupCostMs(group, aRequest.promptTokens, aNow) });
+    groups.push_back(&group);
+    costs.push_back(GroupCostMs(group, aRequest.promptTokens, aNow));
   }
-  return DrawCheapest(scored, kTieMs, aRequest.draw);
+  if (groups.empty()) {
+    return std::nullopt;
+  }
+  const double slope = SlopeMs(*groups.front());
+  const double calls =
+    std::max(UnseenCalls(aRequest, groups, aNow), kTieMs / std::max(slope, kLeastSlopeMs));
+  return groups[DrawSpread(costs, slope, calls, aRequest.draw)]->Head();
 }
 
 double
@@ -322,6 +366,14 @@
   return serving;
 }
 
+void
+upstream_board::NoteCall(const service_name& aService,
+                         const routes::model_name& aModel,
+                         time_point aNow)
+{
+  mRates[{ aService, aModel }].Note(aNow);
+}
+
 void
 upstream_board::Started(const instance_id& aUpstream, std::uint64_t aPromptTokens)
 {
--- a/src/dispatch/tests/upstreamboardtests.cpp
+++ b/src/dispatch/tests/upstreamboardtests.cpp
@@ -128,3 +128,17 @@
   request.isolated = true;
   CHECK(Chosen(request) == std::set<std::string>{ "head-2" });
 }
+
+TEST(upstream_board, GroupThatLooksIdleToManyRoutersIsNotTheOnlyChoice)
+{
+  rig.board.NoteLoad({ "head-0" }, { 9, 0, 17 }, now);
+  rig.board.NoteLoad({ "head-1" }, { 9, 0, 17 }, now);
+  rig.board.NoteLoad({ "head-2" }, { 0, 0, 17 }, now);
+  CHECK(Chosen(rig.PairRequest()) == std::set<std::string>{ "head-2" });
+  rig.board.SetRouters(60);
+  for (int i = 0; i < 40; ++i) {
+    now = now + 20_ms;
+    rig.board.NoteCall(rig.PairRequest().service, rig.PairRequest().model, now);
+  }
+  UNSIGNED_LONGS_EQUAL(3, Chosen(rig.PairRequest()).size());
+}
--- a/src/dispatch/upstreamboard.h
+++ b/src/dispatch/upstreamboard.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "dispatch/callrate.h"
 #include "dispatch/choicerequest.h"
 #include "dispatch/upstreamrecord.h"
 #include "fleet/fleetview.h"
 #include "routes/routetable.h"
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -29,6 +32,9 @@
   [[nodiscard]] const fleet::fleet_view& Fleet() const { return mFleet; }
   void FleetChanged();
 
+  /// Sets the number of routers that choose from the same news, this one included.
+  void SetRouters(std::size_t aRouters) { mRouters = std::max<std::size_t>(aRouters, 1); }
+
   // Choice.
   /// Returns the upstream that is predicted to answer first, or nothing.
   [[nodiscard]] std::optional<instance_id> Choose(const choice_request& aRequest,
@@ -45,6 +51,8 @@
                                                      generation aEpoch) const;
 
   // What happens to calls.
+  /// A call has come for a service and model.
+  void NoteCall(const service_name& aService, const routes::model_name& aModel, time_point aNow);
   void Started(const instance_id& aUpstream, std::uint64_t aPromptTokens);
   /// Records the first byte of an answer.
   void Answered(const instance_id& aUpstream, std::uint64_t aPromptTokens, time_point aNow);
@@ -79,6 +87,12 @@
                                 time_point aNow) const;
   /// Time that one more call would wait for a place in a group.
   [[nodiscard]] double WaitMs(const fleet::engine_group& aGroup, time_point aNow) const;
+  /// What one more call adds to a group's cost.
+  [[nodiscard]] double SlopeMs(const fleet::engine_group& aGroup) const;
+  /// Calls that other routers give out before news of them comes here.
+  [[nodiscard]] double UnseenCalls(const choice_request& aRequest,
+                                   const std::vector<const fleet::engine_group*>& aGroups,
+                                   time_point aNow) const;
   [[nodiscard]] double PlainCost(const fleet::instance& aUpstream, time_point aNow) const;
   [[nodiscard]] std::optional<instance_id> ChooseGroup(const choice_request& aRequest,
                                                        time_point aNow) const;
@@ -95,6 +109,8 @@
   std::unordered_map<instance_id, std::size_t> mGroupByHead;
   std::unordered_map<instance_id, upstream_record> mRecords;
   std::set<std::pair<group_id, generation>> mBroken;
+  std::size_t mRouters = 1;
+  std::map<std::pair<service_name, routes::model_name>, call_rate> mRates;
 };
 
 } // namespace persimmon::dispatch
