--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,6 +71,8 @@
   /// An upstream's own failure of a call that may run again; true when another upstream takes it.
   bool TryElsewhere(attempt& aAttempt);
 
+  attempt& AddAttempt(const upstream_target& aTarget, time_point aNow);
+  upstream::call_handlers HandlersOf(const attempt& aAttempt);
   /// Ends an attempt and returns its upstream.
   instance_id Drop(attempt& aAttempt, const char* aResult);
   void Answer(int aStatus, std::vector<entry::server_header> aHeaders, std::string aBody);
@@ -101,4 +103,6 @@
 
 } // namespace persimmon::gateway
 
-#include "gateway/internal/exchangecourse.h"
+#include "gateway/internal/exchangeanswers.h"
+#include "gateway/internal/exchangesteps.h"
+#include "gateway/internal/exchangewatch.h"
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -6,10 +6,11 @@
 #include "gateway/dialect.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/groupprober.h"
-#include "gateway/instancekeeper.h"
+#include "gateway/instancefeed.h"
 #include "gateway/kindwatch.h"
 #include "gateway/leasekeeper.h"
 #include "gateway/meshlink.h"
+#include "gateway/watchbatch.h"
 #include "loop/eventloop.h"
 
 #include <future>
@@ -71,7 +72,7 @@
   exchange_registry mExchanges;
   call_front<Dialect> mFront{ mContext, mExchanges };
   store mStore{ mCalls, mSettings.store };
-  instance_keeper mInstances{ mBoard.Fleet() };
+  instance_feed<Dialect> mInstances{ mStore, mCalls, mMetrics, mBoard.Fleet() };
   mesh_link mMesh{ mSettings, mLoop, mMetrics };
   group_prober<Dialect> mProber{ mContext };
   assembly_runner<Dialect> mAssembly{ mContext, mSettings.assembly };
@@ -79,7 +80,6 @@
                               mCalls,
                               lease_rules(mSettings.id, lease_times{}, EntropySeed()) };
   std::unique_ptr<kind_watch<store>> mConfigWatch;
-  std::unique_ptr<kind_watch<store>> mInstanceWatch;
   revision mConfigRevision;
   /// Paces that instances told, while this process asks them.
   std::unordered_map<instance_id, double> mPaces;
--- a/src/gateway/instancekeeper.h
+++ b/src/gateway/instancekeeper.h
@@ -3,15 +3,16 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "fleet/fleetview.h"
+#include "gateway/instancechange.h"
 
-#include <set>
+#include <map>
 #include <vector>
 
 namespace persimmon::gateway {
 
-/// Keeps the registered instances. An entry that lapsed while the store was away may belong to an
-/// instance that lives and could not renew it; it is kept for a short time after the store's
-/// return. Pure but for the view it fills.
+/// Keeps the registered instances from what the store and other gateways tell. An entry that lapsed
+/// while the store was away may belong to an instance that lives and could not renew it; it is kept
+/// for a short time after the store's return. Pure but for the view it fills.
 class instance_keeper
 {
 public:
@@ -22,20 +23,25 @@
 
   /// The store answers again, or for the first time.
   void StoreReturned(time_point aNow);
-  /// Takes a whole list.
-  void Replace(const std::vector<fleet::instance>& aList, time_point aNow);
-  void Put(const fleet::instance& aInstance);
-  /// The store has no entry of this instance any more.
-  void Remove(const instance_id& aId, time_point aNow);
+  /// Takes the store's whole list as of a revision. Returns what is news here.
+  std::vector<instance_change> Replace(const std::vector<instance_change>& aList,
+                                       revision aAsOf,
+                                       time_point aNow);
+  /// Takes one change; false when something as late or later is known.
+  bool Take(const instance_change& aChange, change_source aFrom, time_point aNow);
   /// Removes what has not come back in time; true when something was removed.
   bool Expire(time_point aNow);
 
 private:
+  void Remove(const instance_id& aId, change_source aFrom, time_point aNow);
+
   fleet::fleet_view& mView;
   /// Entries that vanish before this time may have lapsed while the store was away.
   time_point mKeepUntil{ INT64_MIN / 2 };
-  /// Instances whose entry is gone and that are kept until then.
-  std::set<instance_id> mLapsed;
+  /// Instances whose entry is gone, and until when they are kept.
+  std::map<instance_id, time_point> mLapsed;
+  /// Revision of the newest change known of each instance.
+  std::map<instance_id, revision> mKnown;
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -53,6 +53,7 @@
     OnReport(aInstance, aReport);
   };
   mLease.onChange = [this] { OnLease(); };
+  mInstances.onNews = [this](const peers::document_message& aNews) { mMesh.Publish(aNews); };
   mMesh.SetHandler(
     [this](const peers::mesh_message& aMessage, const router_id&) { OnMesh(aMessage); });
 }
@@ -151,46 +152,8 @@
   mConfigWatch = std::make_unique<kind_watch<store>>(
     mStore, mCalls, mMetrics, Dialect::kConfigurationKind, configPace, std::move(onConfig));
 
-  const auto read = [](const platform::object_key& aKey, const std::string& aValue) {
-    json_problem problem;
-    auto instance = Dialect::ReadInstance(aKey.name, aValue, problem);
-    if (!instance) {
-      WriteLog(kEntrySkipped, { { "entry", aKey.name }, { "problem", problem.Text() } });
-    }
-    return instance;
-  };
-  watch_handlers onInstances;
-  onInstances.onList = [this, read](const platform::object_list& aList) {
-    std::vector<fleet::instance> listed;
-    for (const platform::stored_object& one : aList.objects) {
-      if (auto instance = read(one.key, one.value)) {
-        listed.push_back(std::move(*instance));
-      }
-    }
-    mInstances.Replace(listed, mContext.Now());
-    OnInstances();
-  };
-  onInstances.onChanges = [this, read](const platform::object_changes& aChanges) {
-    const time_point now = mContext.Now();
-    for (const platform::object_change& one : aChanges.changes) {
-      auto instance = one.deleted ? std::nullopt : read(one.key, one.value);
-      if (instance) {
-        mInstances.Put(*instance);
-      } else {
-        mInstances.Remove({ one.key.name }, now);
-      }
-    }
-    OnInstances();
-  };
-  onInstances.onState = [this](bool aAnswers) {
-    if (aAnswers) {
-      mInstances.StoreReturned(mContext.Now());
-    }
-  };
-  mInstanceWatch = std::make_unique<kind_watch<store>>(
-    mStore, mCalls, mMetrics, Dialect::kInstanceKind, watch_pace{}, std::move(onInstances));
   mConfigWatch->Start();
-  mInstanceWatch->Start();
+  mInstances.Start();
 }
 
 template<gateway_dialect Dialect>
@@ -267,6 +230,8 @@
   if (const auto* document = std::get_if<peers::document_message>(&aMessage)) {
     if (document->service.value == process_limits::kConfigurationDocument) {
       ApplyConfiguration(document->text, document->version, "peer");
+    } else if (instance_feed<Dialect>::Concerns(*document)) {
+      mInstances.TakeFromPeer(*document);
     }
   } else if (const auto* presence = std::get_if<peers::presence_message>(&aMessage)) {
     OnPresence(*presence);
@@ -376,7 +341,7 @@
 void
 gateway_process<Dialect>::TickOften()
 {
-  if (mInstances.Expire(mContext.Now())) {
+  if (mInstances.TakeChanged()) {
     OnInstances();
   }
   mAssembly.Step();
@@ -392,15 +357,16 @@
 {
   const time_point now = mContext.Now();
   mContext.gateways = mMesh.LiveCount();
+  mBoard.SetRouters(mContext.gateways);
   mProber.Recheck();
   mMetrics.Set(kLogLinesLost, static_cast<double>(DroppedLogLines()));
   mMetrics.Set(kPeers, static_cast<double>(mContext.gateways));
   mMetrics.Set(
     kGroups, static_cast<double>(mBoard.ServingGroups(now).size()), { { "state", "serving" } });
-  if (mInstanceWatch) {
-    const duration age = now - mInstanceWatch->AnsweredAt();
-    mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
-  }
+  // Who forms groups must hear of instances soonest.
+  mInstances.SetBatch(mLease.Holds() ? kShortestBatch : BatchOf(mContext.gateways));
+  const duration age = now - mInstances.AnsweredAt();
+  mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
   for (auto& [service, budget] : mContext.budgets) {
     mMetrics.Set(kRepeatsLeft, budget.Left(now), { { "service", service.value } });
   }
@@ -443,7 +409,7 @@
   Drain();
   OnLoop([this] {
     mConfigWatch->Stop();
-    mInstanceWatch->Stop();
+    mInstances.Stop();
     return 0;
   });
   mMesh.Stop();
--- a/src/gateway/internal/instancekeeper.cpp
+++ b/src/gateway/internal/instancekeeper.cpp
@@ -1,5 +1,8 @@
 #include "gateway/instancekeeper.h"
 
+#include <algorithm>
+#include <set>
+
 namespace persimmon::gateway {
 namespace {
 
@@ -15,37 +18,57 @@
   mKeepUntil = aNow + kReturnOfEntries;
 }
 
-void
-instance_keeper::Replace(const std::vector<fleet::instance>& aList, time_point aNow)
+std::vector<instance_change>
+instance_keeper::Replace(const std::vector<instance_change>& aList, revision aAsOf, time_point aNow)
 {
+  std::vector<instance_change> news;
   std::set<instance_id> listed;
-  for (const fleet::instance& one : aList) {
+  for (const instance_change& one : aList) {
     listed.insert(one.id);
-    Put(one);
+    if (Take(one, change_source::store, aNow)) {
+      news.push_back(one);
+    }
   }
   std::vector<instance_id> missing;
   for (const auto& [id, one] : mView.All()) {
-    if (listed.count(id) == 0) {
+    if (listed.count(id) == 0 && mKnown[id] <= aAsOf) {
       missing.push_back(id);
     }
   }
   for (const instance_id& id : missing) {
-    Remove(id, aNow);
+    Remove(id, change_source::store, aNow);
   }
+  return news;
 }
 
-void
-instance_keeper::Put(const fleet::instance& aInstance)
+bool
+instance_keeper::Take(const instance_change& aChange, change_source aFrom, time_point aNow)
 {
-  mLapsed.erase(aInstance.id);
-  mView.Put(aInstance);
+  const auto [entry, first] = mKnown.try_emplace(aChange.id, aChange.at);
+  if (!first && aChange.at < entry->second) {
+    return false;
+  }
+  const bool news = first || aChange.at > entry->second;
+  if (!news && aFrom == change_source::peer) {
+    return false;
+  }
+  entry->second = aChange.at;
+  if (aChange.entry) {
+    mLapsed.erase(aChange.id);
+    mView.Put(*aChange.entry);
+  } else {
+    Remove(aChange.id, aFrom, aNow);
+  }
+  return news;
 }
 
 void
-instance_keeper::Remove(const instance_id& aId, time_point aNow)
+instance_keeper::Remove(const instance_id& aId, change_source aFrom, time_point aNow)
 {
-  if (aNow < mKeepUntil) {
-    mLapsed.insert(aId);
+  // A peer tells of entries that lapsed in an outage as of any other.
+  const time_point until = aFrom == change_source::peer ? aNow + kReturnOfEntries : mKeepUntil;
+  if (aNow < until) {
+    mLapsed.try_emplace(aId, until);
     return;
   }
   mLapsed.erase(aId);
@@ -55,14 +78,17 @@
 bool
 instance_keeper::Expire(time_point aNow)
 {
-  if (aNow < mKeepUntil || mLapsed.empty()) {
-    return false;
+  std::vector<instance_id> over;
+  for (const auto& [id, until] : mLapsed) {
+    if (until <= aNow) {
+      over.push_back(id);
+    }
   }
-  for (const instance_id& id : mLapsed) {
+  for (const instance_id& id : over) {
+    mLapsed.erase(id);
     mView.Remove(id);
   }
-  mLapsed.clear();
-  return true;
+  return !over.empty();
 }
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/meshlink.cpp
+++ b/src/gateway/internal/meshlink.cpp
@@ -7,6 +7,9 @@
 namespace persimmon::gateway {
 namespace {
 
+/// What a peer tells of is asked for at once: the own watch of instances pauses for longer.
+constexpr duration kPullGrace = 0_ms;
+
 peers::mesh_node_settings
 NodeSettings(const gateway_settings& aSettings)
 {
@@ -16,6 +19,7 @@
   settings.listen = aSettings.meshListen;
   settings.seeds = aSettings.peers;
   settings.key = aSettings.meshKey;
+  settings.pullGrace = kPullGrace;
   return settings;
 }
 
--- a/src/gateway/kindwatch.h
+++ b/src/gateway/kindwatch.h
@@ -56,6 +56,8 @@
   void Start() { List(); }
   /// Starts no further call.
   void Stop() { mStopped = true; }
+  /// Sets the pause after changes.
+  void SetBatch(duration aBatch) { mPace.batch = aBatch; }
   [[nodiscard]] bool Answers() const { return mAnswers; }
   [[nodiscard]] time_point AnsweredAt() const { return mAnsweredAt; }
 
--- /dev/null
+++ b/src/gateway/tests/watchbatchtests.cpp
@@ -0,0 +1,31 @@
+#include "gateway/watchbatch.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::gateway;
+
+// clang-format off
+TEST_GROUP(watch_batch)
+{
+};
+// clang-format on
+
+TEST(watch_batch, FewGatewaysHearOfChangesSoon)
+{
+  LONGLONGS_EQUAL(150, BatchOf(1).ms);
+  CHECK(BatchOf(9) <= 250_ms);
+}
+
+TEST(watch_batch, CallsOfAllGatewaysGrowLittleWithTheirNumber)
+{
+  const auto callsPerSecond = [](std::size_t aGateways) {
+    return static_cast<double>(aGateways) * 1000 / static_cast<double>(BatchOf(aGateways).ms);
+  };
+  CHECK(callsPerSecond(60) < callsPerSecond(9) * 1.2);
+}
+
+TEST(watch_batch, LeavingInstancesAreSeenInTimeByAnyNumber)
+{
+  CHECK(BatchOf(1200) <= 1500_ms);
+}
--- /dev/null
+++ b/src/gateway/watchbatch.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace persimmon::gateway {
+
+/// Pause of one gateway after a change of the instances, where few gateways watch.
+constexpr duration kShortestBatch = 150_ms;
+/// Longest pause: an instance that leaves must get no calls well within the time that the platform
+/// grants for that.
+constexpr duration kLongestBatch = 1500_ms;
+/// Time in which all gateways together ask the store once on average while instances change.
+constexpr duration kBatchPerGateway = 25_ms;
+
+/// Returns the time in which one gateway collects changes of the instances before it asks the store
+/// for more. It grows with the number of gateways, so that their calls together do not.
+constexpr duration
+BatchOf(std::size_t aGateways)
+{
+  const duration shared = kBatchPerGateway * static_cast<std::int64_t>(aGateways);
+  return std::clamp(shared, kShortestBatch, kLongestBatch);
+}
+
+} // namespace persimmon::gateway
--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -146,6 +146,7 @@
   options.address = address;
   options.zone = settings.zone;
   options.leaf = settings.leaf;
+  options.pullGrace = settings.pullGrace;
   options.seeds = settings.seeds;
   options.randomSeed = EntropySeed();
   const duration interval = options.urgentInterval;
--- a/src/peers/meshnode.h
+++ b/src/peers/meshnode.h
@@ -2,6 +2,7 @@
 
 #include "metrics/metrics.h"
 #include "peers/meshcore.h"
+#include "peers/meshoptions.h"
 #include "peers/messages.h"
 
 #include <functional>
@@ -25,6 +26,8 @@
   /// Shared key of all routers and placers.
   std::string key;
   bool leaf = false;
+  /// How long a version that a peer announces may take to come from the store first.
+  duration pullGrace = mesh_options{}.pullGrace;
 };
 
 /// Links a process to the mesh: a mesh_core on a thread of its own, over websocketpp. Every
