--- a/src/app/gatewaymain.cpp
+++ b/src/app/gatewaymain.cpp
@@ -6,6 +6,7 @@
 #include "settings/settings.h"
 
 #include <csignal>
+#include <optional>
 
 namespace {
 
@@ -14,8 +15,30 @@
 /// Log lines that may wait for a slow reader: some seconds of a busy gateway.
 constexpr std::size_t kWaitingLogLines = 2000;
 
+constexpr const char* kSummary =
+  "Routes callers' calls to upstreams and forms the groups of model engines.";
+
+/// Reads the settings; problems are printed. Returns nothing and the exit code when the program
+/// should end.
+std::optional<gateway::gateway_settings>
+ReadSettings(int aCount, char** aArguments, int& aCode)
+{
+  settings values("persimmon-gateway", kSummary, PERSIMMON_VERSION);
+  gateway::DeclareGatewaySettings(values);
+  if (const auto code = values.Parse(aCount, aArguments)) {
+    aCode = *code;
+    return std::nullopt;
+  }
+  gateway::gateway_settings parsed = gateway::ReadGatewaySettings(values);
+  if (const auto code = values.Finish()) {
+    aCode = *code;
+    return std::nullopt;
+  }
+  return parsed;
+}
+
 int
-Serve(const gateway::gateway_settings& aSettings)
+Serve(const gateway::gateway_settings& aSettings, int aCount, char** aArguments)
 {
   gateway::gateway_process<dialect::platform_dialect> process(aSettings);
   if (!process.Start()) {
@@ -23,8 +46,12 @@
     return exit_failure;
   }
   while (WaitForSignal() == SIGHUP) {
-    // Flags and variables hold for the life of a process.
-    WriteLog(gateway::kReloaded, { { "changed", "nothing" } });
+    int code = exit_success;
+    if (const auto again = ReadSettings(aCount, aArguments, code)) {
+      process.Reload(*again);
+    } else {
+      WriteLog(gateway::kReloadRejected, { { "path", aSettings.settingsFile } });
+    }
   }
   process.Stop();
   return exit_success;
@@ -35,22 +62,16 @@
 int
 main(int aCount, char** aArguments)
 {
-  settings values("persimmon-gateway",
-                  "Routes callers' calls to upstreams and forms the groups of model engines.",
-                  PERSIMMON_VERSION);
-  gateway::DeclareGatewaySettings(values);
-  if (const auto code = values.Parse(aCount, aArguments)) {
-    return *code;
-  }
-  const gateway::gateway_settings parsed = gateway::ReadGatewaySettings(values);
-  if (const auto code = values.Finish()) {
-    return *code;
+  int code = exit_success;
+  const auto parsed = ReadSettings(aCount, aArguments, code);
+  if (!parsed) {
+    return code;
   }
-  StartLog(parsed.id.value, parsed.lowestLevel);
+  StartLog(parsed->id.value, parsed->lowestLevel);
   std::signal(SIGPIPE, SIG_IGN);
   BlockStopSignals();
   StartLogThread(kWaitingLogLines);
-  const int code = Serve(parsed);
+  code = Serve(*parsed, aCount, aArguments);
   StopLogThread();
   return code;
 }
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -132,6 +132,17 @@
              const routes::model_profile* aModel,
              time_point aNow,
              actions& aActions);
+  /// A free instance without weights, the model that it should load, and what a millisecond of
+  /// loading gains in instances that serve.
+  struct staging_wish
+  {
+    const fleet::instance* instance = nullptr;
+    const routes::model_profile* model = nullptr;
+    double worth = 0;
+  };
+  /// Returns what free instances should load, what gains most first.
+  [[nodiscard]] std::vector<staging_wish> StagingWishes(
+    const std::vector<const fleet::instance*>& aFree) const;
   void StageIdle(const std::vector<const fleet::instance*>& aFree,
                  time_point aNow,
                  actions& aActions);
--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -156,7 +156,9 @@
   }
   if (Settled(aNow)) {
     DivideDomains(aFleet, aNow);
-    while (FormCold(free, aNow, aActions)) {
+    // Once callers come, weights are staged where they complete groups soonest, and groups form of
+    // instances that hold them.
+    while (mDemand.empty() && FormCold(free, aNow, aActions)) {
       free = FreeInstances(aFleet, aNow);
     }
     StageIdle(free, aNow, aActions);
@@ -342,13 +344,47 @@
   return chosen;
 }
 
-void
-assembler::StageIdle(const free_list& aFree, time_point aNow, actions& aActions)
+std::vector<assembler::staging_wish>
+assembler::StagingWishes(const free_list& aFree) const
 {
+  std::vector<staging_wish> wishes;
   for (const auto& [domain, free] : ByDomain(aFree)) {
-    for (const fleet::instance* one : Cold(free)) {
-      Stage(*one, ModelToStage(free, domain), aNow, aActions);
+    const routes::model_profile* model = ModelToStage(free, domain);
+    free_list cold = Cold(free);
+    if (model == nullptr || cold.empty()) {
+      continue;
+    }
+    if (HomeOf(domain) == nullptr) {
+      // What the next one is for depends on this one.
+      cold.resize(1);
     }
+    const auto meant = std::count_if(free.begin(), free.end(), [&](const auto* aOne) {
+      return Holds(*aOne, model->name) || mHosts.at(aOne->id).staging == model->name;
+    });
+    std::size_t missing = model->size - static_cast<std::size_t>(meant) % model->size;
+    const double capacity = static_cast<double>(model->size) / (1 + Supply(model->name));
+    for (std::size_t next = 0; next < cold.size();) {
+      const std::size_t count = std::min(missing, cold.size() - next);
+      // Loads that complete no group only make spares.
+      const double worth =
+        count < missing ? 0 : capacity / static_cast<double>(count * model->load.ms);
+      for (std::size_t i = 0; i < count; ++i) {
+        wishes.push_back({ cold[next++], model, worth });
+      }
+      missing = model->size;
+    }
+  }
+  std::stable_sort(wishes.begin(), wishes.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.worth > aRight.worth;
+  });
+  return wishes;
+}
+
+void
+assembler::StageIdle(const free_list& aFree, time_point aNow, actions& aActions)
+{
+  for (const staging_wish& wish : StagingWishes(aFree)) {
+    Stage(*wish.instance, wish.model, aNow, aActions);
   }
   // Instances that are left alone with another model's weights become spares of their domain.
   for (const auto& [domain, free] : ByDomain(aFree)) {
--- a/src/assembly/tests/assemblertests.cpp
+++ b/src/assembly/tests/assemblertests.cpp
@@ -203,5 +203,34 @@
   // The instances without a group are asked as often as in a small fleet.
   const double idle = static_cast<double>(30 * 18 - rig.engines.Members()) * 1000 / 450;
   CHECK(static_cast<double>(rig.questions) / 10 < 1.6 * (300 + idle));
-  CHECK(rig.questions > 10 * 18 * 30 / 2);
+  CHECK(rig.questions > std::size_t{ 10 } * 18 * 30 / 2);
+}
+
+TEST(assembler, LoadsThatCompleteAGroupComeFirst)
+{
+  // The domains hold quads, pairs and quads.
+  Start(3, 10);
+  rig.leader.SetDemand({ { { "quad" }, 1 }, { { "pair" }, 1 } });
+  std::size_t lost = 0;
+  for (auto& [id, one] : rig.engines.hosts) {
+    const auto& member = one.self.member;
+    const bool spareOrTail = !member || member->rank == 3;
+    if (one.self.domain.value == "d2" && spareOrTail && lost < 3) {
+      one.alive = false;
+      ++lost;
+    }
+  }
+  rig.Run(4_s);
+  rig.given.clear();
+  for (const char* id : { "a-1", "a-2", "a-3", "a-4", "a-5" }) {
+    rig.engines.Add(id, "d1");
+  }
+  // One instance completes a quad, where two are loaded for a pair.
+  rig.engines.Add("z", "d2");
+  rig.Run(3_s);
+  const auto first = std::find_if(rig.given.begin(), rig.given.end(), [](const engine_order& aOne) {
+    return aOne.kind == order_kind::stage;
+  });
+  CHECK(first != rig.given.end());
+  STRCMP_EQUAL("z", first->instance.value.c_str());
 }
--- a/src/dispatch/repeatbudget.h
+++ b/src/dispatch/repeatbudget.h
@@ -28,6 +28,8 @@
 
   /// Sets how many routers share the slack; at least 1.
   void SetRouters(std::size_t aRouters) { mRouters = aRouters; }
+  /// Sets other bounds with the same window; what was counted stays.
+  void SetLimits(const repeat_limits& aLimits) { mLimits = aLimits; }
   /// Records a call that a caller sent.
   void OnCall(time_point aNow);
   /// Takes a repeat; false when the window has no more.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -35,6 +35,15 @@
 
   [[nodiscard]] static time_point Now() { return steady_clock().Now(); }
 
+  /// Sets the bounds of all services' repeats.
+  void SetRepeatLimits(const dispatch::repeat_limits& aLimits)
+  {
+    repeatLimits = aLimits;
+    for (auto& [service, budget] : budgets) {
+      budget.SetLimits(aLimits);
+    }
+  }
+
   dispatch::repeat_budget& Budget(const service_name& aService)
   {
     auto& budget = budgets.try_emplace(aService, repeatLimits).first->second;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -11,6 +11,7 @@
 constexpr log_event kGatewayStopping{ 8003, "gateway_stopping", log_level::info };
 constexpr log_event kGatewayStopped{ 8004, "gateway_stopped", log_level::info };
 constexpr log_event kReloaded{ 8005, "reloaded", log_level::info };
+constexpr log_event kReloadRejected{ 8007, "reload_rejected", log_level::error };
 constexpr log_event kReadinessChanged{ 8006, "readiness_changed", log_level::info };
 constexpr log_event kConfigurationInForce{ 8010, "configuration_in_force", log_level::info };
 constexpr log_event kConfigurationRejected{ 8011, "configuration_rejected", log_level::error };
@@ -41,6 +42,7 @@
                                             kGatewayStopping,
                                             kGatewayStopped,
                                             kReloaded,
+                                            kReloadRejected,
                                             kReadinessChanged,
                                             kConfigurationInForce,
                                             kConfigurationRejected,
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -13,6 +13,8 @@
 #include "gateway/watchbatch.h"
 #include "loop/eventloop.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <future>
 #include <memory>
 #include <string>
@@ -32,6 +34,8 @@
 
   /// Starts to serve; false with LastReason() when that failed.
   bool Start();
+  /// Takes settings that were read again, as far as they can change while it runs.
+  void Reload(const gateway_settings& aSettings);
   /// Not ready first, then requests in flight finish, then the end within the grace time.
   void Stop();
   [[nodiscard]] const std::string& LastReason() const { return mReason; }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -32,8 +32,23 @@
   dispatch::repeat_limits repeats;
   assembly::assembly_options assembly;
   log_level lowestLevel = log_level::info;
+  /// File that is read again at SIGHUP; empty for none.
+  std::string settingsFile;
 };
 
+/// What a change of settings means for a running process.
+struct settings_change
+{
+  /// Names of settings that can be taken at once.
+  std::vector<std::string> taken;
+  /// Names of settings that hold from the next start.
+  std::vector<std::string> needRestart;
+};
+
+/// Compares the settings that a process runs with and those that it has read again.
+settings_change
+CompareSettings(const gateway_settings& aRunning, const gateway_settings& aRead);
+
 /// Declares the settings of a gateway.
 void
 DeclareGatewaySettings(settings& aSettings);
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -396,6 +396,24 @@
   sleep(process_limits::kLastAnswers);
 }
 
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::Reload(const gateway_settings& aSettings)
+{
+  const settings_change change = CompareSettings(mSettings, aSettings);
+  OnLoop([&] {
+    mSettings.peers = aSettings.peers;
+    mSettings.repeats.ratio = aSettings.repeats.ratio;
+    mSettings.repeats.slack = aSettings.repeats.slack;
+    mContext.SetRepeatLimits(mSettings.repeats);
+    return 0;
+  });
+  mMesh.SetSeeds(aSettings.peers);
+  WriteLog(kReloaded,
+           { { "changed", fmt::format("{}", fmt::join(change.taken, ",")) },
+             { "needs_restart", fmt::format("{}", fmt::join(change.needRestart, ",")) } });
+}
+
 template<gateway_dialect Dialect>
 void
 gateway_process<Dialect>::Stop()
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -26,6 +26,36 @@
   aSettings.Add("repeat-slack", "20", "repeats in a window on top, for all gateways together");
   aSettings.Add("repeat-window-ms", "10000", "window in which repeats are counted");
   aSettings.AddLogLevel();
+  aSettings.AddSettingsFile();
+}
+
+settings_change
+CompareSettings(const gateway_settings& aRunning, const gateway_settings& aRead)
+{
+  settings_change change;
+  const auto compare = [](std::vector<std::string>& aNames, const char* aName, bool aSame) {
+    if (!aSame) {
+      aNames.emplace_back(aName);
+    }
+  };
+  const dispatch::repeat_limits& was = aRunning.repeats;
+  const dispatch::repeat_limits& is = aRead.repeats;
+  compare(change.taken, "peers", aRunning.peers == aRead.peers);
+  compare(change.taken, "repeat-ratio", was.ratio == is.ratio);
+  compare(change.taken, "repeat-slack", was.slack == is.slack);
+  compare(change.needRestart, "repeat-window-ms", was.window == is.window);
+  compare(change.needRestart, "id", aRunning.id == aRead.id);
+  compare(change.needRestart, "zone", aRunning.zone == aRead.zone);
+  compare(change.needRestart, "listen", aRunning.listen == aRead.listen);
+  compare(
+    change.needRestart, "readiness-listen", aRunning.readinessListen == aRead.readinessListen);
+  compare(change.needRestart, "metrics-listen", aRunning.metricsListen == aRead.metricsListen);
+  compare(change.needRestart, "mesh-listen", aRunning.meshListen == aRead.meshListen);
+  compare(change.needRestart, "mesh-key", aRunning.meshKey == aRead.meshKey);
+  compare(change.needRestart, "store", aRunning.store == aRead.store);
+  compare(change.needRestart, "grace-ms", aRunning.grace == aRead.grace);
+  compare(change.needRestart, "log-level", aRunning.lowestLevel == aRead.lowestLevel);
+  return change;
 }
 
 gateway_settings
@@ -48,6 +78,7 @@
   result.repeats.slack = aSettings.Fraction("repeat-slack", 0, kMaxSlack);
   result.repeats.window.ms = aSettings.Number("repeat-window-ms", 1, kMaxSpanMs);
   result.lowestLevel = aSettings.LogLevel();
+  result.settingsFile = aSettings.Text("settings-file");
   return result;
 }
 
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
 #include <iostream>
 #include <map>
 
@@ -14,6 +15,7 @@
 
 constexpr const char* kOperands = "operands";
 constexpr const char* kLogLevel = "log-level";
+constexpr const char* kSettingsFile = "settings-file";
 
 struct level_name
 {
@@ -43,6 +45,23 @@
   bool required = false;
 };
 
+/// Reads a settings file; an error of the library tells which line is wrong.
+std::map<std::string, std::string>
+ParseFile(const std::string& aPath, const options::options_description& aFlags)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw options::error(fmt::format("cannot read the settings file {}", aPath));
+  }
+  std::map<std::string, std::string> values;
+  for (const options::option& one : options::parse_config_file(file, aFlags).options) {
+    if (!one.value.empty()) {
+      values[one.string_key] = one.value.front();
+    }
+  }
+  return values;
+}
+
 } // namespace
 
 struct settings::implementation
@@ -54,6 +73,8 @@
   options::options_description flags{ "Settings" };
   std::map<std::string, declared_setting> declared;
   options::variables_map values;
+  /// What the settings file says.
+  std::map<std::string, std::string> fileValues;
   std::vector<std::string> operands;
   std::vector<std::string> problems;
   bool checkOnly = false;
@@ -146,6 +167,12 @@
   return log_level::info;
 }
 
+void
+settings::AddSettingsFile()
+{
+  Add(kSettingsFile, "", "file with lines 'name = value', read at the start and at SIGHUP");
+}
+
 void
 settings::AcceptOperands(const std::string& aHelp)
 {
@@ -157,6 +184,10 @@
 {
   try {
     mImplementation->ParseFlags(aCount, aArguments);
+    const bool takesFile = mImplementation->declared.count(kSettingsFile) != 0;
+    if (const std::string path = takesFile ? Text(kSettingsFile) : ""; !path.empty()) {
+      mImplementation->fileValues = ParseFile(path, mImplementation->flags);
+    }
   } catch (const options::error& error) {
     std::cerr << mImplementation->program << ": " << error.what() << " (see --help)\n";
     return exit_usage;
@@ -186,7 +217,12 @@
     return flag->second.as<std::string>();
   }
   const char* variable = std::getenv(VariableOf(aName).c_str());
-  return variable != nullptr ? variable : mImplementation->declared[aName].defaultValue;
+  if (variable != nullptr) {
+    return variable;
+  }
+  const auto line = mImplementation->fileValues.find(aName);
+  return line != mImplementation->fileValues.end() ? line->second
+                                                   : mImplementation->declared[aName].defaultValue;
 }
 
 std::int64_t
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,8 +19,9 @@
   exit_usage = 2
 };
 
-/// The settings of one program, from flags and from environment variables. The flag `--store-url`
-/// goes before the variable PERSIMMON_STORE_URL, which goes before the default. Every program has
+/// The settings of one program, from flags, from environment variables and, where it takes one,
+/// from a file. The flag `--store-url` goes before the variable PERSIMMON_STORE_URL, which goes
+/// before the line `store-url = ...` of the file, which goes before the default. Every program has
 /// --help, --version and --check-settings as well.
 ///
 /// Declare the settings, Parse(), read the values, then Finish().
@@ -36,6 +37,8 @@
   void AddRequired(const std::string& aName, const std::string& aHelp);
   /// Declares `log-level`.
   void AddLogLevel();
+  /// Declares `settings-file`, which names a file of lines `name = value`.
+  void AddSettingsFile();
   /// Accepts words without a flag, such as a command and its operands.
   void AcceptOperands(const std::string& aHelp);
 
--- a/src/settings/tests/settingstests.cpp
+++ b/src/settings/tests/settingstests.cpp
@@ -2,9 +2,13 @@
 
 #include <CppUTest/TestHarness.h>
 #include <array>
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <sstream>
+#include <unistd.h>
+#include <vector>
 
 using namespace persimmon;
 
@@ -72,3 +76,56 @@
   const std::array arguments = { "persimmon-test", "--thread", "2" };
   CHECK_EQUAL(exit_usage, *values.Parse(arguments.size(), arguments.data()));
 }
+
+// clang-format off
+TEST_GROUP(settings_file)
+{
+  std::string path = "/tmp/persimmon-settings-test-" + std::to_string(getpid());
+  settings values{ "persimmon-test", "Tests settings.", "1" };
+  captured_errors errors;
+
+  void setup() override
+  {
+    values.Add("threads", "2", "number of threads");
+    values.Add("peers", "", "addresses");
+    values.AddSettingsFile();
+  }
+
+  void teardown() override { std::remove(path.c_str()); }
+
+  std::optional<int> Parse(const std::string& aText, std::vector<const char*> aMore = {})
+  {
+    std::ofstream(path) << aText;
+    std::vector<const char*> arguments{ "persimmon-test", "--settings-file", path.c_str() };
+    arguments.insert(arguments.end(), aMore.begin(), aMore.end());
+    return values.Parse(static_cast<int>(arguments.size()), arguments.data());
+  }
+};
+// clang-format on
+
+TEST(settings_file, LineGoesBeforeTheDefaultAndBehindAFlag)
+{
+  CHECK_FALSE(Parse("# a comment\nthreads = 5\npeers = 10.0.0.1:1,10.0.0.2:1\n").has_value());
+  CHECK_EQUAL(5, values.Number("threads", 1, 8));
+  UNSIGNED_LONGS_EQUAL(2, values.List("peers").size());
+  settings again{ "persimmon-test", "Tests settings.", "1" };
+  again.Add("threads", "2", "number of threads");
+  again.AddSettingsFile();
+  const std::array arguments = { "x", "--threads", "7", "--settings-file", path.c_str() };
+  std::ofstream(path) << "threads = 5\n";
+  CHECK_FALSE(again.Parse(arguments.size(), arguments.data()).has_value());
+  CHECK_EQUAL(7, again.Number("threads", 1, 8));
+}
+
+TEST(settings_file, UnknownNameIsRefusedByName)
+{
+  CHECK_EQUAL(exit_usage, Parse("threds = 5\n").value_or(-1));
+  CHECK(errors.Text().find("threds") != std::string::npos);
+}
+
+TEST(settings_file, MissingFileIsRefusedByItsPath)
+{
+  const std::array arguments = { "x", "--settings-file", "/nowhere/settings" };
+  CHECK_EQUAL(exit_usage, values.Parse(arguments.size(), arguments.data()).value_or(-1));
+  CHECK(errors.Text().find("/nowhere/settings") != std::string::npos);
+}
