--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaysettings.h"
 
+#include <array>
+
 namespace persimmon::gateway {
 namespace {
 
@@ -7,6 +9,13 @@
 constexpr double kMaxRatio = 10;
 constexpr double kMaxSlack = 1e6;
 
+/// A setting and whether two sets of settings agree on it.
+struct compared_setting
+{
+  const char* name;
+  bool same;
+};
+
 } // namespace
 
 void
@@ -32,29 +41,37 @@
 settings_change
 CompareSettings(const gateway_settings& aRunning, const gateway_settings& aRead)
 {
+  const gateway_settings& was = aRunning;
+  const gateway_settings& is = aRead;
+  const std::array atOnce = {
+    compared_setting{ "peers", was.peers == is.peers },
+    compared_setting{ "repeat-ratio", was.repeats.ratio == is.repeats.ratio },
+    compared_setting{ "repeat-slack", was.repeats.slack == is.repeats.slack },
+  };
+  const std::array atStart = {
+    compared_setting{ "repeat-window-ms", was.repeats.window == is.repeats.window },
+    compared_setting{ "id", was.id == is.id },
+    compared_setting{ "zone", was.zone == is.zone },
+    compared_setting{ "listen", was.listen == is.listen },
+    compared_setting{ "readiness-listen", was.readinessListen == is.readinessListen },
+    compared_setting{ "metrics-listen", was.metricsListen == is.metricsListen },
+    compared_setting{ "mesh-listen", was.meshListen == is.meshListen },
+    compared_setting{ "mesh-key", was.meshKey == is.meshKey },
+    compared_setting{ "store", was.store == is.store },
+    compared_setting{ "grace-ms", was.grace == is.grace },
+    compared_setting{ "log-level", was.lowestLevel == is.lowestLevel },
+  };
   settings_change change;
-  const auto compare = [](std::vector<std::string>& aNames, const char* aName, bool aSame) {
-    if (!aSame) {
-      aNames.emplace_back(aName);
+  for (const compared_setting& one : atOnce) {
+    if (!one.same) {
+      change.taken.emplace_back(one.name);
     }
-  };
-  const dispatch::repeat_limits& was = aRunning.repeats;
-  const dispatch::repeat_limits& is = aRead.repeats;
-  compare(change.taken, "peers", aRunning.peers == aRead.peers);
-  compare(change.taken, "repeat-ratio", was.ratio == is.ratio);
-  compare(change.taken, "repeat-slack", was.slack == is.slack);
-  compare(change.needRestart, "repeat-window-ms", was.window == is.window);
-  compare(change.needRestart, "id", aRunning.id == aRead.id);
-  compare(change.needRestart, "zone", aRunning.zone == aRead.zone);
-  compare(change.needRestart, "listen", aRunning.listen == aRead.listen);
-  compare(
-    change.needRestart, "readiness-listen", aRunning.readinessListen == aRead.readinessListen);
-  compare(change.needRestart, "metrics-listen", aRunning.metricsListen == aRead.metricsListen);
-  compare(change.needRestart, "mesh-listen", aRunning.meshListen == aRead.meshListen);
-  compare(change.needRestart, "mesh-key", aRunning.meshKey == aRead.meshKey);
-  compare(change.needRestart, "store", aRunning.store == aRead.store);
-  compare(change.needRestart, "grace-ms", aRunning.grace == aRead.grace);
-  compare(change.needRestart, "log-level", aRunning.lowestLevel == aRead.lowestLevel);
+  }
+  for (const compared_setting& one : atStart) {
+    if (!one.same) {
+      change.needRestart.emplace_back(one.name);
+    }
+  }
   return change;
 }
 
--- a/src/gateway/watchbatch.h
+++ b/src/gateway/watchbatch.h
@@ -13,7 +13,7 @@
 /// grants for that.
 constexpr duration kLongestBatch = 1500_ms;
 /// Time in which all gateways together ask the store once on average while instances change.
-constexpr duration kBatchPerGateway = 25_ms;
+constexpr duration kBatchPerGateway = 50_ms;
 
 /// Returns the time in which one gateway collects changes of the instances before it asks the store
 /// for more. It grows with the number of gateways, so that their calls together do not.
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -13,7 +13,8 @@
 namespace persimmon::peers {
 
 /// State and steps of a mesh_core. Links and members stand in meshcorelinks.cpp, messages in
-/// meshcorefacts.cpp, sending in meshcoresending.cpp.
+/// meshcorefacts.cpp, their paths in meshcorepaths.cpp, applied versions in meshcoreapplied.cpp,
+/// sending in meshcoresending.cpp.
 class mesh_core::implementation
 {
 public:
