--- a/src/assembly/tests/assemblertests.cpp
+++ b/src/assembly/tests/assemblertests.cpp
@@ -197,13 +197,14 @@
 
 TEST(assembler, QuestionsToALargeFleetKeepToARate)
 {
-  Start(30, 18);
+  constexpr std::size_t kInstances = 540;
+  Start(30, kInstances / 30);
   rig.questions = 0;
   rig.Run(10_s);
   // The instances without a group are asked as often as in a small fleet.
-  const double idle = static_cast<double>(30 * 18 - rig.engines.Members()) * 1000 / 450;
+  const double idle = static_cast<double>(kInstances - rig.engines.Members()) * 1000 / 450;
   CHECK(static_cast<double>(rig.questions) / 10 < 1.6 * (300 + idle));
-  CHECK(rig.questions > std::size_t{ 10 } * 18 * 30 / 2);
+  CHECK(rig.questions > kInstances * 5);
 }
 
 TEST(assembler, LoadsThatCompleteAGroupComeFirst)
