--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -76,7 +76,11 @@
   exchange_registry mExchanges;
   call_front<Dialect> mFront{ mContext, mExchanges };
   store mStore{ mCalls, mSettings.store };
-  instance_feed<Dialect> mInstances{ mStore, mCalls, mMetrics, mBoard.Fleet() };
+  instance_feed<Dialect> mInstances{ mStore,
+                                     mCalls,
+                                     mMetrics,
+                                     mBoard.Fleet(),
+                                     WatchWait(mSettings.storeSilence) };
   mesh_link mMesh{ mSettings, mLoop, mMetrics };
   group_prober<Dialect> mProber{ mContext };
   assembly_runner<Dialect> mAssembly{ mContext, mSettings.assembly };
--- a/src/gateway/instancefeed.h
+++ b/src/gateway/instancefeed.h
@@ -27,9 +27,10 @@
   instance_feed(store& aStore,
                 upstream::upstream_loop& aLoop,
                 metrics_registry& aMetrics,
-                fleet::fleet_view& aView)
+                fleet::fleet_view& aView,
+                duration aWait)
     : mKeeper(aView)
-    , mWatch(aStore, aLoop, aMetrics, Dialect::kInstanceKind, watch_pace{}, Handlers())
+    , mWatch(aStore, aLoop, aMetrics, Dialect::kInstanceKind, watch_pace{ aWait }, Handlers())
   {
   }
 
--- a/src/gateway/internal/gatewaycourse.h
+++ b/src/gateway/internal/gatewaycourse.h
@@ -149,6 +149,7 @@
   };
   watch_pace configPace;
   configPace.batch = 20_ms;
+  configPace.wait = WatchWait(mSettings.storeSilence);
   mConfigWatch = std::make_unique<kind_watch<store>>(
     mStore, mCalls, mMetrics, Dialect::kConfigurationKind, configPace, std::move(onConfig));
 
@@ -364,7 +365,8 @@
   mMetrics.Set(
     kGroups, static_cast<double>(mBoard.ServingGroups(now).size()), { { "state", "serving" } });
   // Who forms groups must hear of instances soonest.
-  mInstances.SetBatch(mLease.Holds() ? kShortestBatch : BatchOf(mContext.gateways));
+  const duration batch = BatchOf(mContext.gateways, mSettings.leaveNotice);
+  mInstances.SetBatch(mLease.Holds() ? kShortestBatch : batch);
   const duration age = now - mInstances.AnsweredAt();
   mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
   for (auto& [service, budget] : mContext.budgets) {
@@ -405,6 +407,7 @@
     mSettings.peers = aSettings.peers;
     mSettings.repeats.ratio = aSettings.repeats.ratio;
     mSettings.repeats.slack = aSettings.repeats.slack;
+    mSettings.leaveNotice = aSettings.leaveNotice;
     mContext.SetRepeatLimits(mSettings.repeats);
     return 0;
   });
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::int64_t kMaxSpanMs = 3600000;
+/// Less than this leaves no time for a call to the store.
+constexpr std::int64_t kMinSpanMs = 500;
 constexpr double kMaxRatio = 10;
 constexpr double kMaxSlack = 1e6;
 
@@ -34,6 +36,9 @@
   aSettings.Add("repeat-ratio", "0.2", "repeats that a service may get for each call");
   aSettings.Add("repeat-slack", "20", "repeats in a window on top, for all gateways together");
   aSettings.Add("repeat-window-ms", "10000", "window in which repeats are counted");
+  aSettings.Add(
+    "leave-notice-ms", "2000", "time in which leaving instances must get no more calls");
+  aSettings.Add("store-silence-ms", "3000", "time in which a silent store must be noticed");
   aSettings.AddLogLevel();
   aSettings.AddSettingsFile();
 }
@@ -47,6 +52,7 @@
     compared_setting{ "peers", was.peers == is.peers },
     compared_setting{ "repeat-ratio", was.repeats.ratio == is.repeats.ratio },
     compared_setting{ "repeat-slack", was.repeats.slack == is.repeats.slack },
+    compared_setting{ "leave-notice-ms", was.leaveNotice == is.leaveNotice },
   };
   const std::array atStart = {
     compared_setting{ "repeat-window-ms", was.repeats.window == is.repeats.window },
@@ -59,6 +65,7 @@
     compared_setting{ "mesh-key", was.meshKey == is.meshKey },
     compared_setting{ "store", was.store == is.store },
     compared_setting{ "grace-ms", was.grace == is.grace },
+    compared_setting{ "store-silence-ms", was.storeSilence == is.storeSilence },
     compared_setting{ "log-level", was.lowestLevel == is.lowestLevel },
   };
   settings_change change;
@@ -94,6 +101,8 @@
   result.repeats.ratio = aSettings.Fraction("repeat-ratio", 0, kMaxRatio);
   result.repeats.slack = aSettings.Fraction("repeat-slack", 0, kMaxSlack);
   result.repeats.window.ms = aSettings.Number("repeat-window-ms", 1, kMaxSpanMs);
+  result.leaveNotice.ms = aSettings.Number("leave-notice-ms", kMinSpanMs, kMaxSpanMs);
+  result.storeSilence.ms = aSettings.Number("store-silence-ms", kMinSpanMs, kMaxSpanMs);
   result.lowestLevel = aSettings.LogLevel();
   result.settingsFile = aSettings.Text("settings-file");
   return result;
--- a/src/gateway/kindwatch.h
+++ b/src/gateway/kindwatch.h
@@ -5,6 +5,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "metrics/metrics.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -20,11 +21,23 @@
   std::function<void(bool aAnswers)> onState;
 };
 
+/// Part of the time for noticing a silent store that is kept for the call after the wait.
+constexpr duration kSilenceReserve = 1_s;
+/// Shortest wait that is worth a call.
+constexpr duration kShortestWait = 200_ms;
+
+/// Returns how long a watch may wait at the store when silence must be noticed in a time.
+constexpr duration
+WatchWait(duration aSilence)
+{
+  return std::max(aSilence - kSilenceReserve, kShortestWait);
+}
+
 /// How a watch spends its calls.
 struct watch_pace
 {
   /// Longest time that one call waits at the store.
-  duration wait{ 2000 };
+  duration wait = WatchWait(3_s);
   /// Pause after changes, so that several come with one call.
   duration batch{ 150 };
   /// Pauses after calls that failed.
