--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -1,6 +1,7 @@
 #include "assembly/assembler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace persimmon::assembly {
@@ -17,6 +18,10 @@
 /// An instance this much slower than expected is taken last.
 constexpr double kSlowPace = 1.5;
 
+/// Worth of a first spare against that of a whole group: it saves a load when a member is lost.
+/// Each further spare is worth as much less.
+constexpr double kSpareWorth = 0.5;
+
 /// Shortest time between two notes of idle instances.
 constexpr duration kIdleNotePause = 1_s;
 
@@ -361,17 +366,21 @@
     const auto meant = std::count_if(free.begin(), free.end(), [&](const auto* aOne) {
       return Holds(*aOne, model->name) || mHosts.at(aOne->id).staging == model->name;
     });
-    std::size_t missing = model->size - static_cast<std::size_t>(meant) % model->size;
+    const std::size_t over = static_cast<std::size_t>(meant) % model->size;
     const double capacity = static_cast<double>(model->size) / (1 + Supply(model->name));
+    const auto loadMs = static_cast<double>(model->load.ms);
+    std::size_t missing = model->size - over;
+    double spareWorth = std::pow(kSpareWorth, static_cast<double>(over + 1));
     for (std::size_t next = 0; next < cold.size();) {
       const std::size_t count = std::min(missing, cold.size() - next);
-      // Loads that complete no group only make spares.
-      const double worth =
-        count < missing ? 0 : capacity / static_cast<double>(count * model->load.ms);
+      const bool completes = count == missing;
       for (std::size_t i = 0; i < count; ++i) {
-        wishes.push_back({ cold[next++], model, worth });
+        const double part = completes ? 1 / static_cast<double>(count) : spareWorth;
+        wishes.push_back({ cold[next++], model, capacity * part / loadMs });
+        spareWorth *= completes ? 1 : kSpareWorth;
       }
       missing = model->size;
+      spareWorth = completes ? kSpareWorth : spareWorth;
     }
   }
   std::stable_sort(wishes.begin(), wishes.end(), [](const auto& aLeft, const auto& aRight) {
--- a/src/assembly/tests/assemblertests.cpp
+++ b/src/assembly/tests/assemblertests.cpp
@@ -235,3 +235,25 @@
   CHECK(first != rig.given.end());
   STRCMP_EQUAL("z", first->instance.value.c_str());
 }
+
+TEST(assembler, LargeGroupsGetASpareBeforeSmallOnesAreLoadedWhole)
+{
+  // The domains hold quads and pairs; the quads' has no spare left.
+  Start(2, 10);
+  rig.leader.SetDemand({ { { "quad" }, 1 }, { { "pair" }, 1 } });
+  for (auto& [id, one] : rig.engines.hosts) {
+    one.alive = one.self.domain.value != "d0" || one.self.member.has_value();
+  }
+  rig.Run(4_s);
+  rig.given.clear();
+  rig.engines.Add("z", "d0");
+  for (const char* id : { "a-1", "a-2", "a-3", "a-4", "a-5", "a-6" }) {
+    rig.engines.Add(id, "d1");
+  }
+  rig.Run(3_s);
+  const auto first = std::find_if(rig.given.begin(), rig.given.end(), [](const engine_order& aOne) {
+    return aOne.kind == order_kind::stage;
+  });
+  CHECK(first != rig.given.end());
+  STRCMP_EQUAL("z", first->instance.value.c_str());
+}
