--- a/src/assembly/internal/groupforming.cpp
+++ b/src/assembly/internal/groupforming.cpp
@@ -37,6 +37,25 @@
   return domains;
 }
 
+/// Returns for each of aCold instances, in the order in which they load, what part of a group its
+/// load gains, when aOver instances beyond whole groups hold weights already.
+std::vector<double>
+PartsOfGroup(std::size_t aCold, std::size_t aOver, std::size_t aSize)
+{
+  std::vector<double> parts;
+  std::size_t spares = aOver;
+  std::size_t missing = aSize - aOver;
+  while (aCold - parts.size() >= missing) {
+    parts.insert(parts.end(), missing, 1 / static_cast<double>(missing));
+    spares = 0;
+    missing = aSize;
+  }
+  while (parts.size() < aCold) {
+    parts.push_back(std::pow(kSpareWorth, static_cast<double>(++spares)));
+  }
+  return parts;
+}
+
 } // namespace
 
 std::vector<const fleet::instance*>
@@ -368,19 +387,10 @@
     });
     const std::size_t over = static_cast<std::size_t>(meant) % model->size;
     const double capacity = static_cast<double>(model->size) / (1 + Supply(model->name));
-    const auto loadMs = static_cast<double>(model->load.ms);
-    std::size_t missing = model->size - over;
-    double spareWorth = std::pow(kSpareWorth, static_cast<double>(over + 1));
-    for (std::size_t next = 0; next < cold.size();) {
-      const std::size_t count = std::min(missing, cold.size() - next);
-      const bool completes = count == missing;
-      for (std::size_t i = 0; i < count; ++i) {
-        const double part = completes ? 1 / static_cast<double>(count) : spareWorth;
-        wishes.push_back({ cold[next++], model, capacity * part / loadMs });
-        spareWorth *= completes ? 1 : kSpareWorth;
-      }
-      missing = model->size;
-      spareWorth = completes ? kSpareWorth : spareWorth;
+    const std::vector<double> parts = PartsOfGroup(cold.size(), over, model->size);
+    for (std::size_t i = 0; i < cold.size(); ++i) {
+      wishes.push_back(
+        { cold[i], model, capacity * parts[i] / static_cast<double>(model->load.ms) });
     }
   }
   std::stable_sort(wishes.begin(), wishes.end(), [](const auto& aLeft, const auto& aRight) {
