--- a/src/gateway/instancefeed.h
+++ b/src/gateway/instancefeed.h
@@ -76,6 +76,8 @@
   handlers.onState = [this](bool aAnswers) {
     if (aAnswers) {
       mKeeper.StoreReturned(steady_clock().Now());
+    } else {
+      mKeeper.StoreLost();
     }
   };
   return handlers;
--- a/src/gateway/instancekeeper.h
+++ b/src/gateway/instancekeeper.h
@@ -23,6 +23,8 @@
 
   /// The store answers again, or for the first time.
   void StoreReturned(time_point aNow);
+  /// The store no longer answers.
+  void StoreLost() { mStoreAnswers = false; }
   /// Takes the store's whole list as of a revision. Returns what is news here.
   std::vector<instance_change> Replace(const std::vector<instance_change>& aList,
                                        revision aAsOf,
@@ -36,6 +38,7 @@
   void Remove(const instance_id& aId, change_source aFrom, time_point aNow);
 
   fleet::fleet_view& mView;
+  bool mStoreAnswers = false;
   /// Entries that vanish before this time may have lapsed while the store was away.
   time_point mKeepUntil{ INT64_MIN / 2 };
   /// Instances whose entry is gone, and until when they are kept.
--- a/src/gateway/internal/instancekeeper.cpp
+++ b/src/gateway/internal/instancekeeper.cpp
@@ -15,6 +15,7 @@
 void
 instance_keeper::StoreReturned(time_point aNow)
 {
+  mStoreAnswers = true;
   mKeepUntil = aNow + kReturnOfEntries;
 }
 
@@ -65,10 +66,12 @@
 void
 instance_keeper::Remove(const instance_id& aId, change_source aFrom, time_point aNow)
 {
-  // A peer tells of entries that lapsed in an outage as of any other.
-  const time_point until = aFrom == change_source::peer ? aNow + kReturnOfEntries : mKeepUntil;
+  // While the own store is silent, a peer may tell of entries that lapsed in an outage.
+  const bool mayHaveLapsed = aFrom == change_source::peer && !mStoreAnswers;
+  const time_point until = mayHaveLapsed ? aNow + kReturnOfEntries : mKeepUntil;
   if (aNow < until) {
-    mLapsed.try_emplace(aId, until);
+    const auto kept = mLapsed.try_emplace(aId, until).first;
+    kept->second = std::min(kept->second, until);
     return;
   }
   mLapsed.erase(aId);
