--- a/src/app/router/internal/attemptheaders.cpp
+++ b/src/app/router/internal/attemptheaders.cpp
@@ -1,8 +1,9 @@
 #include "app/router/attemptheaders.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 
 namespace persimmon::router {
@@ -19,20 +20,10 @@
   "idempotency-key",     "priority"
 };
 
-std::string
-Lower(std::string_view aText)
-{
-  std::string lower(aText);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aLetter) {
-    return static_cast<char>(std::tolower(aLetter));
-  });
-  return lower;
-}
-
 bool
 IsForwarded(std::string_view aName)
 {
-  const std::string name = Lower(aName);
+  const std::string name = LowerCase(aName);
   return !name.starts_with(kOwnPrefix) &&
          std::find(kNotForwarded.begin(), kNotForwarded.end(), name) == kNotForwarded.end();
 }
@@ -82,7 +73,7 @@
   bool hasType = false;
   for (const entry::server_header& header : aRequest.headers) {
     if (IsForwarded(header.name)) {
-      hasType = hasType || Lower(header.name) == "content-type";
+      hasType = hasType || LowerCase(header.name) == "content-type";
       headers.push_back({ header.name, header.value });
     }
   }
--- /dev/null
+++ b/src/base/tests/texttests.cpp
@@ -0,0 +1,24 @@
+#include "base/text.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+
+// clang-format off
+TEST_GROUP(text)
+{
+};
+// clang-format on
+
+TEST(text, BlanksAndLineEndsAroundATextAreLeftOut)
+{
+  CHECK(Trimmed("  a b\t\r\n") == "a b");
+  CHECK(Trimmed("a") == "a");
+  CHECK(Trimmed(" \r\n").empty());
+  CHECK(Trimmed("").empty());
+}
+
+TEST(text, LettersGetLowerCase)
+{
+  STRCMP_EQUAL("retry-after 2", LowerCase("Retry-AFTER 2").c_str());
+}
--- a/src/load/internal/exchange.cpp
+++ b/src/load/internal/exchange.cpp
@@ -1,10 +1,9 @@
 #include "load/internal/exchange.h"
 
 #include "base/json.h"
+#include "base/text.h"
 #include "history/digest.h"
 
-#include <algorithm>
-#include <cctype>
 #include <fmt/format.h>
 
 namespace persimmon::load {
@@ -16,26 +15,6 @@
 constexpr std::string_view kProblemType = "application/problem+json";
 constexpr std::string_view kStreamType = "text/event-stream";
 
-std::string
-LowerCase(std::string_view aText)
-{
-  std::string lower(aText);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aLetter) {
-    return static_cast<char>(std::tolower(aLetter));
-  });
-  return lower;
-}
-
-std::string
-Trimmed(std::string_view aText)
-{
-  const std::size_t first = aText.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return std::string(aText.substr(first, aText.find_last_not_of(" \t\r\n") - first + 1));
-}
-
 } // namespace
 
 exchange::exchange(std::unique_ptr<open_call> aCall, const std::string& aRouter)
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/httpclient.h"
 
 #include "base/headerlookup.h"
+#include "base/text.h"
 
 #include <atomic>
 #include <curl/curl.h>
@@ -34,17 +35,6 @@
   return bytes;
 }
 
-std::string
-Trimmed(std::string_view aText)
-{
-  const std::size_t first = aText.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  const std::size_t last = aText.find_last_not_of(" \t\r\n");
-  return std::string(aText.substr(first, last - first + 1));
-}
-
 std::size_t
 AppendHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
 {
@@ -52,7 +42,8 @@
   const std::string_view line(aData, aSize * aCount);
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
-    headers.push_back({ std::string(line.substr(0, colon)), Trimmed(line.substr(colon + 1)) });
+    headers.push_back(
+      { std::string(line.substr(0, colon)), std::string(Trimmed(line.substr(colon + 1))) });
   }
   return aSize * aCount;
 }
--- a/src/routes/internal/routetable.cpp
+++ b/src/routes/internal/routetable.cpp
@@ -1,7 +1,8 @@
 #include "routes/routetable.h"
 
+#include "base/text.h"
+
 #include <algorithm>
-#include <cctype>
 
 namespace persimmon::routes {
 namespace {
@@ -10,11 +11,7 @@
 std::string
 HostName(std::string_view aHost)
 {
-  std::string name(aHost.substr(0, aHost.find(':')));
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aLetter) {
-    return static_cast<char>(std::tolower(aLetter));
-  });
-  return name;
+  return LowerCase(aHost.substr(0, aHost.find(':')));
 }
 
 std::uint64_t
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -1,6 +1,7 @@
 #include "upstream/internal/activecall.h"
 
 #include "base/headerlookup.h"
+#include "base/text.h"
 
 #include <cerrno>
 #include <charconv>
@@ -19,16 +20,6 @@
 /// Seconds without a byte before a connection is probed, and between probes.
 constexpr int kProbeAfterSeconds = 1;
 
-std::string_view
-Trimmed(std::string_view aText)
-{
-  const std::size_t first = aText.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 /// Reads the status out of a line such as `HTTP/1.1 200 OK`; 0 when there is none.
 int
 StatusOf(std::string_view aLine)
