--- a/src/dispatch/callrate.h
+++ b/src/dispatch/callrate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/clock.h"
+#include "base/decayingsum.h"
 
 namespace persimmon::dispatch {
 
@@ -8,14 +8,14 @@
 class call_rate
 {
 public:
-  void Note(time_point aNow);
+  void Note(time_point aNow) { mCalls.Add(1, aNow); }
   [[nodiscard]] double PerSecond(time_point aNow) const;
 
 private:
-  [[nodiscard]] double Decayed(time_point aNow) const;
+  /// A call counts half after this time.
+  static constexpr duration kHalfLife = 2_s;
 
-  double mSum = 0;
-  time_point mAt;
+  decaying_sum mCalls{ kHalfLife };
 };
 
 } // namespace persimmon::dispatch
--- a/src/gateway/demandmeter.h
+++ b/src/gateway/demandmeter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/clock.h"
+#include "base/decayingsum.h"
 #include "routes/engineprofile.h"
 
 #include <map>
@@ -21,12 +21,6 @@
   [[nodiscard]] std::map<routes::model_name, double> Demand(time_point aNow) const;
 
 private:
-  struct decaying_sum
-  {
-    double value = 0;
-    time_point at;
-  };
-
   std::map<routes::model_name, decaying_sum> mWork;
   std::uint64_t mCalls = 0;
 };
--- a/src/gateway/internal/demandmeter.cpp
+++ b/src/gateway/internal/demandmeter.cpp
@@ -1,7 +1,5 @@
 #include "gateway/demandmeter.h"
 
-#include <cmath>
-
 namespace persimmon::gateway {
 namespace {
 
@@ -14,13 +12,6 @@
 /// Requests that a group runs side by side when it still answers in time.
 constexpr double kUsualRunning = 8;
 
-double
-Decayed(double aValue, time_point aThen, time_point aNow)
-{
-  const double halves = static_cast<double>((aNow - aThen).ms) / static_cast<double>(kHalfLife.ms);
-  return aValue * std::exp2(-halves);
-}
-
 } // namespace
 
 void
@@ -37,10 +28,8 @@
   const double readMs = static_cast<double>(aPromptTokens) * 1000 / aEngine.readPerSecond;
   const double writeMs =
     static_cast<double>(aOutputTokens) * kUsedOutput * aEngine.stepMs / kUsualRunning;
-  decaying_sum& sum = mWork[aModel];
-  sum.value = Decayed(sum.value, sum.at, aNow) +
-              (readMs + writeMs) * model->pace * static_cast<double>(model->size);
-  sum.at = aNow;
+  const double work = (readMs + writeMs) * model->pace * static_cast<double>(model->size);
+  mWork.try_emplace(aModel, kHalfLife).first->second.Add(work, aNow);
   ++mCalls;
 }
 
@@ -52,7 +41,7 @@
     return demand;
   }
   for (const auto& [model, sum] : mWork) {
-    demand[model] = Decayed(sum.value, sum.at, aNow);
+    demand[model] = sum.Value(aNow);
   }
   return demand;
 }
