--- a/src/assembly/engineorder.h
+++ b/src/assembly/engineorder.h
@@ -37,8 +37,6 @@
   /// With join: all members, the head first.
   std::vector<instance_id> members;
   fencing_token token;
-  /// Orders that the instance must have accepted before; otherwise it refuses.
-  std::optional<std::uint64_t> expectedOrders;
 };
 
 } // namespace persimmon::assembly
--- a/src/dispatch/internal/callplan.cpp
+++ b/src/dispatch/internal/callplan.cpp
@@ -24,7 +24,6 @@
 constexpr duration kReturnWhenFull = 1_s;
 /// Time until a stopping process is out of the balancer's choice.
 constexpr duration kReturnWhenStopping = 100_ms;
-constexpr duration kQuarantineReturn = 2_s;
 /// Upstreams that are tried in vain before a call is refused.
 constexpr std::uint32_t kMostUnreachable = 3;
 
@@ -36,8 +35,6 @@
       return kReturnWhenFull;
     case plan_cause::stopping:
       return kReturnWhenStopping;
-    case plan_cause::quarantined:
-      return kQuarantineReturn;
     case plan_cause::no_upstream:
     case plan_cause::upstream_lost:
     case plan_cause::time_up:
@@ -60,8 +57,6 @@
       return "upstream_lost";
     case plan_cause::time_up:
       return "time_up";
-    case plan_cause::quarantined:
-      return "quarantined";
     case plan_cause::stopping:
       return "stopping";
   }
--- a/src/dispatch/internal/loadspread.cpp
+++ b/src/dispatch/internal/loadspread.cpp
@@ -29,9 +29,9 @@
 } // namespace
 
 std::size_t
-DrawSpread(const std::vector<double>& aCosts, double aSlope, double aCalls, std::uint64_t aDraw)
+DrawSpread(const std::vector<double>& aCosts, double aPoured, std::uint64_t aDraw)
 {
-  const double poured = std::max(aSlope * aCalls, kLeastPoured);
+  const double poured = std::max(aPoured, kLeastPoured);
   const double level = LevelOf(aCosts, poured);
   double left = random_source(aDraw).Unit() * poured;
   std::size_t cheapest = 0;
--- a/src/dispatch/internal/upstreamboard.cpp
+++ b/src/dispatch/internal/upstreamboard.cpp
@@ -12,8 +12,6 @@
 constexpr duration kReportLifetime = 3_s;
 /// How old a report is on average when an upstream makes it.
 constexpr duration kReportLag = 200_ms;
-/// Keeps the number of calls finite where one more costs nothing.
-constexpr double kLeastSlopeMs = 0.01;
 /// A failure's weight halves in this time, so that an upstream that recovers is tried again.
 constexpr duration kFailureHalfLife = 2_s;
 /// Weight of the newest outcome in the failure rate.
@@ -189,15 +187,15 @@
 }
 
 double
-upstream_board::WaitMs(const fleet::engine_group& aGroup, time_point aNow) const
+upstream_board::WaitMs(const fleet::engine_group& aGroup,
+                       const model_engine& aEngine,
+                       time_point aNow) const
 {
-  const routes::engine_profile& engine = *mRoutes->FindService(aGroup.service)->engine;
-  const routes::model_profile* model = engine.Find(aGroup.model);
-  const auto slots = static_cast<double>(std::max<std::size_t>(engine.slots, 1));
+  const routes::engine_profile& engine = aEngine.profile;
   const double calls = EstimatedCalls(aGroup.Head(), aNow);
-  const double stepMs = engine.stepMs + engine.stepPerRequestMs * slots;
-  const double holdMs = engine.usualOutput * stepMs * (model == nullptr ? 1 : model->pace);
-  return std::max(0.0, calls + 1 - slots) * holdMs / slots;
+  const double stepMs = engine.stepMs + engine.stepPerRequestMs * aEngine.slots;
+  const double holdMs = engine.usualOutput * stepMs * aEngine.pace;
+  return std::max(0.0, calls + 1 - aEngine.slots) * holdMs / aEngine.slots;
 }
 
 double
@@ -220,25 +218,24 @@
 
 double
 upstream_board::GroupCostMs(const fleet::engine_group& aGroup,
+                            const model_engine& aEngine,
                             std::uint64_t aPromptTokens,
                             time_point aNow) const
 {
-  const routes::engine_profile& engine = *mRoutes->FindService(aGroup.service)->engine;
-  const routes::model_profile* model = engine.Find(aGroup.model);
-  const double pace = model == nullptr ? 1 : model->pace;
+  const routes::engine_profile& engine = aEngine.profile;
   const double calls = EstimatedCalls(aGroup.Head(), aNow);
   const upstream_record* record = Record(aGroup.Head());
   const double pending = record == nullptr ? 0 : static_cast<double>(record->pendingTokens);
   const double tokens = pending + static_cast<double>(aPromptTokens);
   const double readMs = tokens * 1000 / std::max(engine.readPerSecond, 1.0);
   const double stepMs = engine.stepMs + engine.stepPerRequestMs * calls;
-  const auto slots = static_cast<double>(std::max<std::size_t>(engine.slots, 1));
   // Each pass reads one chunk and then writes for the requests that run.
   const double passes =
     std::ceil(tokens / static_cast<double>(std::max<std::uint64_t>(engine.chunkTokens, 1)));
-  const double writeMs = stepMs * static_cast<double>(engine.stride) * (passes + calls / slots);
-  double cost = (readMs + writeMs) * pace + WaitMs(aGroup, aNow);
-  const double expectedGap = stepMs * static_cast<double>(engine.stride) * pace;
+  const double writeMs =
+    stepMs * static_cast<double>(engine.stride) * (passes + calls / aEngine.slots);
+  double cost = (readMs + writeMs) * aEngine.pace + WaitMs(aGroup, aEngine, aNow);
+  const double expectedGap = stepMs * static_cast<double>(engine.stride) * aEngine.pace;
   cost *= Slowness(aGroup, expectedGap, aNow);
   if (FailureRate(aGroup.Head(), aNow) > kFailureLimit) {
     cost *= kFailurePenalty;
@@ -247,13 +244,11 @@
 }
 
 double
-upstream_board::SlopeMs(const fleet::engine_group& aGroup) const
+upstream_board::SlopeMs(const model_engine& aEngine)
 {
-  const routes::engine_profile& engine = *mRoutes->FindService(aGroup.service)->engine;
-  const routes::model_profile* model = engine.Find(aGroup.model);
-  const auto slots = static_cast<double>(std::max<std::size_t>(engine.slots, 1));
-  const double stepMs = 2 * engine.stepPerRequestMs + engine.stepMs / slots;
-  return stepMs * static_cast<double>(engine.stride) * (model == nullptr ? 1 : model->pace);
+  const routes::engine_profile& engine = aEngine.profile;
+  const double stepMs = 2 * engine.stepPerRequestMs + engine.stepMs / aEngine.slots;
+  return stepMs * static_cast<double>(engine.stride) * aEngine.pace;
 }
 
 double
@@ -277,7 +272,9 @@
 }
 
 std::optional<instance_id>
-upstream_board::ChooseGroup(const choice_request& aRequest, time_point aNow) const
+upstream_board::ChooseGroup(const choice_request& aRequest,
+                            const model_engine& aEngine,
+                            time_point aNow) const
 {
   std::vector<const fleet::engine_group*> groups;
   std::vector<double> costs;
@@ -287,22 +284,20 @@
       continue;
     }
     if (aRequest.longestWait &&
-        WaitMs(group, aNow) > static_cast<double>(aRequest.longestWait->ms)) {
+        WaitMs(group, aEngine, aNow) > static_cast<double>(aRequest.longestWait->ms)) {
       continue;
     }
     if (aRequest.isolated && EstimatedCalls(group.Head(), aNow) > 0) {
       continue;
     }
     groups.push_back(&group);
-    costs.push_back(GroupCostMs(group, aRequest.promptTokens, aNow));
+    costs.push_back(GroupCostMs(group, aEngine, aRequest.promptTokens, aNow));
   }
   if (groups.empty()) {
     return std::nullopt;
   }
-  const double slope = SlopeMs(*groups.front());
-  const double calls =
-    std::max(UnseenCalls(aRequest, groups, aNow), kTieMs / std::max(slope, kLeastSlopeMs));
-  return groups[DrawSpread(costs, slope, calls, aRequest.draw)]->Head();
+  const double unseenMs = SlopeMs(aEngine) * UnseenCalls(aRequest, groups, aNow);
+  return groups[DrawSpread(costs, std::max(unseenMs, kTieMs), aRequest.draw)]->Head();
 }
 
 double
@@ -340,7 +335,13 @@
   if (service == nullptr) {
     return std::nullopt;
   }
-  return service->engine ? ChooseGroup(aRequest, aNow) : ChoosePlain(aRequest, aNow);
+  if (!service->engine) {
+    return ChoosePlain(aRequest, aNow);
+  }
+  const routes::engine_profile& profile = *service->engine;
+  const routes::model_profile* model = profile.Find(aRequest.model);
+  const auto slots = static_cast<double>(std::max<std::size_t>(profile.slots, 1));
+  return ChooseGroup(aRequest, { profile, model == nullptr ? 1 : model->pace, slots }, aNow);
 }
 
 bool
--- a/src/dispatch/planstep.h
+++ b/src/dispatch/planstep.h
@@ -20,8 +20,6 @@
   upstream_lost,
   /// The time that the caller or the route allows is over.
   time_up,
-  /// It crashed upstreams before.
-  quarantined,
   /// This process is stopping.
   stopping
 };
--- a/src/dispatch/tests/loadspreadtests.cpp
+++ b/src/dispatch/tests/loadspreadtests.cpp
@@ -16,7 +16,7 @@
   {
     std::vector<std::size_t> taken(aCosts.size());
     for (int i = 0; i < aTimes; ++i) {
-      ++taken[DrawSpread(aCosts, 2, aCalls, random.Next())];
+      ++taken[DrawSpread(aCosts, 2 * aCalls, random.Next())];
     }
     return taken;
   }
--- a/src/dispatch/upstreamboard.h
+++ b/src/dispatch/upstreamboard.h
@@ -75,10 +75,19 @@
   [[nodiscard]] const upstream_record* Record(const instance_id& aUpstream) const;
 
 private:
+  /// How the groups of one model work.
+  struct model_engine
+  {
+    const routes::engine_profile& profile;
+    double pace = 1;
+    double slots = 1;
+  };
+
   upstream_record& Touch(const instance_id& aUpstream);
   [[nodiscard]] bool MayTake(const fleet::engine_group& aGroup, time_point aNow) const;
   [[nodiscard]] bool MayTake(const fleet::instance& aUpstream, time_point aNow) const;
   [[nodiscard]] double GroupCostMs(const fleet::engine_group& aGroup,
+                                   const model_engine& aEngine,
                                    std::uint64_t aPromptTokens,
                                    time_point aNow) const;
   /// Factor by which a group is slower than expected, from what is told and what was seen.
@@ -86,15 +95,18 @@
                                 double aExpectedGapMs,
                                 time_point aNow) const;
   /// Time that one more call would wait for a place in a group.
-  [[nodiscard]] double WaitMs(const fleet::engine_group& aGroup, time_point aNow) const;
+  [[nodiscard]] double WaitMs(const fleet::engine_group& aGroup,
+                              const model_engine& aEngine,
+                              time_point aNow) const;
   /// What one more call adds to a group's cost.
-  [[nodiscard]] double SlopeMs(const fleet::engine_group& aGroup) const;
+  [[nodiscard]] static double SlopeMs(const model_engine& aEngine);
   /// Calls that other routers give out before news of them comes here.
   [[nodiscard]] double UnseenCalls(const choice_request& aRequest,
                                    const std::vector<const fleet::engine_group*>& aGroups,
                                    time_point aNow) const;
   [[nodiscard]] double PlainCost(const fleet::instance& aUpstream, time_point aNow) const;
   [[nodiscard]] std::optional<instance_id> ChooseGroup(const choice_request& aRequest,
+                                                       const model_engine& aEngine,
                                                        time_point aNow) const;
   [[nodiscard]] std::optional<instance_id> ChoosePlain(const choice_request& aRequest,
                                                        time_point aNow) const;
