--- a/src/assembly/tests/assemblypropertytests.cpp
+++ b/src/assembly/tests/assemblypropertytests.cpp
@@ -80,6 +80,14 @@
     }
   }
 
+  /// Two domains of six instances, whose groups serve.
+  void Begin()
+  {
+    Fill(2, 6);
+    leader.Lead({ 1 }, now);
+    RunCurrent(6_s);
+  }
+
   void RunCurrent(duration aSpan)
   {
     const time_point end = now + aSpan;
@@ -90,6 +98,14 @@
   }
 };
 
+/// Draws troubles, each with a number that tells what it strikes.
+std::vector<std::pair<int, unsigned>>
+SomeTroubles()
+{
+  return *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
+    rc::gen::pair(rc::gen::inRange(0, kTroubles), rc::gen::arbitrary<unsigned>()));
+}
+
 } // namespace
 
 // clang-format off
@@ -102,11 +118,8 @@
 {
   const bool held = rc::check("no group opens without all members, none joins two", [] {
     leaders_rig rig;
-    rig.Fill(2, 6);
-    rig.leader.Lead({ 1 }, rig.now);
-    rig.RunCurrent(6_s);
-    const auto steps = *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
-      rc::gen::pair(rc::gen::inRange(0, kTroubles), rc::gen::arbitrary<unsigned>()));
+    rig.Begin();
+    const auto steps = SomeTroubles();
     for (const auto& [what, which] : steps) {
       rig.Happen(static_cast<trouble>(what), which);
       rig.RunCurrent(duration{ 200 + static_cast<std::int64_t>(which % 3000) });
@@ -124,11 +137,8 @@
 {
   const bool held = rc::check("after any trouble the groups come back", [] {
     leaders_rig rig;
-    rig.Fill(2, 6);
-    rig.leader.Lead({ 1 }, rig.now);
-    rig.RunCurrent(6_s);
-    const auto steps = *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
-      rc::gen::pair(rc::gen::inRange(0, kTroubles), rc::gen::arbitrary<unsigned>()));
+    rig.Begin();
+    const auto steps = SomeTroubles();
     for (const auto& [what, which] : steps) {
       rig.Happen(static_cast<trouble>(what), which);
       rig.RunCurrent(500_ms);
