--- a/bench/routingcost.cpp
+++ b/bench/routingcost.cpp
@@ -1,8 +1,9 @@
 #include "routingcost.h"
 
 #include "base/random.h"
+#include "poison/poisontracker.h"
+#include "poison/requestfingerprint.h"
 #include "routing/admission.h"
-#include "routing/poisontracker.h"
 #include "routing/upstreamchooser.h"
 
 #include <algorithm>
@@ -186,15 +187,15 @@
   void Decide(running_request& aPlace, std::uint64_t aPrefix)
   {
     const std::uint64_t print =
-      routing::RequestFingerprint({ "verifier-llm" }, { kCustomer }, mText);
-    const routing::poison_check check = mPoison.Check(print, mNow);
+      poison::RequestFingerprint({ "verifier-llm", kCustomer, {}, {}, mText });
+    const poison::poison_check check = mPoison.Check(print, mNow);
     const auto actions = mGate.Submit({ aPlace.request, { kCustomer }, 3, mNow + 30_s }, mNow);
-    const bool may = check.verdict == routing::poison_verdict::clear && actions.size() == 1;
+    const bool may = check.verdict == poison::poison_verdict::clear && actions.size() == 1;
     routing::choice_request request{ aPrefix, {}, may };
     routing::upstream_choice chosen;
     choice.Measure([&] { chosen = mChooser.Choose(request, mNow); });
     aPlace.ticket = mChooser.Pool().Start(chosen.slot, mNow);
-    mPoison.RecordDispatch(aPlace.attempt, print, chosen.target->id, mNow);
+    mPoison.RecordDispatch({ aPlace.attempt, print, chosen.target->id }, mNow);
   }
 
   void End(const running_request& aPlace)
@@ -209,7 +210,7 @@
   time_point mNow{ 1000 };
   random_source mRandom;
   routing::upstream_chooser mChooser;
-  routing::poison_tracker mPoison;
+  poison::poison_tracker mPoison;
   routing::admission mGate{ { "r1" }, { "verifier-llm" } };
   std::vector<running_request> mRunning;
 };
--- a/bench/routingmodel.cpp
+++ b/bench/routingmodel.cpp
@@ -70,7 +70,7 @@
   std::uint32_t tokens = 0;
   std::uint32_t attempts = 0;
   std::optional<std::size_t> current;
-  std::vector<routing::upstream_id> tried;
+  std::vector<upstream_id> tried;
   bool admitted = false;
   bool done = false;
   model_ending ending = model_ending::expired;
--- a/src/app/router/eligibilitylog.h
+++ b/src/app/router/eligibilitylog.h
@@ -24,7 +24,7 @@
 private:
   void Tell(const routing::upstream& aUpstream, routing::ineligibility aWhyNot);
 
-  std::unordered_map<routing::upstream_id, routing::ineligibility> mTold;
+  std::unordered_map<upstream_id, routing::ineligibility> mTold;
   std::unordered_set<std::string> mLeaving;
 };
 
--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -33,7 +33,7 @@
   /// Brings an event to the flow; from any thread, never within the call itself.
   void Post(routing::flow_event aEvent);
   /// Tells that an upstream lost a member or went silent; from any thread.
-  void UpstreamLost(const routing::upstream_id& aUpstream, generation aVersion);
+  void UpstreamLost(const upstream_id& aUpstream, generation aVersion);
   /// Counts and logs what the admission decided; from any thread.
   void RecordAdmission(const routing::admission_action& aAction) const;
   [[nodiscard]] const service_name& Service() const { return mCall.service->Name(); }
@@ -73,7 +73,7 @@
 
   /// Finds out whether the attempt's upstream died; a retry waits for it.
   void ProbeUpstream();
-  void OnProbed(const attempt_id& aAttempt, const routing::upstream_id& aUpstream, bool aDied);
+  void OnProbed(const attempt_id& aAttempt, const upstream_id& aUpstream, bool aDied);
   void DecideRetry(const routing::failed_attempt& aFailed);
   void OnLedgerAnswer(ledger_answer aAnswer);
   void OnHead(routing::attempt_number aAttempt, const upstream::response_head& aHead);
@@ -106,7 +106,7 @@
   time_point mDeadline;
   routing::request_flow mFlow;
   attempt mAttempt;
-  std::vector<routing::upstream_id> mTried;
+  std::vector<upstream_id> mTried;
   /// The intent that the ledger granted, until it is closed.
   std::optional<ledger::dispatch_permit> mTicket;
   /// The answer of an earlier call under the same key.
--- a/src/app/router/internal/callparser.cpp
+++ b/src/app/router/internal/callparser.cpp
@@ -3,8 +3,8 @@
 #include "app/router/completionbody.h"
 #include "base/hash.h"
 #include "ledger/idempotencykey.h"
+#include "poison/requestfingerprint.h"
 #include "routing/choicerequest.h"
-#include "routing/poisontracker.h"
 
 #include <algorithm>
 #include <charconv>
@@ -270,7 +270,8 @@
     return false;
   }
   aCall.prefix = routing::PrefixHash(service, body->prompt);
-  aCall.fingerprint = routing::RequestFingerprint(service, aCall.customer, aRequest.body);
+  aCall.fingerprint =
+    poison::RequestFingerprint({ service.value, aCall.customer.value, {}, {}, aRequest.body });
   return true;
 }
 
@@ -296,8 +297,8 @@
   if (!ReadHeaders(aRequest, aCall, aProblem)) {
     return false;
   }
-  aCall.fingerprint = routing::RequestFingerprint(
-    service, aCall.customer, aCall.method + " " + aCall.target + "\n" + aRequest.body);
+  aCall.fingerprint = poison::RequestFingerprint(
+    { service.value, aCall.customer.value, aCall.method, aCall.target, aRequest.body });
   return true;
 }
 
--- a/src/app/router/internal/eligibilitylog.cpp
+++ b/src/app/router/internal/eligibilitylog.cpp
@@ -9,7 +9,7 @@
 void
 eligibility_log::Update(const cluster_board& aBoard, time_point aNow)
 {
-  std::unordered_map<routing::upstream_id, routing::ineligibility> present;
+  std::unordered_map<upstream_id, routing::ineligibility> present;
   for (const auto& service : aBoard.Services()) {
     const auto view = service->View();
     for (const routing::candidate& candidate : view->candidates) {
--- a/src/app/router/internal/exchange.cpp
+++ b/src/app/router/internal/exchange.cpp
@@ -4,6 +4,8 @@
 #include "app/router/problem.h"
 #include "app/router/routerevents.h"
 #include "app/router/routermetrics.h"
+#include "poison/poisonevents.h"
+#include "poison/suspicionlog.h"
 #include "routing/routingevents.h"
 #include "routing/routingmetrics.h"
 
@@ -101,8 +103,8 @@
 void
 exchange::Do(const routing::request_admission&)
 {
-  const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
-  if (poison.verdict == routing::poison_verdict::quarantined) {
+  const poison::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
+  if (poison.verdict == poison::poison_verdict::quarantined) {
     RecordQuarantine(poison.remaining);
     Handle(
       routing::flow_not_admitted{ routing::refusal_reason::request_quarantined, poison.remaining });
@@ -152,9 +154,9 @@
 void
 exchange::RecordQuarantine(duration aRemaining) const
 {
-  WriteLog(routing::kQuarantinedRefused,
+  WriteLog(poison::kQuarantinedRefused,
            { { "request", mId.value },
-             { "fingerprint", fmt::format("{:016x}", mCall.fingerprint) },
+             { "fingerprint", poison::FingerprintText(mCall.fingerprint) },
              { "service", mCall.service->Name().value },
              { "customer", mCall.customer.value },
              { "retry_after_ms", std::to_string(aRemaining.ms) } });
@@ -187,15 +189,15 @@
   routing::choice_request request;
   request.prefix = mCall.prefix;
   request.excluded = mTried;
-  const routing::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
-  if (poison.verdict == routing::poison_verdict::quarantined) {
+  const poison::poison_check poison = mContext.suspects.Check(mCall.fingerprint, Now());
+  if (poison.verdict == poison::poison_verdict::quarantined) {
     RecordQuarantine(poison.remaining);
     Handle(
       routing::flow_no_upstream{ routing::refusal_reason::request_quarantined, poison.remaining });
     return;
   }
-  if (poison.verdict == routing::poison_verdict::isolate) {
-    for (routing::upstream_id& upstream : mContext.suspects.UpstreamsWithSuspects()) {
+  if (poison.verdict == poison::poison_verdict::isolate) {
+    for (upstream_id& upstream : mContext.suspects.UpstreamsWithSuspects()) {
       request.excluded.push_back(std::move(upstream));
     }
     Note("isolated", "suspected of having killed an upstream");
@@ -260,7 +262,7 @@
 }
 
 void
-exchange::OnProbed(const attempt_id& aAttempt, const routing::upstream_id& aUpstream, bool aDied)
+exchange::OnProbed(const attempt_id& aAttempt, const upstream_id& aUpstream, bool aDied)
 {
   mProbing = false;
   if (aDied) {
@@ -278,7 +280,7 @@
 }
 
 void
-exchange::UpstreamLost(const routing::upstream_id& aUpstream, generation aVersion)
+exchange::UpstreamLost(const upstream_id& aUpstream, generation aVersion)
 {
   mLoop.Post([self = shared_from_this(), aUpstream, aVersion] {
     const auto& target = self->mAttempt.chosen.choice.target;
--- a/src/app/router/internal/exchangeattempts.cpp
+++ b/src/app/router/internal/exchangeattempts.cpp
@@ -4,6 +4,7 @@
 #include "app/router/problem.h"
 #include "app/router/routerevents.h"
 #include "app/router/routermetrics.h"
+#include "base/hash.h"
 #include "routing/routingevents.h"
 #include "routing/routingmetrics.h"
 
@@ -23,6 +24,14 @@
 constexpr duration kProgressInterval = 500_ms;
 constexpr int kOk = 200;
 
+/// Returns a number that differs for each run of an upstream: each incarnation of an instance and
+/// each generation of a group.
+std::uint64_t
+UpstreamRun(const routing::upstream& aUpstream)
+{
+  return HashText(fmt::format("{}/{}", aUpstream.incarnationId.value, aUpstream.generation.value));
+}
+
 } // namespace
 
 upstream::call_handlers
@@ -49,7 +58,8 @@
   mFramer.DropPartial();
   mBroken = false;
   RecordAttempt(aAction.resumeAfter);
-  mContext.suspects.Started(mAttempt.id, mCall.fingerprint, target.id, Now());
+  mContext.suspects.Started({ mAttempt.id, mCall.fingerprint, target.id, UpstreamRun(target) },
+                            Now());
   upstream::upstream_call call;
   call.address = target.address;
   call.method = mCall.method;
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -68,9 +68,12 @@
   metrics_registry metrics;
   decision_log decisions{ kRememberedRequests };
   request_registry registry;
-  suspect_board suspects{ [this](const std::vector<peers::suspect_request_message>& aNews) {
-    for (const peers::suspect_request_message& news : aNews) {
-      mesh.Publish(news);
+  suspect_board suspects{ [this](const poison::suspicion_changes& aChanges) {
+    for (const peers::crash_message& crash : aChanges.crashes) {
+      mesh.Publish(crash);
+    }
+    for (const peers::quarantine_message& quarantine : aChanges.quarantines) {
+      mesh.Publish(quarantine);
     }
   } };
   call_ledger ledger{ settings.id, settings.storeUrl, metrics };
--- a/src/app/router/internal/servicegauges.cpp
+++ b/src/app/router/internal/servicegauges.cpp
@@ -28,7 +28,7 @@
   for (const auto& service : aBoard.Services()) {
     PublishService(*service, aMetrics, aNow);
   }
-  const suspect_counts counts = aSuspects.Count(aNow);
+  const poison::suspicion_counts counts = aSuspects.Count(aNow);
   aMetrics.Set(routing::kSuspects, static_cast<double>(counts.suspects));
   aMetrics.Set(routing::kQuarantined, static_cast<double>(counts.quarantined));
 }
--- a/src/app/router/internal/suspectboard.cpp
+++ b/src/app/router/internal/suspectboard.cpp
@@ -1,41 +1,22 @@
 #include "app/router/suspectboard.h"
 
-#include "base/log.h"
-#include "routing/routingevents.h"
-
-#include <fmt/format.h>
+#include "poison/suspicionlog.h"
 
 namespace persimmon::router {
-namespace {
-
-void
-LogNews(const std::vector<peers::suspect_request_message>& aNews)
-{
-  for (const peers::suspect_request_message& news : aNews) {
-    const log_event& event = news.quarantined  ? routing::kRequestQuarantined
-                             : news.deaths > 0 ? routing::kRequestSuspected
-                                               : routing::kSuspectCleared;
-    WriteLog(event,
-             { { "fingerprint", fmt::format("{:016x}", news.fingerprint) },
-               { "deaths", std::to_string(news.deaths) } });
-  }
-}
-
-} // namespace
 
 suspect_board::suspect_board(news_sink aSink)
   : mSink(std::move(aSink))
 {
 }
 
-routing::poison_check
+poison::poison_check
 suspect_board::Check(std::uint64_t aFingerprint, time_point aNow) const
 {
   const std::lock_guard lock(mMutex);
   return mTracker.Check(aFingerprint, aNow);
 }
 
-std::vector<routing::upstream_id>
+std::vector<upstream_id>
 suspect_board::UpstreamsWithSuspects() const
 {
   const std::lock_guard lock(mMutex);
@@ -43,25 +24,28 @@
 }
 
 void
-suspect_board::Started(const attempt_id& aAttempt,
-                       std::uint64_t aFingerprint,
-                       const routing::upstream_id& aUpstream,
-                       time_point aNow)
+suspect_board::Announce(const poison::suspicion_changes& aChanges) const
+{
+  poison::LogChanges(aChanges);
+  mSink(aChanges);
+}
+
+void
+suspect_board::Started(const poison::dispatched_request& aRequest, time_point aNow)
 {
   const std::lock_guard lock(mMutex);
-  mTracker.RecordDispatch(aAttempt, aFingerprint, aUpstream, aNow);
+  mTracker.RecordDispatch(aRequest, aNow);
 }
 
 void
 suspect_board::Completed(const attempt_id& aAttempt, time_point aNow)
 {
-  std::vector<peers::suspect_request_message> news;
+  poison::suspicion_changes changes;
   {
     const std::lock_guard lock(mMutex);
-    news = mTracker.RecordCompletion(aAttempt, aNow);
+    changes = mTracker.RecordCompletion(aAttempt, aNow);
   }
-  LogNews(news);
-  mSink(news);
+  Announce(changes);
 }
 
 void
@@ -72,22 +56,25 @@
 }
 
 void
-suspect_board::Died(const routing::upstream_id& aUpstream, time_point aNow)
+suspect_board::Died(const upstream_id& aUpstream, time_point aNow)
 {
-  std::vector<peers::suspect_request_message> news;
+  poison::suspicion_changes changes;
   {
     const std::lock_guard lock(mMutex);
-    news = mTracker.RecordDeath(aUpstream, aNow);
+    changes = mTracker.RecordCrash(aUpstream, aNow);
   }
-  LogNews(news);
-  mSink(news);
+  Announce(changes);
 }
 
 void
-suspect_board::Apply(const peers::suspect_request_message& aMessage, time_point aNow)
+suspect_board::Apply(const poison::suspicion_changes& aMessages, time_point aNow)
 {
-  const std::lock_guard lock(mMutex);
-  mTracker.Apply(aMessage, aNow);
+  poison::suspicion_changes changes;
+  {
+    const std::lock_guard lock(mMutex);
+    changes = mTracker.Apply(aMessages, aNow);
+  }
+  Announce(changes);
 }
 
 void
@@ -97,16 +84,11 @@
   mTracker.Prune(aNow);
 }
 
-suspect_counts
+poison::suspicion_counts
 suspect_board::Count(time_point aNow) const
 {
   const std::lock_guard lock(mMutex);
-  suspect_counts counts;
-  for (const peers::suspect_request_message& suspect : mTracker.Entries(aNow)) {
-    counts.suspects += suspect.deaths > 0 ? 1 : 0;
-    counts.quarantined += suspect.quarantined ? 1 : 0;
-  }
-  return counts;
+  return mTracker.Count(aNow);
 }
 
 } // namespace persimmon::router
--- a/src/app/router/lostupstream.h
+++ b/src/app/router/lostupstream.h
@@ -11,7 +11,7 @@
 struct lost_upstream
 {
   service_name service;
-  routing::upstream_id upstream;
+  upstream_id upstream;
   generation version;
 
   auto operator<=>(const lost_upstream&) const = default;
--- a/src/app/router/tests/mocks/routerrig.h
+++ b/src/app/router/tests/mocks/routerrig.h
@@ -122,7 +122,7 @@
   metrics_registry mMetrics;
   decision_log mDecisions{ 64 };
   request_registry mRegistry;
-  suspect_board mSuspects{ [](const std::vector<peers::suspect_request_message>&) {} };
+  suspect_board mSuspects{ [](const poison::suspicion_changes&) {} };
   call_ledger mLedger{ { "r" }, "http://127.0.0.1:1", mMetrics };
   cluster_board mBoard{ { "r" },
                         { "z" },
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -39,6 +39,8 @@
 using zone_name = text_id<struct zone_name_tag>;
 /// Identifies a group of instances that together serve one replica; never reused.
 using group_id = text_id<struct group_id_tag>;
+/// Identifies what runs a request: a group or, for plain services, an instance.
+using upstream_id = text_id<struct upstream_id_tag>;
 /// Identifies one run of a router process; a restarted router has a new value.
 using router_id = text_id<struct router_id_tag>;
 /// Identifies one run of a placer process; a restarted placer has a new value.
--- a/src/dispatch/callaction.h
+++ b/src/dispatch/callaction.h
@@ -21,7 +21,9 @@
   /// The timeout of the caller or of the route has expired.
   time_up,
   /// This process is stopping.
-  stopping
+  stopping,
+  /// Upstreams crashed under the same request, so it is not sent again for a time.
+  quarantined
 };
 
 /// Returns the name of a cause for logs and metrics.
--- a/src/dispatch/callstatemachine.h
+++ b/src/dispatch/callstatemachine.h
@@ -34,6 +34,11 @@
   call_action OnNotExecuted(const instance_id& aUpstream, time_point aNow);
   /// Handles the loss of an upstream that may have run the call and will not complete its response.
   call_action OnUpstreamLost(const instance_id& aUpstream, time_point aNow);
+  /// Ends a call whose request is quarantined for aRemaining.
+  [[nodiscard]] call_action OnQuarantined(duration aRemaining) const;
+  /// Ends a call whose send_action was not carried out since its request is quarantined for
+  /// aRemaining.
+  call_action OnSendWithheld(duration aRemaining);
   /// Handles the deadline of the call.
   [[nodiscard]] call_action OnDeadline() const;
   /// Returns a second, concurrent attempt for a call whose upstream is slow to respond; empty
@@ -59,6 +64,7 @@
   [[nodiscard]] duration MaxWait(bool aAllFull) const;
   /// Ends the call: aborts a started response, fails a call that may have run, refuses any other.
   [[nodiscard]] call_action GiveUp(failure_cause aCause) const;
+  [[nodiscard]] call_action GiveUp(failure_cause aCause, duration aRetryAfter) const;
   [[nodiscard]] selection_request MakeSelectionRequest();
   [[nodiscard]] call_action SendOrGiveUp(const instance_id& aUpstream, time_point aNow);
   [[nodiscard]] send_action MakeSendAction(const instance_id& aUpstream) const;
--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -37,6 +37,7 @@
       return kRetryAfterFull;
     case failure_cause::stopping:
       return kRetryAfterStopping;
+    case failure_cause::quarantined:
     case failure_cause::no_upstream:
     case failure_cause::upstream_lost:
     case failure_cause::time_up:
@@ -61,6 +62,8 @@
       return "time_up";
     case failure_cause::stopping:
       return "stopping";
+    case failure_cause::quarantined:
+      return "quarantined";
   }
   return "unknown";
 }
@@ -132,6 +135,12 @@
 
 call_action
 call_state_machine::GiveUp(failure_cause aCause) const
+{
+  return GiveUp(aCause, RetryAfter(aCause));
+}
+
+call_action
+call_state_machine::GiveUp(failure_cause aCause, duration aRetryAfter) const
 {
   if (mResponseStarted) {
     return abort_action{ aCause };
@@ -139,7 +148,7 @@
   if (mMayHaveRun || mInFlight > 0) {
     return fail_action{ aCause };
   }
-  return refuse_action{ aCause, RetryAfter(aCause) };
+  return refuse_action{ aCause, aRetryAfter };
 }
 
 duration
@@ -237,6 +246,20 @@
   return SelectOrWait(aNow);
 }
 
+call_action
+call_state_machine::OnQuarantined(duration aRemaining) const
+{
+  return GiveUp(failure_cause::quarantined, aRemaining);
+}
+
+call_action
+call_state_machine::OnSendWithheld(duration aRemaining)
+{
+  mSendCount -= std::min<std::uint32_t>(mSendCount, 1);
+  ReleaseUpstream();
+  return OnQuarantined(aRemaining);
+}
+
 call_action
 call_state_machine::OnDeadline() const
 {
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -217,3 +217,24 @@
   CHECK(idempotent.TryHedge(now).has_value());
   CHECK_FALSE(idempotent.TryHedge(now).has_value());
 }
+
+TEST(call_state_machine, QuarantinedRequestIsRefusedUntilTheQuarantineEnds)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const call_action step = call.OnQuarantined(20_s);
+  CHECK(As<refuse_action>(step).cause == failure_cause::quarantined);
+  CHECK(As<refuse_action>(step).retryAfter == 20_s);
+}
+
+// Guards against the promise that a call has not run, when it was its own first attempt that
+// crashed an upstream.
+TEST(call_state_machine, WithheldRetryOfACallThatMayHaveRunFailsInsteadOfBeingRefused)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const call_action first = call.OnArrival(now);
+  const call_action second = call.OnUpstreamLost(As<send_action>(first).upstream, now);
+  CHECK(std::holds_alternative<send_action>(second));
+  const call_action step = call.OnSendWithheld(20_s);
+  CHECK(As<fail_action>(step).cause == failure_cause::quarantined);
+  CHECK_EQUAL(1, call.SendCount());
+}
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/crashmonitor.h"
 #include "gateway/eventframer.h"
 #include "gateway/responseinfo.h"
 #include "upstream/callid.h"
@@ -17,6 +18,9 @@
 {
   instance_id upstream;
   upstream::call_id call;
+  monitored_attempt monitored;
+  /// True when the crash monitor finds out whether the upstream has crashed.
+  bool lossReported = false;
   time_point startedAt;
   /// Time of the latest response head, body data or complete stream event; the start time before
   /// any.
--- /dev/null
+++ b/src/gateway/crashinvestigator.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "fleet/fleetview.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace persimmon::gateway {
+
+/// Time after a lost call in which a restart of its upstream is taken as the cause of the loss.
+constexpr duration kCrashProofTime = 20_s;
+/// Most lost attempts that are investigated at a time; further ones are not.
+constexpr std::size_t kMaxInvestigatedAttempts = 4096;
+
+/// Result of an attempt to connect to an instance.
+enum class connect_result
+{
+  /// Nothing listens at the address: the process has ended.
+  refused,
+  connected,
+  /// No answer in time: cut off, suspended or without power.
+  no_answer
+};
+
+/// An instance that may have crashed, in the incarnation that was running the lost call.
+struct crash_candidate
+{
+  instance_id instance;
+  endpoint address;
+  incarnation incarnationId;
+};
+
+/// Result of an investigation.
+struct crash_finding
+{
+  upstream_id upstream;
+  /// False when no instance of the upstream has crashed, as far as can be known.
+  bool crashed = false;
+  /// For a crash: what showed it.
+  const char* evidence = "";
+  /// The lost attempts.
+  std::vector<attempt_id> attempts;
+};
+
+/// Decides for each upstream with lost attempts whether one of its instances crashed: a refused
+/// connection or a later incarnation proves it; silence proves nothing. Does no I/O and reads no
+/// clock.
+class crash_investigator
+{
+public:
+  /// Adds a lost attempt. Returns the instances that the caller should now connect to.
+  std::vector<crash_candidate> AddLostAttempt(const upstream_id& aUpstream,
+                                              const attempt_id& aAttempt,
+                                              const std::vector<crash_candidate>& aCandidates,
+                                              time_point aNow);
+  /// Returns whether an attempt can still be added.
+  [[nodiscard]] bool HasCapacity() const { return mAttemptCount < kMaxInvestigatedAttempts; }
+  /// Handles the result of a connection attempt. Returns a finding once the investigation is over.
+  std::optional<crash_finding> OnConnectResult(const upstream_id& aUpstream,
+                                               const instance_id& aInstance,
+                                               connect_result aResult);
+  /// Returns the upstreams of which an instance is registered in a later incarnation.
+  std::vector<crash_finding> OnFleetChanged(const fleet::fleet_view& aFleet);
+  /// Returns the investigations that have found nothing in time.
+  std::vector<crash_finding> TakeExpired(time_point aNow);
+
+private:
+  struct investigation
+  {
+    time_point startedAt;
+    std::vector<attempt_id> attempts;
+    /// Instances that have not proved to be alive.
+    std::map<instance_id, crash_candidate> candidates;
+  };
+  using investigation_map = std::map<upstream_id, investigation>;
+
+  /// Removes an investigation and returns its finding.
+  crash_finding Close(investigation_map::iterator aPosition, bool aCrashed, const char* aEvidence);
+
+  investigation_map mInvestigations;
+  std::size_t mAttemptCount = 0;
+};
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/crashmonitor.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "dispatch/upstreamselector.h"
+#include "gateway/crashinvestigator.h"
+#include "metrics/metrics.h"
+#include "poison/poisontracker.h"
+#include "upstream/upstreamloop.h"
+
+#include <functional>
+
+namespace persimmon::gateway {
+
+/// An attempt as the crash monitor knows it.
+struct monitored_attempt
+{
+  attempt_id id;
+  /// The upstream in the incarnation and group that it had at the dispatch.
+  upstream_id upstream;
+  std::vector<crash_candidate> members;
+};
+
+/// Which instances of an upstream may have ended a lost call.
+enum class loss_scope
+{
+  /// The instance that the call was sent to.
+  head,
+  /// Any member of its group.
+  group
+};
+
+/// Tracks the calls in flight and the crashes of upstreams, to recognise requests that crash the
+/// upstreams that run them. For use on the event loop's thread only.
+class crash_monitor
+{
+public:
+  crash_monitor(upstream::upstream_loop& aLoop,
+                dispatch::upstream_selector& aUpstreams,
+                metrics_registry& aMetrics);
+
+  /// Called with changes that the other gateways need.
+  std::function<void(const poison::suspicion_changes&)> onChange;
+
+  /// Returns how a request may be sent.
+  [[nodiscard]] poison::poison_check Check(std::uint64_t aFingerprint) const;
+  /// Records that a request is sent to an upstream.
+  monitored_attempt Started(std::uint64_t aFingerprint, const instance_id& aUpstream);
+  /// Records the first part of a response.
+  void FirstResponse(const monitored_attempt& aAttempt);
+  /// Records a complete response.
+  void Completed(const monitored_attempt& aAttempt);
+  /// Records an attempt that ended without any sign of a crash.
+  void Ended(const monitored_attempt& aAttempt);
+  /// Records an attempt whose response broke off or did not come, and finds out whether its
+  /// upstream has crashed.
+  void Lost(const monitored_attempt& aAttempt, loss_scope aScope);
+  /// Applies messages of another gateway or from the store.
+  void Apply(const poison::suspicion_changes& aMessages);
+  /// Looks for restarted instances; call after each change of the instances.
+  void OnInstancesChanged();
+  /// Drops what has expired and updates the metrics; call about once a second.
+  void OnSlowTick();
+  /// Returns all that is known of requests.
+  [[nodiscard]] poison::suspicion_changes Entries() const;
+
+private:
+  void Connect(const upstream_id& aUpstream, const crash_candidate& aCandidate);
+  void Conclude(const crash_finding& aFinding);
+  void Announce(const poison::suspicion_changes& aChanges) const;
+
+  upstream::upstream_loop& mLoop;
+  dispatch::upstream_selector& mUpstreams;
+  metrics_registry& mMetrics;
+  poison::poison_tracker mTracker;
+  crash_investigator mInvestigator;
+  std::uint64_t mLastAttempt = 0;
+};
+
+} // namespace persimmon::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,9 @@
 #include "gateway/gatewayevents.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/httpstatus.h"
+#include "poison/poisonevents.h"
+#include "poison/requestfingerprint.h"
+#include "poison/suspicionlog.h"
 
 #include <fmt/format.h>
 #include <memory>
@@ -39,6 +42,8 @@
     , mResponder(std::move(aResponder))
     , mCall(std::move(aCall))
     , mCustomer(std::move(aCustomer))
+    , mFingerprint(poison::RequestFingerprint(
+        { {}, mCustomer.value, mRequest.method, mRequest.target, mRequest.body }))
     , mStateMachine(std::move(aAttributes), aContext.upstreams, aBudget, aContext.random.Next())
   {
   }
@@ -53,6 +58,8 @@
 private:
   using attempt_ptr = std::unique_ptr<attempt>;
 
+  /// Returns the time for which the request must not be sent, and logs it; nothing when it may be.
+  [[nodiscard]] std::optional<duration> QuarantineLeft() const;
   /// Executes an action of the state machine; does nothing once the exchange has ended.
   void Execute(const dispatch::call_action& aAction);
   void Execute(const dispatch::send_action& aAction);
@@ -72,6 +79,8 @@
   /// Ends an attempt that may have executed the call but delivers no complete response. With
   /// aCountsAsFailure, a failure of its upstream is recorded.
   void OnAttemptLost(attempt& aAttempt, const char* aResult, bool aCountsAsFailure);
+  /// Reports an attempt that broke off or got no response to the crash monitor.
+  void ReportLoss(attempt& aAttempt, loss_scope aScope);
   /// Sends a complete response to the caller, or retries a server error elsewhere.
   void DeliverResponse(attempt& aAttempt);
   /// Retries a call with a server error response on another upstream when the call and its retry
@@ -102,6 +111,8 @@
   std::shared_ptr<entry::responder> mResponder;
   incoming_call mCall;
   customer_name mCustomer;
+  /// Identifies the request when the caller sends it again.
+  std::uint64_t mFingerprint;
   dispatch::call_state_machine mStateMachine;
   std::vector<attempt_ptr> mAttempts;
   upstream::timer_id mDeadlineTimer;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/upstreamselector.h"
+#include "gateway/crashmonitor.h"
 #include "gateway/demandmeter.h"
 #include "metrics/metrics.h"
 #include "upstream/upstreamloop.h"
@@ -20,6 +21,7 @@
   upstream::upstream_loop& loop;
   dispatch::upstream_selector& upstreams;
   metrics_registry& metrics;
+  crash_monitor& crashes;
   random_source random;
   dispatch::retry_limits retryLimits;
   std::unordered_map<service_name, dispatch::retry_budget> retryBudgets{};
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -29,6 +29,14 @@
                                   "1 while this process forms the groups" };
 constexpr metric_spec kLogLinesDropped{ "persimmon_gateway_log_lines_dropped",
                                         "Log lines that were dropped for a slow reader" };
+constexpr metric_spec kUpstreamCrashes{ "persimmon_gateway_upstream_crashes_total",
+                                        "Crashes of upstreams that ended calls of this process" };
+constexpr metric_spec kSuspects{ "persimmon_gateway_suspects",
+                                 "Requests that were in flight when an upstream crashed" };
+constexpr metric_spec kQuarantined{
+  "persimmon_gateway_quarantined",
+  "Requests that are refused since upstreams crashed under them"
+};
 constexpr metric_spec kPeers{ "persimmon_gateway_peers", "Live gateways, this one included" };
 
 } // namespace persimmon::gateway
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -75,11 +75,11 @@
   loop::event_loop mLoop;
   upstream::upstream_loop mUpstreamLoop{ mLoop };
   dispatch::upstream_selector mUpstreams{ mSettings.zone };
-  gateway_context mContext{ mUpstreamLoop,
-                            mUpstreams,
-                            mMetrics,
-                            random_source(EntropySeed()),
-                            mSettings.retryLimits };
+  crash_monitor mCrashes{ mUpstreamLoop, mUpstreams, mMetrics };
+  gateway_context mContext{
+    mUpstreamLoop,        mUpstreams, mMetrics, mCrashes, random_source(EntropySeed()),
+    mSettings.retryLimits
+  };
   exchange_registry mExchanges;
   incoming_call_handler<Dialect> mCallHandler{ mContext, mExchanges };
   store mStore{ mUpstreamLoop, mSettings.store };
--- /dev/null
+++ b/src/gateway/internal/crashinvestigator.cpp
@@ -0,0 +1,96 @@
+#include "gateway/crashinvestigator.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace persimmon::gateway {
+
+std::vector<crash_candidate>
+crash_investigator::AddLostAttempt(const upstream_id& aUpstream,
+                                   const attempt_id& aAttempt,
+                                   const std::vector<crash_candidate>& aCandidates,
+                                   time_point aNow)
+{
+  const auto [position, inserted] = mInvestigations.try_emplace(aUpstream);
+  investigation& current = position->second;
+  if (inserted) {
+    current.startedAt = aNow;
+  }
+  current.attempts.push_back(aAttempt);
+  ++mAttemptCount;
+  std::vector<crash_candidate> unchecked;
+  for (const crash_candidate& candidate : aCandidates) {
+    if (current.candidates.emplace(candidate.instance, candidate).second) {
+      unchecked.push_back(candidate);
+    }
+  }
+  return unchecked;
+}
+
+crash_finding
+crash_investigator::Close(investigation_map::iterator aPosition,
+                          bool aCrashed,
+                          const char* aEvidence)
+{
+  crash_finding finding{
+    aPosition->first, aCrashed, aEvidence, std::move(aPosition->second.attempts)
+  };
+  mAttemptCount -= finding.attempts.size();
+  mInvestigations.erase(aPosition);
+  return finding;
+}
+
+std::optional<crash_finding>
+crash_investigator::OnConnectResult(const upstream_id& aUpstream,
+                                    const instance_id& aInstance,
+                                    connect_result aResult)
+{
+  const auto found = mInvestigations.find(aUpstream);
+  if (found == mInvestigations.end()) {
+    return std::nullopt;
+  }
+  if (aResult == connect_result::refused) {
+    return Close(found, true, "connection refused");
+  }
+  auto& candidates = found->second.candidates;
+  if (aResult == connect_result::connected) {
+    candidates.erase(aInstance);
+  }
+  return candidates.empty() ? std::optional(Close(found, false, "")) : std::nullopt;
+}
+
+std::vector<crash_finding>
+crash_investigator::OnFleetChanged(const fleet::fleet_view& aFleet)
+{
+  std::vector<crash_finding> findings;
+  for (auto current = mInvestigations.begin(); current != mInvestigations.end();) {
+    const auto next = std::next(current);
+    const auto& candidates = current->second.candidates;
+    const bool restarted =
+      std::any_of(candidates.begin(), candidates.end(), [&](const auto& aPair) {
+        const fleet::instance* instance = aFleet.Find(aPair.first);
+        return instance != nullptr && instance->incarnationId > aPair.second.incarnationId;
+      });
+    if (restarted) {
+      findings.push_back(Close(current, true, "later incarnation registered"));
+    }
+    current = next;
+  }
+  return findings;
+}
+
+std::vector<crash_finding>
+crash_investigator::TakeExpired(time_point aNow)
+{
+  std::vector<crash_finding> findings;
+  for (auto current = mInvestigations.begin(); current != mInvestigations.end();) {
+    const auto next = std::next(current);
+    if (current->second.startedAt + kCrashProofTime <= aNow) {
+      findings.push_back(Close(current, false, ""));
+    }
+    current = next;
+  }
+  return findings;
+}
+
+} // namespace persimmon::gateway
--- /dev/null
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -0,0 +1,186 @@
+#include "gateway/crashmonitor.h"
+
+#include "gateway/gatewayevents.h"
+#include "gateway/gatewaymetrics.h"
+#include "poison/suspicionlog.h"
+
+#include <fmt/format.h>
+
+namespace persimmon::gateway {
+namespace {
+
+/// Time within which a live instance accepts a connection.
+constexpr duration kConnectTimeout = 600_ms;
+
+connect_result
+ResultOf(const upstream::call_outcome& aOutcome)
+{
+  if (aOutcome.end == upstream::call_end::whole) {
+    return connect_result::connected;
+  }
+  return aOutcome.refused ? connect_result::refused : connect_result::no_answer;
+}
+
+} // namespace
+
+crash_monitor::crash_monitor(upstream::upstream_loop& aLoop,
+                             dispatch::upstream_selector& aUpstreams,
+                             metrics_registry& aMetrics)
+  : mLoop(aLoop)
+  , mUpstreams(aUpstreams)
+  , mMetrics(aMetrics)
+{
+}
+
+poison::poison_check
+crash_monitor::Check(std::uint64_t aFingerprint) const
+{
+  return mTracker.Check(aFingerprint, steady_clock().Now());
+}
+
+monitored_attempt
+crash_monitor::Started(std::uint64_t aFingerprint, const instance_id& aUpstream)
+{
+  const fleet::engine_group* group = mUpstreams.FindGroupByHead(aUpstream);
+  monitored_attempt started;
+  started.id = { std::to_string(++mLastAttempt) };
+  for (const instance_id& member :
+       group != nullptr ? group->members : std::vector<instance_id>{ aUpstream }) {
+    if (const fleet::instance* instance = mUpstreams.Fleet().Find(member)) {
+      started.members.push_back({ member, instance->address, instance->incarnationId });
+    }
+  }
+  const std::uint64_t epoch = group != nullptr ? group->epoch.value : 0;
+  const std::uint64_t run = started.members.empty() ? 0 : started.members[0].incarnationId.value;
+  started.upstream = { fmt::format("{}/{}/{}", aUpstream.value, run, epoch) };
+  mTracker.RecordDispatch({ started.id, aFingerprint, started.upstream }, steady_clock().Now());
+  return started;
+}
+
+void
+crash_monitor::FirstResponse(const monitored_attempt& aAttempt)
+{
+  mTracker.RecordFirstResponse(aAttempt.id, steady_clock().Now());
+}
+
+void
+crash_monitor::Completed(const monitored_attempt& aAttempt)
+{
+  Announce(mTracker.RecordCompletion(aAttempt.id, steady_clock().Now()));
+}
+
+void
+crash_monitor::Ended(const monitored_attempt& aAttempt)
+{
+  mTracker.RecordEnd(aAttempt.id);
+}
+
+void
+crash_monitor::Lost(const monitored_attempt& aAttempt, loss_scope aScope)
+{
+  std::vector<crash_candidate> candidates = aAttempt.members;
+  if (aScope == loss_scope::head && !candidates.empty()) {
+    candidates.resize(1);
+  }
+  // An instance that leaves as planned may end the calls that it could not finish.
+  std::erase_if(candidates, [this](const crash_candidate& aCandidate) {
+    const fleet::instance* instance = mUpstreams.Fleet().Find(aCandidate.instance);
+    return instance == nullptr || instance->draining;
+  });
+  if (candidates.empty() || !mInvestigator.HasCapacity()) {
+    Ended(aAttempt);
+    return;
+  }
+  const time_point now = steady_clock().Now();
+  mTracker.RecordLoss(aAttempt.id, now);
+  for (const crash_candidate& candidate :
+       mInvestigator.AddLostAttempt(aAttempt.upstream, aAttempt.id, candidates, now)) {
+    Connect(aAttempt.upstream, candidate);
+  }
+}
+
+void
+crash_monitor::Connect(const upstream_id& aUpstream, const crash_candidate& aCandidate)
+{
+  upstream::upstream_call call;
+  call.address = aCandidate.address;
+  call.connectTimeout = kConnectTimeout;
+  call.timeout = kConnectTimeout;
+  call.freshConnection = true;
+  call.connectOnly = true;
+  upstream::call_handlers handlers;
+  handlers.onHead = [](const upstream::response_head&) {};
+  handlers.onData = [](std::string_view) {};
+  handlers.onDone =
+    [this, aUpstream, instance = aCandidate.instance](const upstream::call_outcome& aOutcome) {
+      const auto finding = mInvestigator.OnConnectResult(aUpstream, instance, ResultOf(aOutcome));
+      if (finding) {
+        Conclude(*finding);
+      }
+    };
+  mLoop.Start(std::move(call), std::move(handlers));
+}
+
+void
+crash_monitor::Conclude(const crash_finding& aFinding)
+{
+  if (!aFinding.crashed) {
+    for (const attempt_id& attempt : aFinding.attempts) {
+      mTracker.RecordEnd(attempt);
+    }
+    return;
+  }
+  WriteLog(kUpstreamCrashed,
+           { { "upstream", aFinding.upstream.value },
+             { "evidence", aFinding.evidence },
+             { "calls", std::to_string(aFinding.attempts.size()) } });
+  mMetrics.Count(kUpstreamCrashes, {});
+  Announce(mTracker.RecordCrash(aFinding.upstream, steady_clock().Now()));
+}
+
+void
+crash_monitor::Announce(const poison::suspicion_changes& aChanges) const
+{
+  if (aChanges.Empty()) {
+    return;
+  }
+  poison::LogChanges(aChanges);
+  if (onChange) {
+    onChange(aChanges);
+  }
+}
+
+void
+crash_monitor::Apply(const poison::suspicion_changes& aMessages)
+{
+  Announce(mTracker.Apply(aMessages, steady_clock().Now()));
+}
+
+void
+crash_monitor::OnInstancesChanged()
+{
+  for (const crash_finding& finding : mInvestigator.OnFleetChanged(mUpstreams.Fleet())) {
+    Conclude(finding);
+  }
+}
+
+void
+crash_monitor::OnSlowTick()
+{
+  const time_point now = steady_clock().Now();
+  for (const crash_finding& finding : mInvestigator.TakeExpired(now)) {
+    Conclude(finding);
+  }
+  mTracker.Prune(now);
+  const poison::suspicion_counts counts = mTracker.Count(now);
+  mMetrics.Set(kSuspects, static_cast<double>(counts.suspects));
+  mMetrics.Set(kQuarantined, static_cast<double>(counts.quarantined));
+}
+
+poison::suspicion_changes
+crash_monitor::Entries() const
+{
+  return mTracker.Entries(steady_clock().Now());
+}
+
+} // namespace persimmon::gateway
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -8,6 +8,8 @@
 
 /// Time after the deadline in which an upstream's own response is still awaited.
 constexpr duration kDeadlineGrace = 80_ms;
+/// Time without a response after which a cancelled attempt may be due to a crash of its upstream.
+constexpr duration kMaxUnansweredWait = 700_ms;
 
 } // namespace exchange_limits
 
@@ -29,10 +31,31 @@
     });
   });
   StartDeadlineTimer();
+  if (const auto left = QuarantineLeft()) {
+    Execute(mStateMachine.OnQuarantined(*left));
+    return;
+  }
   mContext.upstreams.RecordCall(Attributes().service, Attributes().model, mContext.Now());
   Execute(mStateMachine.OnArrival(mContext.Now()));
 }
 
+template<gateway_dialect Dialect>
+std::optional<duration>
+exchange<Dialect>::QuarantineLeft() const
+{
+  const poison::poison_check check = mContext.crashes.Check(mFingerprint);
+  if (check.verdict != poison::poison_verdict::quarantined) {
+    return std::nullopt;
+  }
+  WriteLog(poison::kQuarantinedRefused,
+           { { "request", Attributes().id.value },
+             { "fingerprint", poison::FingerprintText(mFingerprint) },
+             { "service", Attributes().service.value },
+             { "customer", mCustomer.value },
+             { "retry_after_ms", std::to_string(check.remaining.ms) } });
+  return check.remaining;
+}
+
 template<gateway_dialect Dialect>
 void
 exchange<Dialect>::StartDeadlineTimer()
@@ -61,6 +84,10 @@
 {
   const fleet::instance* instance = mContext.upstreams.Fleet().Find(aAction.upstream);
   const time_point now = mContext.Now();
+  if (const auto left = QuarantineLeft()) {
+    Execute(mStateMachine.OnSendWithheld(*left));
+    return;
+  }
   if (instance == nullptr || aAction.deadline <= now) {
     Execute(mStateMachine.OnNotSent(aAction.upstream, now));
     return;
@@ -81,6 +108,7 @@
       { "attempt", std::to_string(mStateMachine.SendCount()) },
       { "resume_after", aAction.resumeAfter ? std::to_string(*aAction.resumeAfter) : "none" },
       { "rank", dispatch::QueuePriorityName(aAction.priority) },
+      { "fingerprint", poison::FingerprintText(mFingerprint) },
       { "left_ms", std::to_string(target.remainingTime.ms) } });
   added.call =
     mContext.loop.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
@@ -96,6 +124,7 @@
   added->lastReceivedAt = aNow;
   added->pendingPromptTokens = Attributes().promptTokens;
   added->framer.StartAfter(aTarget.resumeAfter);
+  added->monitored = mContext.crashes.Started(mFingerprint, added->upstream);
   mContext.upstreams.OnCallStarted(added->upstream, added->pendingPromptTokens);
   mAttempts.push_back(std::move(added));
   return *mAttempts.back();
@@ -207,7 +236,12 @@
   }
   mEnded = true;
   while (!mAttempts.empty()) {
-    EndAttempt(*mAttempts.back(), "cancelled");
+    attempt& cancelled = *mAttempts.back();
+    const duration waited = mContext.Now() - cancelled.startedAt;
+    if (!cancelled.responseInfo && waited > exchange_limits::kMaxUnansweredWait) {
+      ReportLoss(cancelled, loss_scope::head);
+    }
+    EndAttempt(cancelled, "cancelled");
   }
   mContext.loop.CancelTimer(mDeadlineTimer);
   if (mRetryTimer) {
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -44,12 +44,23 @@
   return nullptr;
 }
 
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::ReportLoss(attempt& aAttempt, loss_scope aScope)
+{
+  aAttempt.lossReported = true;
+  mContext.crashes.Lost(aAttempt.monitored, aScope);
+}
+
 template<gateway_dialect Dialect>
 instance_id
 exchange<Dialect>::EndAttempt(attempt& aAttempt, const char* aResult)
 {
   instance_id upstream = aAttempt.upstream;
   mContext.upstreams.OnCallEnded(upstream, aAttempt.pendingPromptTokens);
+  if (!aAttempt.lossReported) {
+    mContext.crashes.Ended(aAttempt.monitored);
+  }
   mContext.loop.Cancel(aAttempt.call);
   mContext.metrics.Count(kAttempts, { { "result", aResult } });
   WriteLog(
@@ -83,7 +94,8 @@
   const duration hedgeDelay = Attributes().latencyTarget * exchange_limits::kHedgeDelayTargets;
   if (Attributes().kind == routes::call_kind::idempotent && mAttempts.size() == 1 &&
       elapsed > hedgeDelay && !mAttempts.front()->responseInfo) {
-    if (const auto hedge = mStateMachine.TryHedge(now)) {
+    const auto hedge = QuarantineLeft() ? std::nullopt : mStateMachine.TryHedge(now);
+    if (hedge) {
       Execute(*hedge);
     }
   }
@@ -108,6 +120,7 @@
   for (const attempt_ptr& current : mAttempts) {
     const bool silent = now - current->lastReceivedAt > exchange_limits::kAttemptActivityWindow;
     if (current->upstream == aHead && silent && Attributes().retryable) {
+      ReportLoss(*current, current->hasReceivedEvent ? loss_scope::head : loss_scope::group);
       OnAttemptLost(*current, "group_lost", false);
       return;
     }
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -93,6 +93,7 @@
                                        gap / static_cast<std::int64_t>(completed));
     } else {
       mContext.upstreams.OnFirstByte(aAttempt.upstream, aAttempt.pendingPromptTokens, now);
+      mContext.crashes.FirstResponse(aAttempt.monitored);
       aAttempt.pendingPromptTokens = 0;
     }
     aAttempt.hasReceivedEvent = true;
@@ -119,6 +120,7 @@
   }
   if (aOutcome.end == upstream::call_end::maybe_sent || !aAttempt.responseInfo) {
     mContext.onUpstreamStalled(aAttempt.upstream);
+    ReportLoss(aAttempt, loss_scope::head);
     OnAttemptLost(aAttempt, "broken_off", true);
     return;
   }
@@ -134,12 +136,14 @@
 exchange<Dialect>::OnStreamEnded(attempt& aAttempt)
 {
   if (aAttempt.framer.HasPartial()) {
+    ReportLoss(aAttempt, loss_scope::head);
     OnAttemptLost(aAttempt, "ended_within_event", true);
     return;
   }
   mContext.upstreams.RecordOutcome(aAttempt.upstream, true, mContext.Now());
   mContext.metrics.Observe(kEventGap, static_cast<double>(aAttempt.longestEventGap.ms) / 1000);
   mResponder->FinishStream();
+  mContext.crashes.Completed(aAttempt.monitored);
   EndAttempt(aAttempt, "whole");
   Finish("answered");
 }
@@ -200,6 +204,9 @@
   if (succeeded) {
     mContext.upstreams.RecordLatency(aAttempt.upstream, now - aAttempt.startedAt);
   }
+  if (aAttempt.responseInfo->isSigned) {
+    mContext.crashes.Completed(aAttempt.monitored);
+  }
   RecordDelivery();
   SendResponse(aAttempt.responseInfo->status,
                Dialect::EndToEndHeaders(aAttempt.responseHead),
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -58,6 +58,14 @@
   mInstances.onNewChange = [this](const peers::document_message& aChange) {
     mMesh.Publish(aChange);
   };
+  mCrashes.onChange = [this](const poison::suspicion_changes& aChanges) {
+    for (const peers::crash_message& crash : aChanges.crashes) {
+      mMesh.Publish(crash);
+    }
+    for (const peers::quarantine_message& quarantine : aChanges.quarantines) {
+      mMesh.Publish(quarantine);
+    }
+  };
   mMesh.SetHandler(
     [this](const peers::mesh_message& aMessage, const router_id&) { OnMeshMessage(aMessage); });
 }
@@ -202,6 +210,7 @@
 gateway_process<Dialect>::OnInstancesChanged()
 {
   mUpstreams.OnFleetChanged();
+  mCrashes.OnInstancesChanged();
   std::erase_if(mReportedSlowdowns, [this](const auto& aEntry) {
     return mUpstreams.Fleet().Find(aEntry.first) == nullptr;
   });
@@ -246,6 +255,10 @@
     }
   } else if (const auto* presence = std::get_if<peers::presence_message>(&aMessage)) {
     OnPresenceMessage(*presence);
+  } else if (const auto* crash = std::get_if<peers::crash_message>(&aMessage)) {
+    mCrashes.Apply({ { *crash }, {} });
+  } else if (const auto* quarantine = std::get_if<peers::quarantine_message>(&aMessage)) {
+    mCrashes.Apply({ {}, { *quarantine } });
   }
 }
 
@@ -380,6 +393,7 @@
   // The gateway that forms the groups needs changes of the instances soonest.
   const duration batchDelay = BatchDelay(mContext.gatewayCount, mSettings.leaveNotice);
   mInstances.SetBatchDelay(mLease.IsHolder() ? kMinBatchDelay : batchDelay);
+  mCrashes.OnSlowTick();
   const duration age = now - mInstances.LastResponseAt();
   mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
   for (auto& [service, budget] : mContext.retryBudgets) {
--- /dev/null
+++ b/src/gateway/tests/crashinvestigatortests.cpp
@@ -0,0 +1,98 @@
+#include "gateway/crashinvestigator.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::gateway;
+
+namespace {
+
+constexpr time_point kStart{ 1000 };
+const upstream_id kUpstream{ "i-1/5/0" };
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(crash_investigator)
+{
+  crash_investigator investigator;
+
+  std::size_t Add(const char* aAttempt, const std::vector<crash_candidate>& aCandidates)
+  {
+    return investigator.AddLostAttempt(kUpstream, { aAttempt }, aCandidates, kStart).size();
+  }
+  static fleet::fleet_view FleetWith(const char* aInstance, std::uint64_t aIncarnation)
+  {
+    fleet::fleet_view fleet;
+    fleet::instance instance;
+    instance.id = { aInstance };
+    instance.incarnationId = { aIncarnation };
+    fleet.Upsert(instance);
+    return fleet;
+  }
+};
+// clang-format on
+
+TEST(crash_investigator, RefusedConnectionProvesACrash)
+{
+  CHECK_EQUAL(1, Add("a", { { { "i-1" }, {}, { 5 } } }));
+  const auto finding = investigator.OnConnectResult(kUpstream, { "i-1" }, connect_result::refused);
+  CHECK(finding && finding->crashed);
+  CHECK_EQUAL(1, finding->attempts.size());
+}
+
+// Guards against calls that are blamed for an answer that an upstream broke off while it lived.
+TEST(crash_investigator, AcceptedConnectionProvesThatTheUpstreamLives)
+{
+  Add("a", { { { "i-1" }, {}, { 5 } } });
+  const auto finding =
+    investigator.OnConnectResult(kUpstream, { "i-1" }, connect_result::connected);
+  CHECK(finding && !finding->crashed);
+}
+
+// Guards against thousands of calls that are blamed when a fabric domain goes dark.
+TEST(crash_investigator, SilenceProvesNothingUntilTheInstanceRestarts)
+{
+  Add("a", { { { "i-1" }, {}, { 5 } } });
+  CHECK_FALSE(investigator.OnConnectResult(kUpstream, { "i-1" }, connect_result::no_answer));
+  CHECK(investigator.OnFleetChanged(FleetWith("i-1", 5)).empty());
+  const auto findings = investigator.OnFleetChanged(FleetWith("i-1", 6));
+  CHECK_EQUAL(1, findings.size());
+  CHECK(findings[0].crashed);
+}
+
+TEST(crash_investigator, SilenceWithoutRestartEndsWithoutACrash)
+{
+  Add("a", { { { "i-1" }, {}, { 5 } } });
+  investigator.OnConnectResult(kUpstream, { "i-1" }, connect_result::no_answer);
+  CHECK(investigator.TakeExpired(kStart + kCrashProofTime - 1_ms).empty());
+  const auto findings = investigator.TakeExpired(kStart + kCrashProofTime);
+  CHECK_EQUAL(1, findings.size());
+  CHECK_FALSE(findings[0].crashed);
+}
+
+// Guards against a crash of a member that is not the head, which breaks off no connection.
+TEST(crash_investigator, AnyMemberOfTheGroupMayHaveCrashed)
+{
+  CHECK_EQUAL(2, Add("a", { { { "i-1" }, {}, { 5 } }, { { "i-2" }, {}, { 3 } } }));
+  CHECK_FALSE(investigator.OnConnectResult(kUpstream, { "i-1" }, connect_result::connected));
+  const auto finding = investigator.OnConnectResult(kUpstream, { "i-2" }, connect_result::refused);
+  CHECK(finding && finding->crashed);
+}
+
+TEST(crash_investigator, InstanceIsConnectedToOnceForAllLostAttempts)
+{
+  CHECK_EQUAL(1, Add("a", { { { "i-1" }, {}, { 5 } } }));
+  CHECK_EQUAL(0, Add("b", { { { "i-1" }, {}, { 5 } } }));
+  const auto finding = investigator.OnConnectResult(kUpstream, { "i-1" }, connect_result::refused);
+  CHECK_EQUAL(2, finding->attempts.size());
+}
+
+TEST(crash_investigator, NumberOfInvestigatedAttemptsIsBounded)
+{
+  while (investigator.HasCapacity()) {
+    Add("a", { { { "i-1" }, {}, { 5 } } });
+  }
+  investigator.TakeExpired(kStart + kCrashProofTime);
+  CHECK(investigator.HasCapacity());
+}
--- a/src/peers/internal/meshcoremessages.cpp
+++ b/src/peers/internal/meshcoremessages.cpp
@@ -77,7 +77,8 @@
     case record_kind::body:
     case record_kind::presence:
     case record_kind::leaving:
-    case record_kind::suspect_request:
+    case record_kind::crash:
+    case record_kind::quarantine:
     case record_kind::customer_load:
     case record_kind::applied:
       return HandleMessage(aLink, aRecord);
@@ -123,7 +124,8 @@
 {
   messages.ForEach([&](subject_id aSubject, const versioned_message& aEntry) {
     const bool isInitialState = std::holds_alternative<leaving_message>(aEntry.message) ||
-                                std::holds_alternative<suspect_request_message>(aEntry.message);
+                                std::holds_alternative<crash_message>(aEntry.message) ||
+                                std::holds_alternative<quarantine_message>(aEntry.message);
     if (isInitialState) {
       QueueMessage(aLink, aSubject, aEntry);
     }
--- a/src/peers/internal/messagestore.cpp
+++ b/src/peers/internal/messagestore.cpp
@@ -10,7 +10,11 @@
 
 constexpr duration kPresenceRetention = 10_s;
 constexpr duration kCustomerLoadRetention = 60_s;
-constexpr duration kLeavingAndSuspectRequestRetention = 3600_s;
+constexpr duration kLeavingRetention = 3600_s;
+/// As long as a crash counts against a request.
+constexpr duration kCrashRetention = 300_s;
+/// As long as the longest quarantine.
+constexpr duration kQuarantineRetention = 86400_s;
 constexpr std::uint64_t kHalfStampRange = (kStampMask + 1) / 2;
 
 template<typename... Cases>
@@ -32,15 +36,15 @@
 duration
 RetentionOf(const mesh_message& aMessage)
 {
-  return std::visit(
-    overloaded{
-      [](const presence_message&) { return kPresenceRetention; },
-      [](const customer_load_message&) { return kCustomerLoadRetention; },
-      [](const suspect_request_message&) { return kLeavingAndSuspectRequestRetention; },
-      [](const leaving_message&) { return kLeavingAndSuspectRequestRetention; },
-      [](const auto&) { return duration{}; },
-    },
-    aMessage);
+  return std::visit(overloaded{
+                      [](const presence_message&) { return kPresenceRetention; },
+                      [](const customer_load_message&) { return kCustomerLoadRetention; },
+                      [](const crash_message&) { return kCrashRetention; },
+                      [](const quarantine_message&) { return kQuarantineRetention; },
+                      [](const leaving_message&) { return kLeavingRetention; },
+                      [](const auto&) { return duration{}; },
+                    },
+                    aMessage);
 }
 
 store_result
@@ -69,9 +73,10 @@
         return fmt::format("p\n{}\n{}", aValue.group.value, aValue.observer.value);
       },
       [](const leaving_message& aValue) { return "l\n" + aValue.instance.value; },
-      [](const suspect_request_message& aValue) {
-        return fmt::format("s\n{}", aValue.fingerprint);
+      [](const crash_message& aValue) {
+        return fmt::format("c\n{}\n{}", aValue.fingerprint, aValue.crash);
       },
+      [](const quarantine_message& aValue) { return fmt::format("q\n{}", aValue.fingerprint); },
       [](const customer_load_message& aValue) {
         return fmt::format(
           "h\n{}\n{}\n{}", aValue.router.value, aValue.service.value, aValue.customer.value);
@@ -97,19 +102,20 @@
 message_priority
 PriorityOf(const mesh_message& aMessage)
 {
-  return std::visit(
-    overloaded{
-      [](const document_message&) { return message_priority::version; },
-      [](const table_message&) { return message_priority::version; },
-      [](const presence_message& aValue) {
-        return aValue.complete ? message_priority::presence : message_priority::leaving;
-      },
-      [](const leaving_message&) { return message_priority::leaving; },
-      [](const suspect_request_message&) { return message_priority::suspect_request; },
-      [](const customer_load_message&) { return message_priority::customer_load; },
-      [](const applied_message&) { return message_priority::applied; },
-    },
-    aMessage);
+  return std::visit(overloaded{
+                      [](const document_message&) { return message_priority::version; },
+                      [](const table_message&) { return message_priority::version; },
+                      [](const presence_message& aValue) {
+                        return aValue.complete ? message_priority::presence
+                                               : message_priority::leaving;
+                      },
+                      [](const leaving_message&) { return message_priority::leaving; },
+                      [](const crash_message&) { return message_priority::suspect_request; },
+                      [](const quarantine_message&) { return message_priority::suspect_request; },
+                      [](const customer_load_message&) { return message_priority::customer_load; },
+                      [](const applied_message&) { return message_priority::applied; },
+                    },
+                    aMessage);
 }
 
 bool
@@ -122,17 +128,19 @@
 std::uint64_t
 VersionOf(const mesh_message& aMessage)
 {
-  return std::visit(overloaded{
-                      [](const document_message& aValue) { return aValue.version.value; },
-                      [](const table_message& aValue) { return aValue.version.value; },
-                      [](const leaving_message& aValue) { return aValue.incarnationId.value; },
-                      [](const suspect_request_message& aValue) -> std::uint64_t {
-                        return std::uint64_t{ aValue.deaths } * 2 + (aValue.quarantined ? 1 : 0);
-                      },
-                      [](const applied_message& aValue) { return aValue.version.value; },
-                      [](const auto&) -> std::uint64_t { return 0; },
-                    },
-                    aMessage);
+  return std::visit(
+    overloaded{
+      [](const document_message& aValue) { return aValue.version.value; },
+      [](const table_message& aValue) { return aValue.version.value; },
+      [](const leaving_message& aValue) { return aValue.incarnationId.value; },
+      [](const crash_message& aValue) -> std::uint64_t { return aValue.withdrawn ? 2 : 1; },
+      [](const quarantine_message& aValue) -> std::uint64_t {
+        return std::uint64_t{ aValue.count } * 2 + (aValue.lifted ? 1 : 0);
+      },
+      [](const applied_message& aValue) { return aValue.version.value; },
+      [](const auto&) -> std::uint64_t { return 0; },
+    },
+    aMessage);
 }
 
 router_id
@@ -152,7 +160,8 @@
 {
   return std::visit(overloaded{
                       [](const presence_message& aValue) { return aValue.age; },
-                      [](const suspect_request_message& aValue) { return aValue.age; },
+                      [](const crash_message& aValue) { return aValue.age; },
+                      [](const quarantine_message& aValue) { return aValue.age; },
                       [](const customer_load_message& aValue) { return aValue.age; },
                       [](const auto&) { return duration{}; },
                     },
--- a/src/peers/internal/recordcodec.cpp
+++ b/src/peers/internal/recordcodec.cpp
@@ -8,7 +8,7 @@
 /// Resolution of encoded ages, in milliseconds.
 constexpr std::int64_t kAgeStepMs = 10;
 /// Larger ages are encoded as this value, in milliseconds.
-constexpr std::int64_t kMaxAgeMs = 7200LL * 1000;
+constexpr std::int64_t kMaxAgeMs = 2LL * 86400 * 1000;
 /// Bit in the flags of a presence record for presence_message::complete.
 constexpr std::uint64_t kComplete = 1;
 constexpr std::uint64_t kMaxCount = UINT32_MAX;
@@ -152,11 +152,21 @@
     return { KindNumber(record_kind::leaving),
              { Intern(aValue.instance), aValue.incarnationId.value, mAge } };
   }
-  wire_record operator()(const suspect_request_message& aValue)
+  wire_record operator()(const crash_message& aValue)
+  {
+    return { KindNumber(record_kind::crash),
+             { aValue.fingerprint,
+               aValue.crash,
+               std::uint64_t{ aValue.weight },
+               aValue.isolates ? 1ULL : 0ULL,
+               aValue.withdrawn ? 1ULL : 0ULL,
+               mAge } };
+  }
+  wire_record operator()(const quarantine_message& aValue)
   {
     return {
-      KindNumber(record_kind::suspect_request),
-      { aValue.fingerprint, std::uint64_t{ aValue.deaths }, aValue.quarantined ? 1ULL : 0ULL, mAge }
+      KindNumber(record_kind::quarantine),
+      { aValue.fingerprint, std::uint64_t{ aValue.count }, aValue.lifted ? 1ULL : 0ULL, mAge }
     };
   }
   wire_record operator()(const customer_load_message& aValue)
@@ -237,12 +247,25 @@
 }
 
 versioned_message
-ReadSuspectRequest(field_reader& aFields, time_point aNow)
+ReadCrash(field_reader& aFields, time_point aNow)
+{
+  crash_message parsed;
+  parsed.fingerprint = aFields.Number();
+  parsed.crash = aFields.Number();
+  parsed.weight = aFields.Count();
+  parsed.isolates = aFields.Number() != 0;
+  parsed.withdrawn = aFields.Number() != 0;
+  parsed.age = DecodeAge(aFields.Number());
+  return { parsed, VersionOf(parsed), aNow - parsed.age };
+}
+
+versioned_message
+ReadQuarantine(field_reader& aFields, time_point aNow)
 {
-  suspect_request_message parsed;
+  quarantine_message parsed;
   parsed.fingerprint = aFields.Number();
-  parsed.deaths = aFields.Count();
-  parsed.quarantined = aFields.Number() != 0;
+  parsed.count = aFields.Count();
+  parsed.lifted = aFields.Number() != 0;
   parsed.age = DecodeAge(aFields.Number());
   return { parsed, VersionOf(parsed), aNow - parsed.age };
 }
@@ -420,8 +443,11 @@
     case record_kind::leaving:
       parsed = ReadLeaving(fields, aNow);
       break;
-    case record_kind::suspect_request:
-      parsed = ReadSuspectRequest(fields, aNow);
+    case record_kind::crash:
+      parsed = ReadCrash(fields, aNow);
+      break;
+    case record_kind::quarantine:
+      parsed = ReadQuarantine(fields, aNow);
       break;
     case record_kind::customer_load:
       parsed = ReadCustomerLoad(fields, aNow);
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -63,17 +63,36 @@
   bool operator==(const leaving_message&) const = default;
 };
 
-/// A request that was in flight when an upstream died and may have caused it.
-struct suspect_request_message
+/// A crash of an upstream with a request in flight, which may have caused it.
+struct crash_message
 {
-  /// Hash of the request's service, customer and body.
+  /// Hash that identifies the request when it is sent again.
   std::uint64_t fingerprint = 0;
-  /// Deaths of upstreams with this request in flight, alone or with other requests.
-  std::uint32_t deaths = 0;
-  bool quarantined = false;
+  /// Identifies the crash: hash of the upstream and its run that ended.
+  std::uint64_t crash = 0;
+  /// How strongly the crash speaks against the request.
+  std::uint32_t weight = 0;
+  /// True when nothing else explains the crash.
+  bool isolates = false;
+  /// True when the request has run to its end since, so that the crash no longer counts.
+  bool withdrawn = false;
   duration age;
 
-  bool operator==(const suspect_request_message&) const = default;
+  bool operator==(const crash_message&) const = default;
+};
+
+/// A request that must not be sent to upstreams for a time.
+struct quarantine_message
+{
+  /// Hash that identifies the request when it is sent again.
+  std::uint64_t fingerprint = 0;
+  /// Number of quarantines of the request, including this one.
+  std::uint32_t count = 0;
+  /// True when the request has run to its end since, which ended this quarantine.
+  bool lifted = false;
+  duration age;
+
+  bool operator==(const quarantine_message&) const = default;
 };
 
 /// Requests of a customer for a service that run or wait at one router: its share of the service.
@@ -112,7 +131,8 @@
                                   table_message,
                                   presence_message,
                                   leaving_message,
-                                  suspect_request_message,
+                                  crash_message,
+                                  quarantine_message,
                                   customer_load_message,
                                   applied_message>;
 
--- a/src/peers/messagestore.h
+++ b/src/peers/messagestore.h
@@ -20,7 +20,8 @@
 struct versioned_message
 {
   mesh_message message;
-  /// Revision, incarnation, number of deaths or the origin's stamp, depending on the message type.
+  /// Revision, incarnation, number of quarantines or the origin's stamp, depending on the message
+  /// type.
   std::uint64_t version = 0;
   /// Time of the observation on this router's clock.
   time_point observedAt;
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -273,3 +273,30 @@
   CHECK(dials > 1);
   CHECK(dials <= 12);
 }
+
+// Guards against crashes of different routers that replace each other, and against a withdrawal
+// that is dropped as older than the crash.
+TEST(mesh_core, CrashesOfDifferentRoutersAndTheirWithdrawalReachEveryRouter)
+{
+  const crash_message first{ 7, 1, 2, true, false, {} };
+  const crash_message second{ 7, 2, 1, false, false, {} };
+  mesh.Publish(0, first);
+  mesh.Publish(1, second);
+  mesh.Publish(2, quarantine_message{ 7, 1, false, {} });
+  mesh.Run(1_s);
+  CHECK_EQUAL(3, delivered[8].size());
+  crash_message withdrawn = first;
+  withdrawn.withdrawn = true;
+  mesh.Publish(3, withdrawn);
+  mesh.Publish(3, quarantine_message{ 7, 1, true, {} });
+  mesh.Run(1_s);
+  CHECK_EQUAL(5, delivered[8].size());
+  const auto& last = std::get<crash_message>(
+    *std::find_if(delivered[8].begin() + 3, delivered[8].end(), [](const mesh_message& aMessage) {
+      return std::holds_alternative<crash_message>(aMessage);
+    }));
+  CHECK(last.withdrawn);
+  CHECK_EQUAL(first.crash, last.crash);
+  CHECK_EQUAL(first.weight, last.weight);
+  CHECK(last.isolates);
+}
--- a/src/peers/wireframe.h
+++ b/src/peers/wireframe.h
@@ -33,12 +33,14 @@
   body = 6,
   presence = 7,
   leaving = 8,
-  suspect_request = 9,
+  // 9 was a suspect request of earlier versions and is not used again.
   customer_load = 10,
   applied = 11,
   applied_hash = 12,
   prune = 13,
-  graft = 14
+  graft = 14,
+  crash = 15,
+  quarantine = 16
 };
 
 /// Value of a field.
--- a/src/routing/tests/poisontrackertests.cpp
+++ b/src/poison/tests/poisontrackertests.cpp
@@ -1,4 +1,4 @@
-#include "routing/poisontracker.h"
+#include "poison/poisontracker.h"
 
 #include "base/hash.h"
 
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 
 using namespace persimmon;
-using namespace persimmon::routing;
+using namespace persimmon::poison;
 
 namespace {
 
@@ -24,7 +24,7 @@
   attempt_id Run(std::uint64_t aFingerprint, const char* aUpstream, time_point aNow)
   {
     attempt_id attempt{ fmt::format("a{}", attemptCount++) };
-    tracker.RecordDispatch(attempt, aFingerprint, { aUpstream }, aNow);
+    tracker.RecordDispatch({ attempt, aFingerprint, { aUpstream } }, aNow);
     return attempt;
   }
   poison_verdict Verdict(std::uint64_t aFingerprint, time_point aNow)
@@ -34,9 +34,9 @@
   void Quarantine(time_point aNow)
   {
     Run(kPoison, "u1", aNow);
-    tracker.RecordDeath({ "u1" }, aNow);
+    tracker.RecordCrash({ "u1" }, aNow);
     Run(kPoison, "u2", aNow);
-    tracker.RecordDeath({ "u2" }, aNow);
+    tracker.RecordCrash({ "u2" }, aNow);
   }
 };
 // clang-format on
@@ -47,20 +47,21 @@
   for (std::uint64_t other = 1; other <= 30; ++other) {
     Run(other, "u1", kStart);
   }
-  CHECK_EQUAL(31, tracker.RecordDeath({ "u1" }, kStart).size());
+  CHECK_EQUAL(31, tracker.RecordCrash({ "u1" }, kStart).crashes.size());
   for (std::uint64_t other = 1; other <= 30; ++other) {
     CHECK(Verdict(other, kStart) == poison_verdict::isolate);
     const attempt_id attempt = Run(other, fmt::format("v{}", other).c_str(), kStart + 1_s);
     const auto changes = tracker.RecordCompletion(attempt, kStart + 2_s);
-    CHECK_EQUAL(1, changes.size());
-    CHECK_EQUAL(0, changes[0].deaths);
+    CHECK_EQUAL(1, changes.crashes.size());
+    CHECK(changes.crashes[0].withdrawn);
     CHECK(Verdict(other, kStart + 2_s) == poison_verdict::clear);
   }
   Run(kPoison, "u2", kStart + 1_s);
   Run(99, "u2", kStart + 1_s);
-  const auto changes = tracker.RecordDeath({ "u2" }, kStart + 2_s);
-  CHECK_EQUAL(1, changes.size());
-  CHECK(changes[0].quarantined);
+  const auto changes = tracker.RecordCrash({ "u2" }, kStart + 2_s);
+  CHECK_EQUAL(1, changes.crashes.size());
+  CHECK_EQUAL(1, changes.quarantines.size());
+  CHECK(changes.quarantines[0].fingerprint == kPoison);
   CHECK(Verdict(kPoison, kStart + 2_s) == poison_verdict::quarantined);
   CHECK(Verdict(99, kStart + 2_s) == poison_verdict::clear);
 }
@@ -68,7 +69,7 @@
 TEST(poison_tracker, UpstreamWithASuspectIsReturnedUntilTheAttemptEnds)
 {
   Run(kPoison, "u1", kStart);
-  tracker.RecordDeath({ "u1" }, kStart);
+  tracker.RecordCrash({ "u1" }, kStart);
   CHECK_EQUAL(0, tracker.UpstreamsWithSuspects().size());
   const attempt_id attempt = Run(kPoison, "u2", kStart);
   CHECK_EQUAL(1, tracker.UpstreamsWithSuspects().size());
@@ -82,11 +83,11 @@
   for (const std::uint64_t suspect : { 1, 2 }) {
     Run(suspect, "u1", kStart);
   }
-  tracker.RecordDeath({ "u1" }, kStart);
+  tracker.RecordCrash({ "u1" }, kStart);
   for (const std::uint64_t suspect : { 1, 2 }) {
     Run(suspect, "u2", kStart);
   }
-  tracker.RecordDeath({ "u2" }, kStart);
+  tracker.RecordCrash({ "u2" }, kStart);
   CHECK(Verdict(1, kStart) == poison_verdict::isolate);
   CHECK(Verdict(2, kStart) == poison_verdict::isolate);
 }
@@ -96,15 +97,18 @@
   for (const char* upstream : { "u1", "u2", "u3", "u4" }) {
     Run(HashText(upstream), upstream, kStart);
   }
-  tracker.RecordDeath({ "u1" }, kStart);
-  tracker.RecordDeath({ "u2" }, kStart + 100_ms);
-  CHECK_EQUAL(0, tracker.RecordDeath({ "u3" }, kStart + 200_ms).size());
+  tracker.RecordCrash({ "u1" }, kStart);
+  tracker.RecordCrash({ "u2" }, kStart + 100_ms);
+  const auto explained = tracker.RecordCrash({ "u3" }, kStart + 200_ms);
+  CHECK_EQUAL(0, explained.quarantines.size());
+  CHECK_FALSE(explained.crashes.at(0).isolates);
+  CHECK(Verdict(HashText("u3"), kStart + 200_ms) == poison_verdict::clear);
   Run(HashText("u1"), "u4", kStart + 200_ms);
-  tracker.RecordDeath({ "u4" }, kStart + 1_s);
+  tracker.RecordCrash({ "u4" }, kStart + 1_s);
   CHECK(Verdict(HashText("u1"), kStart + 1_s) == poison_verdict::isolate);
   CHECK(Verdict(HashText("u4"), kStart + 1_s) == poison_verdict::clear);
   Run(HashText("u1"), "u5", kStart + 20_s);
-  tracker.RecordDeath({ "u5" }, kStart + 21_s);
+  tracker.RecordCrash({ "u5" }, kStart + 21_s);
   CHECK(Verdict(HashText("u1"), kStart + 21_s) == poison_verdict::quarantined);
 }
 
@@ -113,8 +117,8 @@
   for (const char* upstream : { "u1", "u2", "u3", "u4" }) {
     Run(kPoison, upstream, kStart);
   }
-  tracker.RecordDeath({ "u1" }, kStart);
-  tracker.RecordDeath({ "u2" }, kStart);
+  tracker.RecordCrash({ "u1" }, kStart);
+  tracker.RecordCrash({ "u2" }, kStart);
   CHECK(Verdict(kPoison, kStart) == poison_verdict::quarantined);
 }
 
@@ -150,47 +154,84 @@
 {
   poison_tracker other;
   Run(kPoison, "u1", kStart);
-  for (const auto& message : tracker.RecordDeath({ "u1" }, kStart)) {
-    CHECK(other.Apply(message, kStart));
-    CHECK_FALSE(other.Apply(message, kStart + 50_ms));
-  }
-  other.RecordDispatch({ "b1" }, kPoison, { "u2" }, kStart + 1_s);
-  for (const auto& message : other.RecordDeath({ "u2" }, kStart + 2_s)) {
-    CHECK(tracker.Apply(message, kStart + 2_s));
-  }
+  const auto changes = tracker.RecordCrash({ "u1" }, kStart);
+  CHECK(other.Apply(changes, kStart).Empty());
+  CHECK(other.Apply(changes, kStart + 50_ms).Empty());
+  CHECK(other.Check(kPoison, kStart).verdict == poison_verdict::isolate);
+  other.RecordDispatch({ { "b1" }, kPoison, { "u2" } }, kStart + 1_s);
+  tracker.Apply(other.RecordCrash({ "u2" }, kStart + 2_s), kStart + 2_s);
   CHECK(Verdict(kPoison, kStart + 3_s) == poison_verdict::quarantined);
-  CHECK_FALSE(tracker.Apply({ kPoison, 0, false, {} }, kStart + 4_s));
+  suspicion_changes withdrawal = changes;
+  withdrawal.crashes[0].withdrawn = true;
+  tracker.Apply(withdrawal, kStart + 4_s);
   CHECK(Verdict(kPoison, kStart + 4_s) == poison_verdict::quarantined);
 }
 
-TEST(poison_tracker, OldMessageDoesNotSuspectAClearedRequest)
-{
-  Run(1, "u1", kStart);
-  tracker.RecordDeath({ "u1" }, kStart);
-  tracker.RecordCompletion(Run(1, "u2", kStart + 1_s), kStart + 2_s);
-  CHECK_FALSE(tracker.Apply({ 1, 1, false, 3_s }, kStart + 3_s));
-  CHECK(Verdict(1, kStart + 3_s) == poison_verdict::clear);
-  CHECK(tracker.Apply({ 1, 1, false, {} }, kStart + 4_s));
-  CHECK_FALSE(tracker.Apply({ 2, 1, false, kSuspectLifetime }, kStart + 4_s));
-}
-
 TEST(poison_tracker, EntriesAreBoundedAndSuspectsAreEvictedBeforeQuarantined)
 {
   Quarantine(kStart);
   for (std::uint64_t suspect = 1000; suspect < 1000 + 2 * kMaxSuspects; ++suspect) {
-    tracker.Apply({ suspect, 1, false, {} }, kStart + 1_s);
+    tracker.Apply({ { { suspect, 1, kEarlyCrashWeight, true, false, {} } }, {} }, kStart + 1_s);
   }
-  CHECK_EQUAL(kMaxSuspects, tracker.Entries(kStart + 1_s).size());
+  CHECK_EQUAL(kMaxSuspects, tracker.Count(kStart + 1_s).suspects);
   CHECK(Verdict(kPoison, kStart + 1_s) == poison_verdict::quarantined);
-  tracker.Prune(kStart + kQuarantineLifetime + 2_s);
-  CHECK_EQUAL(0, tracker.Entries(kStart + 1_s).size());
+  tracker.Prune(kStart + kQuarantineLifetime + kQuarantineMemory + 2_s);
+  CHECK(tracker.Entries(kStart + 1_s).Empty());
+}
+
+// Guards against a request that crashes each upstream and is never held back, since upstreams keep
+// failing for other reasons and each of its crashes has another explanation.
+TEST(poison_tracker, ThirdCrashQuarantinesEvenWhileUpstreamsFailForOtherReasons)
+{
+  time_point now = kStart;
+  std::uint64_t other = 1000;
+  for (int crash = 0; crash < 3; ++crash) {
+    for (int i = 0; i < 2; ++i) {
+      const std::string upstream = fmt::format("other{}", ++other);
+      Run(other, upstream.c_str(), now);
+      tracker.RecordCrash({ upstream }, now);
+    }
+    CHECK(Verdict(kPoison, now) != poison_verdict::quarantined);
+    const std::string upstream = fmt::format("u{}", crash);
+    Run(kPoison, upstream.c_str(), now);
+    tracker.RecordCrash({ upstream }, now + 100_ms);
+    now = now + 2_s;
+  }
+  CHECK(Verdict(kPoison, now) == poison_verdict::quarantined);
+}
+
+// Guards against a request that crashes each upstream and is never held back, since other suspects
+// are always aboard as well.
+TEST(poison_tracker, ThirdCrashQuarantinesEvenWithOtherSuspectsInFlight)
+{
+  for (int crash = 0; crash < 3; ++crash) {
+    const std::string upstream = fmt::format("u{}", crash);
+    Run(kPoison, upstream.c_str(), kStart + 10_s * crash);
+    Run(2, upstream.c_str(), kStart + 10_s * crash);
+    tracker.RecordCrash({ upstream }, kStart + 10_s * crash);
+  }
+  CHECK(Verdict(kPoison, kStart + 20_s) == poison_verdict::quarantined);
+}
+
+TEST(poison_tracker, CrashOfAnUpstreamThatRanTheRequestForLongCountsLess)
+{
+  const attempt_id attempt = Run(1, "u1", kStart);
+  tracker.RecordFirstResponse(attempt, kStart + 100_ms);
+  Run(2, "u1", kStart);
+  const auto changes = tracker.RecordCrash({ "u1" }, kStart + 100_ms + kEarlyCrashTime + 1_ms);
+  CHECK_EQUAL(2, changes.crashes.size());
+  for (const auto& crash : changes.crashes) {
+    CHECK_EQUAL(crash.fingerprint == 1 ? kLateCrashWeight : kEarlyCrashWeight, crash.weight);
+  }
 }
 
-TEST(poison_tracker, FingerprintDependsOnServiceCustomerAndBody)
+// Guards against a proof of the crash that comes seconds after the response broke off: by then the
+// request would seem to have run for long.
+TEST(poison_tracker, WeightDependsOnTheTimeOfTheLossAndNotOfItsProof)
 {
-  const std::uint64_t fingerprint = RequestFingerprint({ "a" }, { "b" }, "c");
-  CHECK(fingerprint == RequestFingerprint({ "a" }, { "b" }, "c"));
-  CHECK(fingerprint != RequestFingerprint({ "a" }, { "b" }, "d"));
-  CHECK(fingerprint != RequestFingerprint({ "a" }, { "x" }, "c"));
-  CHECK(fingerprint != RequestFingerprint({ "ab" }, { "" }, "c"));
+  const attempt_id attempt = Run(1, "u1", kStart);
+  tracker.RecordFirstResponse(attempt, kStart + 100_ms);
+  tracker.RecordLoss(attempt, kStart + 150_ms);
+  const auto changes = tracker.RecordCrash({ "u1" }, kStart + 10_s);
+  CHECK_EQUAL(kEarlyCrashWeight, changes.crashes.at(0).weight);
 }
--- a/src/routing/routingevents.h
+++ b/src/routing/routingevents.h
@@ -13,10 +13,6 @@
 constexpr log_event kRequestNotAdmitted{ 4005, "request_not_admitted", log_level::info };
 constexpr log_event kUpstreamHealthChanged{ 4006, "upstream_health_changed", log_level::warning };
 constexpr log_event kUpstreamDied{ 4007, "upstream_died", log_level::warning };
-constexpr log_event kRequestSuspected{ 4008, "request_suspected", log_level::warning };
-constexpr log_event kRequestQuarantined{ 4009, "request_quarantined", log_level::error };
-constexpr log_event kSuspectCleared{ 4010, "suspect_cleared", log_level::info };
-constexpr log_event kQuarantinedRefused{ 4011, "quarantined_refused", log_level::info };
 constexpr log_event kDocumentApplied{ 4020, "document_applied", log_level::info };
 constexpr log_event kTableApplied{ 4021, "table_applied", log_level::info };
 constexpr log_event kObjectMalformed{ 4022, "object_malformed", log_level::error };
@@ -26,12 +22,9 @@
 
 /// All log events of this module.
 inline constexpr std::array kRoutingEvents{
-  kUpstreamChosen, kNoUpstream,         kRetryDecided,
-  kRequestQueued,  kRequestNotAdmitted, kUpstreamHealthChanged,
-  kUpstreamDied,   kRequestSuspected,   kRequestQuarantined,
-  kSuspectCleared, kQuarantinedRefused, kDocumentApplied,
-  kTableApplied,   kObjectMalformed,    kLeavingMarked,
-  kGroupEligible,  kGroupWithdrawn
+  kUpstreamChosen,        kNoUpstream,    kRetryDecided,    kRequestQueued, kRequestNotAdmitted,
+  kUpstreamHealthChanged, kUpstreamDied,  kDocumentApplied, kTableApplied,  kObjectMalformed,
+  kLeavingMarked,         kGroupEligible, kGroupWithdrawn
 };
 
 } // namespace persimmon::routing
--- a/src/routing/upstream.h
+++ b/src/routing/upstream.h
@@ -7,9 +7,6 @@
 
 namespace persimmon::routing {
 
-/// Id of a group or, for plain services, of an instance.
-using upstream_id = text_id<struct upstream_id_tag>;
-
 /// Address and identity of an upstream: one generation of a group, or one incarnation of an
 /// instance of a plain service.
 struct upstream
