Quarantines outlast the end of all gateways and reach those without peers

A request that was held back was sent on again once every process had ended, and by a gateway that the mesh doesn't reach.

Change: one object in the store holds the quarantines and the crashes of requests close to one. All gateways watch it and add what it lacks, conditionally; who observed it writes at once, others after a pause of their own.

With it: a lifted quarantine withdraws the crashes that caused it, whichever message comes first (LiftedQuarantineWithdrawsTheCrashesThatCausedIt).

Ruled out: one object a request, which can only grow here; telling the first crash as well, which would write at each loss of an instance.

--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -37,8 +37,9 @@
                 dispatch::upstream_selector& aUpstreams,
                 metrics_registry& aMetrics);
 
-  /// Called with changes that the other gateways need.
-  std::function<void(const poison::suspicion_changes&)> onChange;
+  /// Called with changes that the other gateways need. aObservedHere is false for what follows from
+  /// messages of others.
+  std::function<void(const poison::suspicion_changes&, bool aObservedHere)> onChange;
 
   /// Returns how a request may be sent.
   [[nodiscard]] poison::poison_check Check(std::uint64_t aFingerprint) const;
@@ -59,13 +60,13 @@
   void OnInstancesChanged();
   /// Drops what has expired and updates the metrics; call about once a second.
   void OnSlowTick();
-  /// Returns all that is known of requests.
-  [[nodiscard]] poison::suspicion_changes Entries() const;
+  /// Returns what must outlast all processes.
+  [[nodiscard]] poison::suspicion_changes LastingEntries() const;
 
 private:
   void Connect(const upstream_id& aUpstream, const crash_candidate& aCandidate);
   void Conclude(const crash_finding& aFinding);
-  void Announce(const poison::suspicion_changes& aChanges) const;
+  void Announce(const poison::suspicion_changes& aChanges, bool aObservedHere) const;
 
   upstream::upstream_loop& mLoop;
   dispatch::upstream_selector& mUpstreams;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -35,6 +35,7 @@
 constexpr log_event kGroupDecided{ 8043, "group_decided", log_level::info };
 constexpr log_event kOrderGiven{ 8044, "order_given", log_level::info };
 constexpr log_event kReportNotUnderstood{ 8045, "report_not_understood", log_level::warning };
+constexpr log_event kSuspicionWriteFailed{ 8047, "suspicion_write_failed", log_level::warning };
 constexpr log_event kInstancesIdle{ 8046, "instances_idle", log_level::info };
 
 /// All log events that a gateway writes.
@@ -67,6 +68,7 @@
                                             kGroupDecided,
                                             kOrderGiven,
                                             kReportNotUnderstood,
-                                            kInstancesIdle };
+                                            kInstancesIdle,
+                                            kSuspicionWriteFailed };
 
 } // namespace persimmon::gateway
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -11,6 +11,7 @@
 #include "gateway/leasemanager.h"
 #include "gateway/meshlink.h"
 #include "gateway/storewatch.h"
+#include "gateway/suspicionstore.h"
 #include "loop/eventloop.h"
 
 #include <fmt/format.h>
@@ -88,6 +89,11 @@
                                      mMetrics,
                                      mUpstreams.Fleet(),
                                      LongPollTimeout(mSettings.storeSilenceTimeout) };
+  suspicion_store<store> mSuspicions{ mStore,
+                                      mUpstreamLoop,
+                                      mMetrics,
+                                      mCrashes,
+                                      mContext.random.NextDouble() };
   mesh_link mMesh{ mSettings, mLoop, mMetrics };
   group_prober<Dialect> mProber{ mContext };
   assembly_runner<Dialect> mAssembly{ mContext, mSettings.assembly };
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -66,7 +66,7 @@
 void
 crash_monitor::Completed(const monitored_attempt& aAttempt)
 {
-  Announce(mTracker.RecordCompletion(aAttempt.id, steady_clock().Now()));
+  Announce(mTracker.RecordCompletion(aAttempt.id, steady_clock().Now()), true);
 }
 
 void
@@ -135,25 +135,25 @@
              { "evidence", aFinding.evidence },
              { "calls", std::to_string(aFinding.attempts.size()) } });
   mMetrics.Count(kUpstreamCrashes, {});
-  Announce(mTracker.RecordCrash(aFinding.upstream, steady_clock().Now()));
+  Announce(mTracker.RecordCrash(aFinding.upstream, steady_clock().Now()), true);
 }
 
 void
-crash_monitor::Announce(const poison::suspicion_changes& aChanges) const
+crash_monitor::Announce(const poison::suspicion_changes& aChanges, bool aObservedHere) const
 {
   if (aChanges.Empty()) {
     return;
   }
   poison::LogChanges(aChanges);
   if (onChange) {
-    onChange(aChanges);
+    onChange(aChanges, aObservedHere);
   }
 }
 
 void
 crash_monitor::Apply(const poison::suspicion_changes& aMessages)
 {
-  Announce(mTracker.Apply(aMessages, steady_clock().Now()));
+  Announce(mTracker.Apply(aMessages, steady_clock().Now()), false);
 }
 
 void
@@ -178,9 +178,9 @@
 }
 
 poison::suspicion_changes
-crash_monitor::Entries() const
+crash_monitor::LastingEntries() const
 {
-  return mTracker.Entries(steady_clock().Now());
+  return mTracker.LastingEntries(steady_clock().Now());
 }
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -58,13 +58,14 @@
   mInstances.onNewChange = [this](const peers::document_message& aChange) {
     mMesh.Publish(aChange);
   };
-  mCrashes.onChange = [this](const poison::suspicion_changes& aChanges) {
+  mCrashes.onChange = [this](const poison::suspicion_changes& aChanges, bool aObservedHere) {
     for (const peers::crash_message& crash : aChanges.crashes) {
       mMesh.Publish(crash);
     }
     for (const peers::quarantine_message& quarantine : aChanges.quarantines) {
       mMesh.Publish(quarantine);
     }
+    mSuspicions.Update(aObservedHere);
   };
   mMesh.SetHandler(
     [this](const peers::mesh_message& aMessage, const router_id&) { OnMeshMessage(aMessage); });
@@ -171,6 +172,7 @@
 
   mConfigWatch->Start();
   mInstances.Start();
+  mSuspicions.Start();
 }
 
 template<gateway_dialect Dialect>
@@ -394,6 +396,7 @@
   const duration batchDelay = BatchDelay(mContext.gatewayCount, mSettings.leaveNotice);
   mInstances.SetBatchDelay(mLease.IsHolder() ? kMinBatchDelay : batchDelay);
   mCrashes.OnSlowTick();
+  mSuspicions.Update(false);
   const duration age = now - mInstances.LastResponseAt();
   mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
   for (auto& [service, budget] : mContext.retryBudgets) {
@@ -460,6 +463,7 @@
   RunOnLoop([this] {
     mConfigWatch->Stop();
     mInstances.Stop();
+    mSuspicions.Stop();
     return 0;
   });
   mMesh.Stop();
--- a/src/poison/internal/suspiciontable.cpp
+++ b/src/poison/internal/suspiciontable.cpp
@@ -183,7 +183,7 @@
   }
   const crash applied{ aMessage.crash, aMessage.weight, aMessage.isolates, aMessage.withdrawn, at };
   const bool changed = Store(Touch(aMessage.fingerprint), applied);
-  return changed ? Judge(aMessage.fingerprint, aNow) : suspicion_changes{};
+  return changed && !aMessage.withdrawn ? Judge(aMessage.fingerprint, aNow) : suspicion_changes{};
 }
 
 void
@@ -195,12 +195,20 @@
     return;
   }
   entry& changed = Touch(aMessage.fingerprint);
-  if (aMessage.count > changed.quarantineCount) {
+  const bool isNewer = aMessage.count > changed.quarantineCount;
+  const bool lifts =
+    aMessage.count == changed.quarantineCount && !changed.lifted && aMessage.lifted;
+  if (isNewer) {
     changed.quarantineCount = aMessage.count;
     changed.lifted = aMessage.lifted;
     changed.quarantinedAt = at;
-  } else if (aMessage.count == changed.quarantineCount) {
-    changed.lifted = changed.lifted || aMessage.lifted;
+  }
+  if (lifts || (isNewer && aMessage.lifted)) {
+    // The withdrawals of the crashes may arrive later, or not at all.
+    changed.lifted = true;
+    for (crash& counted : changed.crashes) {
+      counted.withdrawn = true;
+    }
   }
 }
 
@@ -233,6 +241,17 @@
   return result;
 }
 
+suspicion_changes
+suspicion_table::LastingEntries(time_point aNow) const
+{
+  suspicion_changes result;
+  for (const auto& [fingerprint, present] : mEntries) {
+    const bool nearQuarantine = Weight(fingerprint, aNow) >= kStoredWeight;
+    AppendEntry(result, fingerprint, present, nearQuarantine, aNow);
+  }
+  return result;
+}
+
 suspicion_counts
 suspicion_table::Count(time_point aNow) const
 {
--- a/src/poison/poisontracker.h
+++ b/src/poison/poisontracker.h
@@ -69,6 +69,11 @@
 
   /// Returns all that is known of requests, for other processes and the status page.
   [[nodiscard]] suspicion_changes Entries(time_point aNow) const { return mTable.Entries(aNow); }
+  /// Returns what must outlast all processes.
+  [[nodiscard]] suspicion_changes LastingEntries(time_point aNow) const
+  {
+    return mTable.LastingEntries(aNow);
+  }
   [[nodiscard]] suspicion_counts Count(time_point aNow) const { return mTable.Count(aNow); }
   /// Drops expired entries; call about once a second.
   void Prune(time_point aNow) { mTable.Prune(aNow); }
--- a/src/poison/suspiciontable.h
+++ b/src/poison/suspiciontable.h
@@ -18,6 +18,10 @@
 /// the upstreams, the request is not sent again.
 constexpr std::uint32_t kQuarantineWeight = 3 * kEarlyCrashWeight;
 
+/// Weight from which the crashes of a request are stored. Below it, routers that cannot reach each
+/// other each miss at most one early crash of the others.
+constexpr std::uint32_t kStoredWeight = 2 * kEarlyCrashWeight;
+
 /// Time for which a crash counts against the requests that were in flight.
 constexpr duration kSuspectLifetime = 300_s;
 /// Time for which a request is refused in its first quarantine.
@@ -70,6 +74,9 @@
 
   /// Returns all that is known and has not expired, with its age.
   [[nodiscard]] suspicion_changes Entries(time_point aNow) const;
+  /// Returns what must outlast all processes: the quarantines, and the crashes of requests that
+  /// weigh at least kStoredWeight.
+  [[nodiscard]] suspicion_changes LastingEntries(time_point aNow) const;
   [[nodiscard]] suspicion_counts Count(time_point aNow) const;
   /// Drops what has expired; call about once a second.
   void Prune(time_point aNow);
--- a/src/poison/tests/suspiciontabletests.cpp
+++ b/src/poison/tests/suspiciontabletests.cpp
@@ -137,3 +137,19 @@
   table.Apply({ kRequest, 2, true, 11_s }, kStart);
   CHECK(Verdict(kStart) == poison_verdict::clear);
 }
+
+// Guards against a good request that is quarantined again, since the end of its quarantine arrives
+// before the withdrawals of its crashes.
+TEST(suspicion_table, LiftedQuarantineWithdrawsTheCrashesThatCausedIt)
+{
+  for (std::uint64_t crash = 1; crash <= 5; ++crash) {
+    table.Apply(Crash(crash), kStart);
+  }
+  CHECK(Verdict(kStart) == poison_verdict::quarantined);
+  table.Apply(peers::quarantine_message{ kRequest, 1, true, {} }, kStart);
+  peers::crash_message withdrawn = Crash(1);
+  withdrawn.withdrawn = true;
+  CHECK(table.Apply(withdrawn, kStart).Empty());
+  CHECK(table.Apply(Crash(6), kStart).Empty());
+  CHECK(Verdict(kStart) == poison_verdict::isolate);
+}
