A crash that may have come before the request counts less against it

Cause: the stream was sent from a crashed head at once to a group that had lost a member in the same moment, before the stream came. The refused connection of that member counted as a second early crash, 216 ms after the first.

Change: where a group stands still and nothing came from it after the call was sent, its member's crash counts 1, not 2.

--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -22,10 +22,12 @@
 /// Which instances of an upstream may have ended a lost call.
 enum class loss_scope
 {
-  /// The instance that the call was sent to.
+  /// The instance that the call was sent to: it ended the connection or did not respond.
   head,
-  /// Any member of its group.
-  group
+  /// Any member of the group: it stands still, and worked after the call was sent.
+  group,
+  /// Any member of the group: it stands still, perhaps since before the call was sent.
+  stalled_group
 };
 
 /// Tracks the calls in flight and the crashes of upstreams, to recognise requests that crash the
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,6 +81,8 @@
   void OnAttemptLost(attempt& aAttempt, const char* aResult, bool aCountsAsFailure);
   /// Reports an attempt that broke off or got no response to the crash monitor.
   void ReportLoss(attempt& aAttempt, loss_scope aScope);
+  /// Returns which instances may have crashed when the group of an attempt stands still.
+  [[nodiscard]] loss_scope ScopeOfStandstill(const attempt& aAttempt) const;
   /// Sends a complete response to the caller, or retries a server error elsewhere.
   void DeliverResponse(attempt& aAttempt);
   /// Retries a call with a server error response on another upstream when the call and its retry
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -21,6 +21,13 @@
   return aOutcome.refused ? connect_result::refused : connect_result::no_answer;
 }
 
+poison::loss_evidence
+EvidenceOf(loss_scope aScope)
+{
+  return aScope == loss_scope::stalled_group ? poison::loss_evidence::unknown
+                                             : poison::loss_evidence::worked_after_dispatch;
+}
+
 } // namespace
 
 crash_monitor::crash_monitor(upstream::upstream_loop& aLoop,
@@ -92,7 +99,7 @@
     return;
   }
   const time_point now = steady_clock().Now();
-  mTracker.RecordLoss(aAttempt.id, now);
+  mTracker.RecordLoss(aAttempt.id, EvidenceOf(aScope), now);
   for (const crash_candidate& candidate :
        mInvestigator.AddLostAttempt(aAttempt.upstream, aAttempt.id, candidates, now)) {
     Connect(aAttempt.upstream, candidate);
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -52,6 +52,18 @@
   mContext.crashes.Lost(aAttempt.monitored, aScope);
 }
 
+template<gateway_dialect Dialect>
+loss_scope
+exchange<Dialect>::ScopeOfStandstill(const attempt& aAttempt) const
+{
+  if (aAttempt.hasReceivedEvent) {
+    return loss_scope::head;
+  }
+  const dispatch::upstream_stats* stats = mContext.upstreams.FindStats(aAttempt.upstream);
+  const bool workedAfterwards = stats != nullptr && stats->lastByteAt > aAttempt.startedAt;
+  return workedAfterwards ? loss_scope::group : loss_scope::stalled_group;
+}
+
 template<gateway_dialect Dialect>
 instance_id
 exchange<Dialect>::EndAttempt(attempt& aAttempt, const char* aResult)
@@ -120,7 +132,7 @@
   for (const attempt_ptr& current : mAttempts) {
     const bool silent = now - current->lastReceivedAt > exchange_limits::kAttemptActivityWindow;
     if (current->upstream == aHead && silent && Attributes().retryable) {
-      ReportLoss(*current, current->hasReceivedEvent ? loss_scope::head : loss_scope::group);
+      ReportLoss(*current, ScopeOfStandstill(*current));
       OnAttemptLost(*current, "group_lost", false);
       return;
     }
--- a/src/poison/internal/poisontracker.cpp
+++ b/src/poison/internal/poisontracker.cpp
@@ -74,11 +74,12 @@
 }
 
 void
-poison_tracker::RecordLoss(const attempt_id& aAttempt, time_point aNow)
+poison_tracker::RecordLoss(const attempt_id& aAttempt, loss_evidence aEvidence, time_point aNow)
 {
   const auto found = mRunning.find(aAttempt);
   if (found != mRunning.end()) {
     found->second.lostAt = aNow;
+    found->second.evidence = aEvidence;
   }
 }
 
@@ -100,6 +101,15 @@
   return mTable.Clear(fingerprint, aNow);
 }
 
+std::uint32_t
+poison_tracker::CrashWeight(const running_attempt& aAttempt, time_point aNow)
+{
+  const time_point lostAt = aAttempt.lostAt.value_or(aNow);
+  const bool early = !aAttempt.hasResponse || lostAt - aAttempt.firstResponseAt <= kEarlyCrashTime;
+  const bool certain = aAttempt.evidence == loss_evidence::worked_after_dispatch;
+  return early && certain ? kEarlyCrashWeight : kLateCrashWeight;
+}
+
 std::vector<poison_tracker::crashed_request>
 poison_tracker::TakeInFlight(const upstream_id& aUpstream, time_point aNow)
 {
@@ -110,12 +120,9 @@
     const dispatched_request& request = running.request;
     const bool lost = request.upstream == aUpstream;
     if (lost) {
-      const time_point lostAt = running.lostAt.value_or(aNow);
-      const bool early =
-        !running.hasResponse || lostAt - running.firstResponseAt <= kEarlyCrashTime;
       inFlight.push_back({ request.fingerprint,
                            HashText(aUpstream.value, request.upstreamRun),
-                           early ? kEarlyCrashWeight : kLateCrashWeight });
+                           CrashWeight(running, aNow) });
     }
     current = lost ? mRunning.erase(current) : std::next(current);
   }
--- a/src/poison/poisontracker.h
+++ b/src/poison/poisontracker.h
@@ -21,6 +21,14 @@
 /// quarantined only by its total weight.
 constexpr std::size_t kCommonCauseCrashes = 2;
 
+/// Whether an upstream is known to have worked between the dispatch of an attempt and its loss.
+enum class loss_evidence
+{
+  worked_after_dispatch,
+  /// The upstream may have stopped before the attempt was sent to it.
+  unknown
+};
+
 /// A request that is sent to an upstream.
 struct dispatched_request
 {
@@ -55,9 +63,9 @@
   void RecordDispatch(const dispatched_request& aRequest, time_point aNow);
   /// Records the first part of an attempt's response: the upstream runs the request.
   void RecordFirstResponse(const attempt_id& aAttempt, time_point aNow);
-  /// Records that an attempt's response broke off. The attempt stays in flight until it is known
-  /// whether its upstream has crashed.
-  void RecordLoss(const attempt_id& aAttempt, time_point aNow);
+  /// Records that an attempt's response broke off or did not come. The attempt stays in flight
+  /// until it is known whether its upstream has crashed.
+  void RecordLoss(const attempt_id& aAttempt, loss_evidence aEvidence, time_point aNow);
   /// Records that an attempt was answered completely. Returns the changes for other routers.
   suspicion_changes RecordCompletion(const attempt_id& aAttempt, time_point aNow);
   /// Records that an attempt ended without a complete answer while its upstream stayed alive.
@@ -89,6 +97,7 @@
     time_point firstResponseAt;
     /// Time at which the response broke off.
     std::optional<time_point> lostAt;
+    loss_evidence evidence = loss_evidence::worked_after_dispatch;
   };
   /// A request that was in flight on an upstream that crashed.
   struct crashed_request
@@ -105,6 +114,7 @@
     std::vector<std::uint64_t> inFlight;
   };
 
+  [[nodiscard]] static std::uint32_t CrashWeight(const running_attempt& aAttempt, time_point aNow);
   /// Removes the attempts in flight on an upstream and returns their requests, sorted by
   /// fingerprint and without duplicates.
   std::vector<crashed_request> TakeInFlight(const upstream_id& aUpstream, time_point aNow);
--- a/src/poison/suspiciontable.h
+++ b/src/poison/suspiciontable.h
@@ -12,7 +12,8 @@
 
 /// Weight of a crash shortly after the request began to run.
 constexpr std::uint32_t kEarlyCrashWeight = 2;
-/// Weight of a crash of an upstream that had been running the request for a while.
+/// Weight of a crash of an upstream that had been running the request for a while, or that may have
+/// crashed before it got the request.
 constexpr std::uint32_t kLateCrashWeight = 1;
 /// Weight from which a request is quarantined: three early crashes. Whatever else may have crashed
 /// the upstreams, the request is not sent again.
