A store that comes back from an older copy: eras order what it says

What callers would see in the users' drill: a key that was taken away works again, calls reach instances that have left, later configurations are ignored, two processes form groups with one fencing token.

Cause: revisions were taken for ever growing. A watch that goes on from a former revision misses what was written between; a write on one can succeed by chance; the lease gave out its object's token plus one, from an object that had gone back.

Change (docs/decisions/0903): a revision holds the store's era above its counter, joined and taken apart in platform/ alone. Watches list again at once, each after a pause of its own; configurations are ordered by the operator's version; instances are kept against earlier states of a copy; the lease is given up, acquired late, and with tokens of the era. Event 8016, a counter.

One finding on the way: a removal that was still pending was undone by the copy (RemovalThatIsPendingIsNotUndoneByAnOlderCopy).

--- a/src/gateway/gatewaydialect.h
+++ b/src/gateway/gatewaydialect.h
@@ -11,6 +11,7 @@
 #include "gateway/upstreamtarget.h"
 #include "platform/storedobject.h"
 #include "platform/storeerror.h"
+#include "platform/storerevision.h"
 #include "routes/configuration.h"
 #include "upstream/responsehead.h"
 #include "upstream/upstreamcall.h"
@@ -29,6 +30,11 @@
 using store_callback =
   std::function<void(std::optional<Result> aResult, const platform::store_failure& aReason)>;
 
+/// Called with the era of the store's first response, and when the store has come back from an
+/// older copy. aFormer is empty the first time.
+using era_handler =
+  std::function<void(std::optional<platform::store_era> aFormer, platform::store_era aPresent)>;
+
 /// Client of the platform's object store. Every callback runs on the event loop's thread.
 template<typename Store>
 concept cluster_store = requires(Store& aStore,
@@ -43,7 +49,9 @@
   aStore.Watch(aKind, aFrom, aWait, store_callback<platform::object_changes>{});
   /// Reads an object; with true, the result may be some seconds old.
   aStore.Get(aKey, true, store_callback<platform::stored_object>{});
+  /// Fails with unknown_outcome when the condition is of an earlier era than the response.
   aStore.Put(aKey, aValue, aCondition, store_callback<revision>{});
+  aStore.SetEraHandler(era_handler{});
 };
 
 /// Translates between the gateway's types and the wire formats of callers, upstreams, engines and
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -18,6 +18,7 @@
 constexpr log_event kEntrySkipped{ 8013, "entry_skipped", log_level::warning };
 constexpr log_event kStoreLost{ 8014, "store_lost", log_level::warning };
 constexpr log_event kStoreRegained{ 8015, "store_regained", log_level::info };
+constexpr log_event kStoreEraChanged{ 8016, "store_era_changed", log_level::warning };
 constexpr log_event kCallRefused{ 8020, "call_refused", log_level::info };
 constexpr log_event kCallSent{ 8021, "call_sent", log_level::info };
 constexpr log_event kCallAnswered{ 8022, "call_answered", log_level::info };
@@ -51,6 +52,7 @@
                                             kEntrySkipped,
                                             kStoreLost,
                                             kStoreRegained,
+                                            kStoreEraChanged,
                                             kCallRefused,
                                             kCallSent,
                                             kCallAnswered,
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -29,6 +29,8 @@
                                   "1 while this process forms the groups" };
 constexpr metric_spec kLogLinesDropped{ "persimmon_gateway_log_lines_dropped",
                                         "Log lines that were dropped for a slow reader" };
+constexpr metric_spec kStoreEraChanges{ "persimmon_gateway_store_era_changes_total",
+                                        "Times that the store came back from an older copy" };
 constexpr metric_spec kUpstreamCrashes{ "persimmon_gateway_upstream_crashes_total",
                                         "Crashes of upstreams that ended calls of this process" };
 constexpr metric_spec kSuspects{ "persimmon_gateway_suspects",
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -51,6 +51,8 @@
   void HandleReadinessRequest(entry::responder& aResponder);
   [[nodiscard]] bool IsReady() const;
   void ApplyConfiguration(const std::string& aText, revision aRevision, const char* aSource);
+  /// Reads everything again when the store has come back from an older copy.
+  void OnStoreEra(std::optional<platform::store_era> aFormer, platform::store_era aPresent);
   void OnInstancesChanged();
   void OnMeshMessage(const peers::mesh_message& aMessage);
   void OnPresenceMessage(const peers::presence_message& aPresence);
@@ -101,7 +103,6 @@
                                mUpstreamLoop,
                                lease_state_machine(mSettings.id, lease_timing{}, EntropySeed()) };
   std::unique_ptr<store_watch<store>> mConfigWatch;
-  revision mConfigRevision;
   /// Slowdown of each instance that this process queries, from its latest report, as a factor on
   /// the expected time.
   std::unordered_map<instance_id, double> mReportedSlowdowns;
--- a/src/gateway/instancechange.h
+++ b/src/gateway/instancechange.h
@@ -20,6 +20,9 @@
 /// Origin of a change.
 enum class change_source
 {
+  /// A list of the store, which may be an older copy of what it had.
+  list,
+  /// A write that the store reported when it came.
   store,
   peer
 };
--- a/src/gateway/instancefeed.h
+++ b/src/gateway/instancefeed.h
@@ -45,6 +45,8 @@
 
   void Start() { mWatch.Start(); }
   void Stop() { mWatch.Stop(); }
+  /// Lists the instances again after a pause.
+  void Restart(duration aPause) { mWatch.Restart(aPause); }
   /// Sets the pause of the watch after changes.
   void SetBatchDelay(duration aDelay) { mWatch.SetBatchDelay(aDelay); }
   /// Time of the latest successful call to the store.
--- a/src/gateway/instanceregistry.h
+++ b/src/gateway/instanceregistry.h
@@ -12,8 +12,9 @@
 
 /// Merges the changes of the registered instances from the store and from other gateways into a
 /// fleet view. An entry that expired while the store was unavailable may belong to a live instance
-/// that could not renew it, so it is retained for a short time after the store recovers. Does no
-/// I/O and reads no clock.
+/// that could not renew it, so it is retained for a short time after the store recovers. When the
+/// store comes back from an older copy, what the copy says of an instance does not replace later
+/// knowledge of it. Does no I/O and reads no clock.
 class instance_registry
 {
 public:
@@ -38,7 +39,23 @@
   bool RemoveExpired(time_point aNow);
 
 private:
+  /// What is known of one instance, also after its end.
+  struct known_instance
+  {
+    /// Version of the latest known change.
+    revision version;
+    /// Incarnation in which the instance ended; nothing while it is registered.
+    std::optional<incarnation> ended;
+  };
+
+  /// Returns whether a change of a later era shows a state from before the latest known one: the
+  /// store came back from an older copy that still has it.
+  [[nodiscard]] bool IsFromOlderCopy(const instance_change& aChange,
+                                     const known_instance& aKnown,
+                                     change_source aFrom) const;
   void Remove(const instance_id& aId, change_source aFrom, time_point aNow);
+  /// Removes an instance from the view and remembers in which incarnation it ended.
+  void End(const instance_id& aId);
 
   fleet::fleet_view& mView;
   bool mStoreAvailable = false;
@@ -46,8 +63,7 @@
   time_point mRetainUntil{ INT64_MIN / 2 };
   /// Instances whose entry has disappeared, and the time until which they are retained.
   std::map<instance_id, time_point> mRetained;
-  /// Version of the latest known change of each instance.
-  std::map<instance_id, revision> mVersions;
+  std::map<instance_id, known_instance> mKnown;
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -20,6 +20,8 @@
 constexpr duration kFinalFlushTime = 150_ms;
 /// Upper bound of a group's slowdown; higher values make no difference.
 constexpr double kMaxSlowdown = 100;
+/// Longest pause before a list that all gateways read at about the same time.
+constexpr duration kMaxRelistPause = 150_ms;
 /// Name of the mesh document that holds the configuration.
 constexpr const char* kConfigurationDocument = "configuration";
 /// Largest body that the server reads, in bytes. A body between the configured limit and this one
@@ -55,6 +57,8 @@
     OnEngineReport(aInstance, aReport);
   };
   mLease.onChange = [this] { OnLeaseChanged(); };
+  mStore.SetEraHandler([this](std::optional<platform::store_era> aFormer,
+                              platform::store_era aPresent) { OnStoreEra(aFormer, aPresent); });
   mInstances.onNewChange = [this](const peers::document_message& aChange) {
     mMesh.Publish(aChange);
   };
@@ -158,7 +162,7 @@
     }
   };
   onConfig.onAvailability = [this](bool aAvailable) {
-    mMesh.SetStoreState(aAvailable, mConfigRevision.value != 0);
+    mMesh.SetStoreState(aAvailable, mUpstreams.Routes() != nullptr);
   };
   watch_options configOptions;
   configOptions.batchDelay = 20_ms;
@@ -181,20 +185,23 @@
                                              revision aRevision,
                                              const char* aSource)
 {
-  if (aRevision <= mConfigRevision) {
-    return;
-  }
   json_problem problem;
   auto configuration = Dialect::ParseConfiguration(aText, problem);
   if (!configuration) {
     WriteLog(kConfigurationRejected,
-             { { "revision", std::to_string(aRevision.value) }, { "problem", problem.Text() } });
+             { { "revision", platform::RevisionText(aRevision) }, { "problem", problem.Text() } });
+    return;
+  }
+  // The operator's version orders configurations also when the store comes back from an older copy
+  // and gives revisions out again.
+  const auto& present = mUpstreams.Routes();
+  if (present && configuration->version <= present->Configuration().version) {
     return;
   }
-  mConfigRevision = aRevision;
+  const revision meshVersion{ configuration->version };
   WriteLog(kConfigurationInForce,
            { { "version", std::to_string(configuration->version) },
-             { "revision", std::to_string(aRevision.value) },
+             { "revision", platform::RevisionText(aRevision) },
              { "from", aSource },
              { "routes", std::to_string(configuration->routes.size()) },
              { "customers", std::to_string(configuration->customers.size()) } });
@@ -202,11 +209,36 @@
   mUpstreams.SetRoutes(std::make_shared<const routes::route_table>(std::move(*configuration)));
   mAssembly.Configure(mUpstreams.Routes()->Configuration());
   mMesh.Publish(
-    peers::document_message{ { process_limits::kConfigurationDocument }, aRevision, aText });
+    peers::document_message{ { process_limits::kConfigurationDocument }, meshVersion, aText });
   mMesh.SetStoreState(mConfigWatch && mConfigWatch->IsAvailable(), true);
   OnInstancesChanged();
 }
 
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnStoreEra(std::optional<platform::store_era> aFormer,
+                                     platform::store_era aPresent)
+{
+  mLease.OnEraChange(aPresent);
+  if (!aFormer) {
+    return;
+  }
+  // All processes notice at about the same time, so each lists at a time of its own.
+  const auto pause = [this] {
+    return duration{ static_cast<std::int64_t>(
+      mContext.random.Below(static_cast<std::uint64_t>(process_limits::kMaxRelistPause.ms))) };
+  };
+  WriteLog(kStoreEraChanged,
+           { { "former", std::to_string(aFormer->value) },
+             { "present", std::to_string(aPresent.value) },
+             { "dropped", "lease, revisions of all watches" },
+             { "instances", std::to_string(mUpstreams.Fleet().Instances().size()) } });
+  mMetrics.Count(kStoreEraChanges, {});
+  mConfigWatch->Restart(pause());
+  mInstances.Restart(pause());
+  mSuspicions.Restart(pause());
+}
+
 template<gateway_dialect Dialect>
 void
 gateway_process<Dialect>::OnInstancesChanged()
--- a/src/gateway/internal/instanceregistry.cpp
+++ b/src/gateway/internal/instanceregistry.cpp
@@ -1,5 +1,7 @@
 #include "gateway/instanceregistry.h"
 
+#include "platform/storerevision.h"
+
 #include <algorithm>
 #include <set>
 
@@ -10,6 +12,16 @@
 /// notice, after which a leaving instance must receive no more calls.
 constexpr duration kReregistrationTime = 1900_ms;
 
+/// Returns whether an entry shows an earlier state of an instance than another one.
+bool
+IsEarlierState(const fleet::instance& aEntry, const fleet::instance& aKnown)
+{
+  if (aEntry.incarnationId != aKnown.incarnationId) {
+    return aEntry.incarnationId < aKnown.incarnationId;
+  }
+  return aEntry.acceptedOrders < aKnown.acceptedOrders || (aKnown.draining && !aEntry.draining);
+}
+
 } // namespace
 
 void
@@ -28,35 +40,60 @@
   std::set<instance_id> listed;
   for (const instance_change& change : aList) {
     listed.insert(change.id);
-    if (ApplyChange(change, change_source::store, aNow)) {
+    if (ApplyChange(change, change_source::list, aNow)) {
       accepted.push_back(change);
     }
   }
   std::vector<instance_id> missing;
   for (const auto& [id, instance] : mView.Instances()) {
-    if (listed.count(id) == 0 && mVersions[id] <= aAsOf) {
+    if (listed.count(id) == 0 && mKnown[id].version <= aAsOf) {
       missing.push_back(id);
     }
   }
   for (const instance_id& id : missing) {
-    Remove(id, change_source::store, aNow);
+    Remove(id, change_source::list, aNow);
   }
   return accepted;
 }
 
+bool
+instance_registry::IsFromOlderCopy(const instance_change& aChange,
+                                   const known_instance& aKnown,
+                                   change_source aFrom) const
+{
+  const bool laterEra = platform::EraOf(aChange.version) > platform::EraOf(aKnown.version);
+  // What an instance writes after the store came back is its present state.
+  if (!laterEra || aFrom == change_source::store || !aChange.entry) {
+    return false;
+  }
+  if (aKnown.ended) {
+    return aChange.entry->incarnationId <= *aKnown.ended;
+  }
+  const fleet::instance* present = mView.Find(aChange.id);
+  if (present == nullptr) {
+    return false;
+  }
+  const bool isLeaving = mRetained.count(aChange.id) != 0;
+  return isLeaving ? aChange.entry->incarnationId <= present->incarnationId
+                   : IsEarlierState(*aChange.entry, *present);
+}
+
 bool
 instance_registry::ApplyChange(const instance_change& aChange, change_source aFrom, time_point aNow)
 {
-  const auto [entry, inserted] = mVersions.try_emplace(aChange.id, aChange.version);
-  if (!inserted && aChange.version < entry->second) {
+  const auto [position, inserted] =
+    mKnown.try_emplace(aChange.id, known_instance{ aChange.version, std::nullopt });
+  known_instance& known = position->second;
+  if (!inserted && (aChange.version < known.version || IsFromOlderCopy(aChange, known, aFrom))) {
     return false;
   }
-  const bool isNewer = inserted || aChange.version > entry->second;
+  const bool isNewer = inserted || aChange.version > known.version;
   if (!isNewer && aFrom == change_source::peer) {
     return false;
   }
-  entry->second = aChange.version;
+  known.version = aChange.version;
   if (aChange.entry) {
+    known.ended.reset();
     mRetained.erase(aChange.id);
     mView.Upsert(*aChange.entry);
   } else {
@@ -77,6 +114,15 @@
     return;
   }
   mRetained.erase(aId);
+  End(aId);
+}
+
+void
+instance_registry::End(const instance_id& aId)
+{
+  if (const fleet::instance* ended = mView.Find(aId)) {
+    mKnown[aId].ended = ended->incarnationId;
+  }
   mView.Remove(aId);
 }
 
@@ -91,7 +137,7 @@
   }
   for (const instance_id& id : expired) {
     mRetained.erase(id);
-    mView.Remove(id);
+    End(id);
   }
   return !expired.empty();
 }
--- a/src/gateway/internal/leasestatemachine.cpp
+++ b/src/gateway/internal/leasestatemachine.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace persimmon::gateway {
@@ -57,7 +58,33 @@
 bool
 lease_state_machine::IsExpired(time_point aNow) const
 {
-  return mMissing || mLease.holder.Empty() || aNow - mUnchangedSince >= mTiming.expiry;
+  if (mMissing || mLease.holder.Empty()) {
+    return aNow >= mAcquireNotBefore;
+  }
+  return aNow - mUnchangedSince >= mTiming.expiry;
+}
+
+void
+lease_state_machine::OnEra(platform::store_era aEra, time_point aNow)
+{
+  if (mEra == aEra) {
+    return;
+  }
+  mTokenFloor = { std::max(mTokenFloor.value, aEra.value * kTokensPerEra) };
+  if (mEra) {
+    mTokenFloor = std::max(mTokenFloor, mLease.token);
+    mLease = {};
+    mVersion.reset();
+    mMissing = false;
+    mHasRead = false;
+    mLastReadExact = false;
+    mRenewedAt.reset();
+    mUnresolvedWriteAt.reset();
+    mAcquireNotBefore = aNow + mTiming.expiry;
+    mNextActionAt = aNow + mJitter;
+  }
+  mEra = aEra;
+  mEraSince = aNow;
 }
 
 lease_step
@@ -88,7 +115,7 @@
     return step;
   }
   step.action = lease_step::action_kind::write;
-  step.value = { mSelf, mLease.token.Next(), 0 };
+  step.value = { mSelf, std::max(mLease.token, mTokenFloor).Next(), 0 };
   step.expected = mVersion;
   return step;
 }
@@ -100,6 +127,7 @@
                             time_point aNow)
 {
   mHasRead = true;
+  mTokenFloor = std::max(mTokenFloor, aValue.token);
   mNextActionAt = aNow + mTiming.pollInterval;
   const bool older = mVersion && aVersion < *mVersion;
   if (older) {
@@ -162,7 +190,9 @@
                                    time_point aRequestedAt,
                                    time_point aNow)
 {
-  if (aError == platform::store_error::unknown_outcome && !mUnresolvedWriteAt) {
+  // A write of a former era that took effect in this one met another object by chance.
+  const bool ofThisEra = aRequestedAt >= mEraSince;
+  if (aError == platform::store_error::unknown_outcome && ofThisEra && !mUnresolvedWriteAt) {
     mUnresolvedWriteAt = aRequestedAt;
   }
   // Whatever its outcome, the next write must be based on a new read.
--- a/src/gateway/leasemanager.h
+++ b/src/gateway/leasemanager.h
@@ -27,6 +27,12 @@
   std::function<void()> onChange;
 
   void Start() { Tick(); }
+  /// The store came back from an older copy.
+  void OnEraChange(platform::store_era aEra)
+  {
+    mState.OnEra(aEra, boot_clock().Now());
+    NotifyChange();
+  }
   /// Releases the lease and stops trying to acquire it.
   void Stop();
   /// Returns whether this process may act as the holder now.
--- a/src/gateway/leasestatemachine.h
+++ b/src/gateway/leasestatemachine.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "platform/storeerror.h"
+#include "platform/storerevision.h"
 
 #include <optional>
 #include <string>
@@ -12,6 +13,9 @@
 /// Kind and name of the store object that holds the assembly lease.
 constexpr const char* kLeaseKind = "gateway-leases";
 constexpr const char* kLeaseName = "assembly";
+/// Number of fencing tokens reserved for each era of the store, so that a token that was lost with
+/// the store's last writes is not given out again.
+constexpr std::uint64_t kTokensPerEra = 1000000;
 /// Interval at which a lease_manager evaluates its state machine.
 constexpr duration kLeaseTickInterval{ 100 };
 
@@ -85,6 +89,11 @@
   /// Returns whether this process may act as the holder now.
   [[nodiscard]] bool IsHolder(time_point aNow) const;
 
+  /// The store is in another era, or its era is known for the first time. What was read and written
+  /// in a former era no longer holds: this process is not the holder, and nobody acquires the lease
+  /// before a holder of the former era has lost it. Tokens of a later era are higher than all
+  /// before.
+  void OnEra(platform::store_era aEra, time_point aNow);
   /// Returns the store call that is due now; action_kind::none when there is none.
   lease_step NextStep(time_point aNow);
   /// The lease was read; with aAllowStale, the result may be some seconds old.
@@ -106,6 +115,13 @@
 
   router_id mSelf;
   lease_timing mTiming;
+  std::optional<platform::store_era> mEra;
+  /// Time at which the present era became known.
+  time_point mEraSince{ INT64_MIN / 2 };
+  /// Earliest time at which a lease may be acquired that nobody holds.
+  time_point mAcquireNotBefore{ INT64_MIN / 2 };
+  /// Lower bound of the token that this process acquires the lease with.
+  fencing_token mTokenFloor;
   /// Random delay that spreads the store calls of many processes, at most the poll interval.
   duration mJitter;
   lease_value mLease;
--- a/src/gateway/storewatch.h
+++ b/src/gateway/storewatch.h
@@ -72,6 +72,9 @@
   void Start() { List(); }
   /// Starts no further calls and ignores the result of a pending one.
   void Stop() { mStopped = true; }
+  /// Lists all objects again after a pause, since what is known may not be what the store has now.
+  /// Ignores the result of a pending call. The store counts as unavailable until then.
+  void Restart(duration aPause);
   /// Sets the pause after changes.
   void SetBatchDelay(duration aDelay) { mOptions.batchDelay = aDelay; }
   /// Returns whether the store responded to the latest call; a compacted history counts as a
@@ -83,6 +86,7 @@
 private:
   void List();
   void Watch();
+  void MarkUnavailable(const platform::store_failure& aReason);
   void OnFailure(const platform::store_failure& aReason);
   void OnResponse();
   void CountCall(const char* aCall, const platform::store_failure& aReason);
@@ -99,6 +103,8 @@
   bool mListed = false;
   bool mAvailable = false;
   bool mStopped = false;
+  /// Number of restarts; a call or timer of an earlier run is ignored.
+  std::uint64_t mRun = 0;
   /// Number of consecutive failed calls.
   std::uint32_t mFailures = 0;
   time_point mLastResponseAt{ INT64_MIN / 2 };
@@ -108,8 +114,8 @@
 void
 store_watch<Store>::Schedule(duration aPause, void (store_watch::*aNext)())
 {
-  mLoop.After(aPause, [this, aNext] {
-    if (!mStopped) {
+  mLoop.After(aPause, [this, aNext, run = mRun] {
+    if (!mStopped && run == mRun) {
       (this->*aNext)();
     }
   });
@@ -134,11 +140,34 @@
   if (!mAvailable) {
     mAvailable = true;
     WriteLog(kStoreRegained,
-             { { "kind", mKind }, { "revision", std::to_string(mRevision.value) } });
+             { { "kind", mKind }, { "revision", platform::RevisionText(mRevision) } });
     mHandlers.onAvailability(true);
   }
 }
 
+template<typename Store>
+void
+store_watch<Store>::MarkUnavailable(const platform::store_failure& aReason)
+{
+  mAvailable = false;
+  WriteLog(kStoreLost,
+           { { "kind", mKind },
+             { "reason", platform::StoreErrorName(aReason.code) },
+             { "detail", aReason.detail },
+             { "revision", platform::RevisionText(mRevision) } });
+  mHandlers.onAvailability(false);
+}
+
+template<typename Store>
+void
+store_watch<Store>::Restart(duration aPause)
+{
+  ++mRun;
+  mListed = false;
+  MarkUnavailable({ platform::store_error::compacted, "the store came back from an older copy" });
+  Schedule(aPause, &store_watch::List);
+}
+
 template<typename Store>
 void
 store_watch<Store>::OnFailure(const platform::store_failure& aReason)
@@ -147,13 +176,7 @@
   const bool compacted = aReason.code == platform::store_error::compacted;
   // A compacted history means that the store is available: no registration expired.
   if (!compacted && (mAvailable || mFailures == 1)) {
-    mAvailable = false;
-    WriteLog(kStoreLost,
-             { { "kind", mKind },
-               { "reason", platform::StoreErrorName(aReason.code) },
-               { "detail", aReason.detail },
-               { "revision", std::to_string(mRevision.value) } });
-    mHandlers.onAvailability(false);
+    MarkUnavailable(aReason);
   }
   const duration pause = std::min(mOptions.retryDelay * mFailures, mOptions.maxRetryDelay);
   const bool relist = compacted || !mListed;
@@ -164,24 +187,24 @@
 void
 store_watch<Store>::List()
 {
-  mStore.List(
-    mKind,
-    [this](std::optional<platform::object_list> aList, const platform::store_failure& aReason) {
-      CountCall("list", aReason);
-      if (mStopped) {
-        return;
-      }
-      if (!aList) {
-        mListed = false;
-        OnFailure(aReason);
-        return;
-      }
-      mRevision = aList->asOf;
-      mListed = true;
-      OnResponse();
-      mHandlers.onList(*aList);
-      Watch();
-    });
+  mStore.List(mKind,
+              [this, run = mRun](std::optional<platform::object_list> aList,
+                                 const platform::store_failure& aReason) {
+                CountCall("list", aReason);
+                if (mStopped || run != mRun) {
+                  return;
+                }
+                if (!aList) {
+                  mListed = false;
+                  OnFailure(aReason);
+                  return;
+                }
+                mRevision = aList->asOf;
+                mListed = true;
+                OnResponse();
+                mHandlers.onList(*aList);
+                Watch();
+              });
 }
 
 template<typename Store>
@@ -191,10 +214,10 @@
   mStore.Watch(mKind,
                mRevision,
                mOptions.longPollTimeout,
-               [this](std::optional<platform::object_changes> aChanges,
-                      const platform::store_failure& aReason) {
+               [this, run = mRun](std::optional<platform::object_changes> aChanges,
+                                  const platform::store_failure& aReason) {
                  CountCall("watch", aReason);
-                 if (mStopped) {
+                 if (mStopped || run != mRun) {
                    return;
                  }
                  if (!aChanges) {
--- a/src/gateway/suspicionstore.h
+++ b/src/gateway/suspicionstore.h
@@ -41,6 +41,8 @@
 
   void Start() { mWatch.Start(); }
   void Stop() { mWatch.Stop(); }
+  /// Reads the object again after a pause.
+  void Restart(duration aPause) { mWatch.Restart(aPause); }
   /// Stores what is missing there. With aUrgent, this process observed it. Call after each change
   /// and about once a second.
   void Update(bool aUrgent);
--- a/src/gateway/tests/instanceregistrytests.cpp
+++ b/src/gateway/tests/instanceregistrytests.cpp
@@ -1,5 +1,7 @@
 #include "gateway/instanceregistry.h"
 
+#include "platform/storerevision.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmon;
@@ -170,3 +172,103 @@
   UNSIGNED_LONGS_EQUAL(1, accepted.size());
   STRCMP_EQUAL("b", accepted.front().id.value.c_str());
 }
+
+namespace {
+
+/// Revision of the era after the one in which the tests' other entries were written.
+std::uint64_t
+NextEra(std::uint64_t aCounter)
+{
+  return platform::MakeRevision({ 1 }, aCounter)->value;
+}
+
+instance_change
+Running(const std::string& aId,
+        std::uint64_t aRevision,
+        std::uint64_t aIncarnation,
+        std::uint64_t aOrders = 0,
+        bool aDraining = false)
+{
+  instance_change change = Entry(aId, aRevision, aDraining);
+  change.entry->incarnationId = { aIncarnation };
+  change.entry->acceptedOrders = aOrders;
+  return change;
+}
+
+} // namespace
+
+// Guards against an instance that left and is called again, since the copy from which the store
+// came back still names it.
+TEST(instance_registry, InstanceThatLeftIsNotBackBecauseAnOlderCopyNamesIt)
+{
+  registry.ApplyList({ Running("a", 5, 1) }, { 5 }, now);
+  Apply(Removal("a", 6));
+  CHECK(registry.ApplyList({ Running("a", NextEra(5), 1) }, { NextEra(5) }, now).empty());
+  CHECK_FALSE(Has("a"));
+  CHECK_FALSE(Apply(Running("a", NextEra(5), 1), change_source::peer));
+  CHECK_FALSE(Has("a"));
+  CHECK(Apply(Running("a", NextEra(9), 1)));
+  CHECK(Has("a"));
+}
+
+TEST(instance_registry, InstanceThatStartedAgainIsTakenFromTheList)
+{
+  registry.ApplyList({ Running("a", 5, 1) }, { 5 }, now);
+  Apply(Removal("a", 6));
+  CHECK_EQUAL(1, registry.ApplyList({ Running("a", NextEra(3), 2) }, { NextEra(5) }, now).size());
+  CHECK(Has("a"));
+}
+
+// Guards against a live instance that is dropped, since the copy does not know it yet.
+TEST(instance_registry, InstanceThatTheCopyDoesNotKnowIsRetainedUntilItRegistersAgain)
+{
+  registry.ApplyList({ Running("a", 5, 1), Running("b", 6, 1) }, { 6 }, now);
+  registry.OnStoreLost();
+  registry.OnStoreRecovered(now);
+  registry.ApplyList({ Running("a", NextEra(5), 1) }, { NextEra(5) }, now);
+  CHECK(Has("b"));
+  CHECK(Apply(Running("b", NextEra(6), 1)));
+  CHECK_FALSE(registry.RemoveExpired(now + 5_s));
+  CHECK(Has("b"));
+}
+
+// Guards against calls to a draining instance, and orders from an outdated state, since the copy
+// has the state from before.
+TEST(instance_registry, OlderStateOfTheCopyDoesNotReplaceALaterOne)
+{
+  registry.ApplyList(
+    { Running("a", 5, 1, 3, true), Running("b", 6, 1, 7), Running("c", 7, 2) }, { 7 }, now);
+  const auto accepted = registry.ApplyList({ Running("a", NextEra(2), 1, 3, false),
+                                             Running("b", NextEra(3), 1, 6),
+                                             Running("c", NextEra(4), 1) },
+                                           { NextEra(4) },
+                                           now);
+  CHECK_EQUAL(0, accepted.size());
+  CHECK(view.Find({ "a" })->draining);
+  CHECK_EQUAL(7, view.Find({ "b" })->acceptedOrders);
+  CHECK_EQUAL(2, view.Find({ "c" })->incarnationId.value);
+}
+
+// Guards against writes of the new era that are ignored until its counter has passed the former
+// one.
+TEST(instance_registry, WriteOfALaterEraCountsThoughItsCounterIsLower)
+{
+  registry.ApplyList({ Running("a", 500, 1) }, { 500 }, now);
+  CHECK(Apply(Running("a", NextEra(4), 1, 0, true)));
+  CHECK(view.Find({ "a" })->draining);
+  CHECK_FALSE(Apply(Running("a", 501, 1)));
+  CHECK(view.Find({ "a" })->draining);
+}
+
+// Guards against an instance that left just before the store came back from an older copy, and
+// whose removal is forgotten, since the copy still names it.
+TEST(instance_registry, RemovalThatIsPendingIsNotUndoneByAnOlderCopy)
+{
+  registry.OnStoreRecovered(now);
+  registry.ApplyList({ Running("a", 5, 1) }, { 5 }, now);
+  Apply(Removal("a", 6));
+  CHECK(Has("a"));
+  CHECK(registry.ApplyList({ Running("a", NextEra(5), 1) }, { NextEra(5) }, now + 1_s).empty());
+  CHECK(registry.RemoveExpired(now + 2_s));
+  CHECK_FALSE(Has("a"));
+}
--- a/src/gateway/tests/leasestatemachinetests.cpp
+++ b/src/gateway/tests/leasestatemachinetests.cpp
@@ -45,6 +45,24 @@
     }
   }
 
+  /// The store comes back from a copy with this lease; both processes notice when aNotice says so.
+  void RestoreCopy(const std::optional<lease_value>& aCopy, std::uint64_t aEra, bool aFirst, bool aSecond)
+  {
+    stored = aCopy;
+    version = *platform::MakeRevision({ aEra }, 3);
+    NoticeEra(aEra, aFirst, aSecond);
+  }
+
+  void NoticeEra(std::uint64_t aEra, bool aFirst, bool aSecond)
+  {
+    if (aFirst) {
+      first.OnEra({ aEra }, now);
+    }
+    if (aSecond) {
+      second.OnEra({ aEra }, now);
+    }
+  }
+
   void Run(duration aSpan, bool aFirst = true, bool aSecond = true)
   {
     const time_point end = now + aSpan;
@@ -140,3 +158,66 @@
   STRCMP_EQUAL("me", read.holder.value.c_str());
   UNSIGNED_LONGS_EQUAL(7, read.token.value);
 }
+
+// Guards against a fencing token that is given out twice, and against two holders, when the store
+// comes back from a copy that has lost the lease.
+TEST(lease_state_machine, LeaseThatTheCopyLostIsAcquiredLateAndWithAHigherToken)
+{
+  NoticeEra(1, true, true);
+  Run(3_s, true, false);
+  CHECK(first.IsHolder(now));
+  const std::uint64_t token = stored->token.value;
+  RestoreCopy(std::nullopt, 2, false, true);
+  Run(timing.holderValidity, false, true);
+  CHECK_FALSE(second.IsHolder(now));
+  Run(5_s, false, true);
+  CHECK(second.IsHolder(now));
+  CHECK(stored->token.value > token);
+  CHECK(stored->token.value > 2 * kTokensPerEra);
+}
+
+// Guards against a former holder that takes itself for the holder, since the copy names it.
+TEST(lease_state_machine, HolderThatTheCopyNamesAcquiresTheLeaseAnew)
+{
+  NoticeEra(1, true, true);
+  Run(3_s, true, false);
+  const lease_value old = *stored;
+  Run(5_s, false, true);
+  CHECK(second.IsHolder(now));
+  const std::uint64_t token = stored->token.value;
+  RestoreCopy(old, 2, true, true);
+  CHECK_FALSE(second.IsHolder(now));
+  Run(1_s, true, true);
+  CHECK_FALSE(first.IsHolder(now));
+  CHECK_FALSE(second.IsHolder(now));
+  Run(6_s, true, true);
+  CHECK(first.IsHolder(now) != second.IsHolder(now));
+  CHECK(stored->token.value > token);
+}
+
+// Guards against a write of the former era that took effect in the present one by chance and makes
+// its writer the holder.
+TEST(lease_state_machine, WriteOfAFormerEraDoesNotMakeItsWriterTheHolder)
+{
+  NoticeEra(1, true, false);
+  Run(3_s, true, false);
+  CHECK(first.IsHolder(now));
+  const time_point requestedAt = now;
+  const lease_value renewal{ { "first" }, stored->token, stored->renewals + 1 };
+  now = now + 100_ms;
+  RestoreCopy(renewal, 2, true, false);
+  first.OnWriteFailed(platform::store_error::unknown_outcome, requestedAt, now);
+  Run(1_s, true, false);
+  CHECK_FALSE(first.IsHolder(now));
+  Run(4_s, true, false);
+  CHECK(first.IsHolder(now));
+  CHECK(stored->token.value > 2 * kTokensPerEra);
+}
+
+TEST(lease_state_machine, ProcessThatStartsInALaterEraTakesNoTokenOfAnEarlierOne)
+{
+  NoticeEra(7, true, false);
+  Run(3_s, true, false);
+  CHECK(first.IsHolder(now));
+  CHECK(stored->token.value > 7 * kTokensPerEra);
+}
