--- a/src/app/router/internal/meshbridge.cpp
+++ b/src/app/router/internal/meshbridge.cpp
@@ -73,10 +73,9 @@
 mesh_bridge::implementation::Take(const peers::mesh_message& aMessage)
 {
   const time_point now = steady_clock().Now();
-  if (const auto* crash = std::get_if<peers::crash_message>(&aMessage)) {
-    suspects->Apply({ { *crash }, {} }, now);
-  } else if (const auto* quarantine = std::get_if<peers::quarantine_message>(&aMessage)) {
-    suspects->Apply({ {}, { *quarantine } }, now);
+  const auto suspicions = poison::suspicion_changes::FromMessage(aMessage);
+  if (!suspicions.Empty()) {
+    suspects->Apply(suspicions, now);
   } else if (const auto* share = std::get_if<peers::customer_load_message>(&aMessage)) {
     if (const auto service = board.Service(share->service)) {
       service->Apply(*share, now);
--- a/src/app/router/internal/routerprocess.cpp
+++ b/src/app/router/internal/routerprocess.cpp
@@ -69,12 +69,7 @@
   decision_log decisions{ kRememberedRequests };
   request_registry registry;
   suspect_board suspects{ [this](const poison::suspicion_changes& aChanges) {
-    for (const peers::crash_message& crash : aChanges.crashes) {
-      mesh.Publish(crash);
-    }
-    for (const peers::quarantine_message& quarantine : aChanges.quarantines) {
-      mesh.Publish(quarantine);
-    }
+    aChanges.ForEachMessage([this](const auto& aMessage) { mesh.Publish(aMessage); });
   } };
   call_ledger ledger{ settings.id, settings.storeUrl, metrics };
   cluster_board board{ settings.id,
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -114,3 +114,4 @@
 } // namespace persimmon::gateway
 
 #include "gateway/internal/gatewayprocessimpl.h"
+#include "gateway/internal/gatewayprocessstate.h"
--- /dev/null
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -0,0 +1,210 @@
+#pragma once
+
+// Definitions of the class template in gateway/gatewayprocess.h: what this process learns from the
+// store, from engines and from other gateways.
+
+namespace persimmon::gateway {
+namespace process_limits {
+
+/// Upper bound of a group's slowdown; higher values make no difference.
+constexpr double kMaxSlowdown = 100;
+/// Longest pause before a list that all gateways read at about the same time.
+constexpr duration kMaxRelistPause = 150_ms;
+/// Name of the mesh document that holds the configuration.
+constexpr const char* kConfigurationDocument = "configuration";
+
+} // namespace process_limits
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::ApplyConfiguration(const std::string& aText,
+                                             revision aRevision,
+                                             const char* aSource)
+{
+  json_problem problem;
+  auto configuration = Dialect::ParseConfiguration(aText, problem);
+  if (!configuration) {
+    WriteLog(kConfigurationRejected,
+             { { "revision", platform::RevisionText(aRevision) }, { "problem", problem.Text() } });
+    return;
+  }
+  // The operator's version orders configurations also when the store comes back from an older copy
+  // and gives revisions out again.
+  const auto& present = mUpstreams.Routes();
+  if (present && configuration->version <= present->Configuration().version) {
+    return;
+  }
+  const revision meshVersion{ configuration->version };
+  WriteLog(kConfigurationInForce,
+           { { "version", std::to_string(configuration->version) },
+             { "revision", platform::RevisionText(aRevision) },
+             { "from", aSource },
+             { "routes", std::to_string(configuration->routes.size()) },
+             { "customers", std::to_string(configuration->customers.size()) } });
+  mMetrics.Set(kConfigurationVersion, static_cast<double>(configuration->version));
+  mUpstreams.SetRoutes(std::make_shared<const routes::route_table>(std::move(*configuration)));
+  mAssembly.Configure(mUpstreams.Routes()->Configuration());
+  mMesh.Publish(
+    peers::document_message{ { process_limits::kConfigurationDocument }, meshVersion, aText });
+  mMesh.SetStoreState(mConfigWatch && mConfigWatch->IsAvailable(), true);
+  OnInstancesChanged();
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnStoreEra(std::optional<platform::store_era> aFormer,
+                                     platform::store_era aPresent)
+{
+  mLease.OnEraChange(aPresent);
+  if (!aFormer) {
+    return;
+  }
+  // All processes notice at about the same time, so each lists at a time of its own.
+  const auto pause = [this] {
+    return duration{ static_cast<std::int64_t>(
+      mContext.random.Below(static_cast<std::uint64_t>(process_limits::kMaxRelistPause.ms))) };
+  };
+  WriteLog(kStoreEraChanged,
+           { { "former", std::to_string(aFormer->value) },
+             { "present", std::to_string(aPresent.value) },
+             { "dropped", "lease, revisions of all watches" },
+             { "instances", std::to_string(mUpstreams.Fleet().Instances().size()) } });
+  mMetrics.Count(kStoreEraChanges, {});
+  mConfigWatch->Restart(pause());
+  mInstances.Restart(pause());
+  mSuspicions.Restart(pause());
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnInstancesChanged()
+{
+  mUpstreams.OnFleetChanged();
+  mCrashes.OnInstancesChanged();
+  std::erase_if(mReportedSlowdowns, [this](const auto& aEntry) {
+    return mUpstreams.Fleet().Find(aEntry.first) == nullptr;
+  });
+  for (const auto& exchange : mExchanges.Snapshot()) {
+    exchange->OnUpstreamsChanged();
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnMeshMessage(const peers::mesh_message& aMessage)
+{
+  if (const auto* document = std::get_if<peers::document_message>(&aMessage)) {
+    if (document->service.value == process_limits::kConfigurationDocument) {
+      ApplyConfiguration(document->text, document->version, "peer");
+    } else if (instance_feed<Dialect>::IsInstanceDocument(*document)) {
+      mInstances.ApplyPeerDocument(*document);
+    }
+  } else if (const auto* presence = std::get_if<peers::presence_message>(&aMessage)) {
+    OnPresenceMessage(*presence);
+  } else {
+    mCrashes.Apply(poison::suspicion_changes::FromMessage(aMessage));
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnPresenceMessage(const peers::presence_message& aPresence)
+{
+  const fleet::engine_group* group = mUpstreams.FindGroup(aPresence.group, aPresence.version);
+  if (group == nullptr) {
+    return;
+  }
+  const time_point now = mContext.Now();
+  if (aPresence.complete) {
+    mUpstreams.RecordReportedLoad(
+      group->Head(), { aPresence.running, aPresence.queued, 0 }, now - aPresence.age);
+    return;
+  }
+  mAssembly.SuspectGroup(group->id, group->epoch);
+  const dispatch::upstream_stats* stats = mUpstreams.FindStats(group->Head());
+  const bool recentlyReceived = stats != nullptr && now - stats->lastByteAt < kHeadActivityWindow;
+  if (!recentlyReceived && !mUpstreams.IsBroken(group->id, group->epoch)) {
+    OnGroupBroken(*group, "reported by gateway " + aPresence.observer.value, false);
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnGroupBroken(const fleet::engine_group& aGroup,
+                                        const std::string& aCause,
+                                        bool aPublish)
+{
+  const fleet::engine_group group = aGroup;
+  mUpstreams.MarkBroken(group.id, group.epoch);
+  WriteLog(kGroupBroken,
+           { { "group", group.id.value },
+             { "epoch", std::to_string(group.epoch.value) },
+             { "head", group.Head().value },
+             { "cause", aCause } });
+  if (aPublish) {
+    mMesh.Publish(peers::presence_message{ group.id, group.epoch, mSettings.id, {}, false, 0, 0 });
+    mAssembly.SuspectGroup(group.id, group.epoch);
+  }
+  for (const auto& exchange : mExchanges.Snapshot()) {
+    exchange->OnGroupBroken(group.Head());
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnEngineReport(const instance_id& aInstance,
+                                         const fleet::engine_report& aReport)
+{
+  mReportedSlowdowns[aInstance] = aReport.slowdown;
+  const fleet::instance* known = mUpstreams.Fleet().Find(aInstance);
+  const bool changed = known != nullptr && (known->membership != aReport.membership ||
+                                            known->incarnationId != aReport.incarnationId);
+  mUpstreams.Fleet().ApplyReport(aInstance, aReport);
+  if (changed) {
+    OnInstancesChanged();
+  }
+  const fleet::engine_group* group = mUpstreams.FindGroupByHead(aInstance);
+  if (group != nullptr && group->IsServing() && !mUpstreams.IsBroken(group->id, group->epoch)) {
+    const time_point now = mContext.Now();
+    const double slowdown = HighestSlowdown(*group);
+    mUpstreams.RecordReportedLoad(aInstance, { aReport.running, aReport.queued, 0 }, now);
+    mUpstreams.RecordReportedSlowdown(aInstance, slowdown, now);
+    peers::presence_message presence;
+    presence.group = group->id;
+    presence.version = group->epoch;
+    presence.observer = mSettings.id;
+    presence.complete = true;
+    presence.running = static_cast<std::uint32_t>(aReport.running);
+    presence.queued = static_cast<std::uint32_t>(aReport.queued);
+    presence.slowestMemberPercent =
+      static_cast<std::uint32_t>(slowdown * peers::kExpectedMemberPercent);
+    mMesh.Publish(presence);
+  }
+}
+
+template<gateway_dialect Dialect>
+double
+gateway_process<Dialect>::HighestSlowdown(const fleet::engine_group& aGroup) const
+{
+  double highest = 1;
+  for (const instance_id& member : aGroup.members) {
+    const auto found = mReportedSlowdowns.find(member);
+    highest = std::max(highest, found == mReportedSlowdowns.end() ? 1 : found->second);
+  }
+  return std::min(highest, process_limits::kMaxSlowdown);
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::OnLeaseChanged()
+{
+  const bool isHolder = mLease.IsHolder();
+  mMetrics.Set(kLeaseHeld, isHolder ? 1 : 0);
+  if (isHolder) {
+    mAssembly.StartLeading(mLease.Token());
+  } else {
+    mAssembly.StopLeading();
+  }
+}
+
+} // namespace persimmon::gateway
--- a/src/poison/suspicionchanges.h
+++ b/src/poison/suspicionchanges.h
@@ -12,6 +12,28 @@
   std::vector<peers::crash_message> crashes;
   std::vector<peers::quarantine_message> quarantines;
 
+  /// Returns the change that a mesh message tells; no change for messages of other kinds.
+  [[nodiscard]] static suspicion_changes FromMessage(const peers::mesh_message& aMessage)
+  {
+    suspicion_changes changes;
+    if (const auto* crash = std::get_if<peers::crash_message>(&aMessage)) {
+      changes.crashes.push_back(*crash);
+    } else if (const auto* quarantine = std::get_if<peers::quarantine_message>(&aMessage)) {
+      changes.quarantines.push_back(*quarantine);
+    }
+    return changes;
+  }
+  /// Calls aPublish with each change as a mesh message.
+  template<typename Publish>
+  void ForEachMessage(const Publish& aPublish) const
+  {
+    for (const peers::crash_message& crash : crashes) {
+      aPublish(peers::mesh_message(crash));
+    }
+    for (const peers::quarantine_message& quarantine : quarantines) {
+      aPublish(peers::mesh_message(quarantine));
+    }
+  }
   [[nodiscard]] bool Empty() const { return crashes.empty() && quarantines.empty(); }
   void Append(const suspicion_changes& aOther)
   {
