A crash from before a completed run does not count when it arrives late

The test stands again, for records instead of counters; it failed (verdict isolate) and passes with the time of the last completed run kept. CrashesExpire checks again that an expired message is not applied.

--- a/src/poison/internal/suspiciontable.cpp
+++ b/src/poison/internal/suspiciontable.cpp
@@ -158,6 +158,7 @@
     return {};
   }
   entry& cleared = found->second;
+  cleared.completedAt = aNow;
   suspicion_changes changes;
   for (crash& counted : cleared.crashes) {
     if (Counts(counted, aNow)) {
@@ -181,9 +182,11 @@
   if (at + kSuspectLifetime <= aNow) {
     return {};
   }
-  const crash applied{ aMessage.crash, aMessage.weight, aMessage.isolates, aMessage.withdrawn, at };
-  const bool changed = Store(Touch(aMessage.fingerprint), applied);
-  return changed && !aMessage.withdrawn ? Judge(aMessage.fingerprint, aNow) : suspicion_changes{};
+  entry& suspect = Touch(aMessage.fingerprint);
+  const bool withdrawn = aMessage.withdrawn || at <= suspect.completedAt;
+  const bool changed =
+    Store(suspect, { aMessage.crash, aMessage.weight, aMessage.isolates, withdrawn, at });
+  return changed && !withdrawn ? Judge(aMessage.fingerprint, aNow) : suspicion_changes{};
 }
 
 void
--- a/src/poison/suspiciontable.h
+++ b/src/poison/suspiciontable.h
@@ -99,6 +99,8 @@
     /// True when the latest quarantine was ended by a completed run.
     bool lifted = false;
     time_point quarantinedAt;
+    /// Time at which the request last ran to its end; crashes until then do not count.
+    time_point completedAt{ INT64_MIN / 2 };
     /// Position in mByAge.
     std::list<std::uint64_t>::iterator agePosition;
   };
--- a/src/poison/tests/poisontrackertests.cpp
+++ b/src/poison/tests/poisontrackertests.cpp
@@ -167,6 +167,23 @@
   CHECK(Verdict(kPoison, kStart + 4_s) == poison_verdict::quarantined);
 }
 
+TEST(poison_tracker, OldMessageDoesNotSuspectAClearedRequest)
+{
+  const auto crashOf = [](std::uint64_t aFingerprint, std::uint64_t aCrash, duration aAge) {
+    return suspicion_changes{ { { aFingerprint, aCrash, kEarlyCrashWeight, true, false, aAge } },
+                              {} };
+  };
+  Run(1, "u1", kStart);
+  tracker.RecordCrash({ "u1" }, kStart);
+  tracker.RecordCompletion(Run(1, "u2", kStart + 1_s), kStart + 2_s);
+  tracker.Apply(crashOf(1, 8, 3_s), kStart + 3_s);
+  CHECK(Verdict(1, kStart + 3_s) == poison_verdict::clear);
+  tracker.Apply(crashOf(1, 9, {}), kStart + 4_s);
+  CHECK(Verdict(1, kStart + 4_s) == poison_verdict::isolate);
+  tracker.Apply(crashOf(2, 8, kSuspectLifetime), kStart + 4_s);
+  CHECK(Verdict(2, kStart + 4_s) == poison_verdict::clear);
+}
+
 TEST(poison_tracker, EntriesAreBoundedAndSuspectsAreEvictedBeforeQuarantined)
 {
   Quarantine(kStart);
--- a/src/poison/tests/suspiciontabletests.cpp
+++ b/src/poison/tests/suspiciontabletests.cpp
@@ -75,6 +75,8 @@
   table.AddCrash(Crash(1), kStart);
   table.AddCrash(Crash(2), kStart);
   CHECK_EQUAL(0, table.Weight(kRequest, kStart + kSuspectLifetime));
+  table.Apply(Crash(4, kEarlyCrashWeight, kSuspectLifetime), kStart + kSuspectLifetime);
+  CHECK_EQUAL(0, table.Weight(kRequest, kStart + kSuspectLifetime));
   table.AddCrash(Crash(3), kStart + kSuspectLifetime);
   CHECK(Verdict(kStart + kSuspectLifetime) == poison_verdict::isolate);
 }
