Fingerprints of quarantined requests are stored as text

A store that keeps JSON numbers as floating point cannot hold 64 bits: a quarantine would come back with another fingerprint and hold nothing back. Found on reading; whether the users' store does so is unknown.

FingerprintsAreStoredAsText failed before (the numbers stood as they are).

--- a/src/poison/internal/suspicionarchive.cpp
+++ b/src/poison/internal/suspicionarchive.cpp
@@ -1,8 +1,10 @@
 #include "poison/suspicionarchive.h"
 
+#include "poison/suspicionlog.h"
 #include "poison/suspiciontable.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace persimmon::poison {
@@ -89,6 +91,21 @@
   }
 }
 
+/// Returns a member that holds a hash as hexadecimal text; 0 when it is missing or malformed. A
+/// store may keep JSON numbers as floating point, which cannot hold 64 bits.
+std::uint64_t
+HexMember(const json& aObject, const char* aName)
+{
+  const auto found = aObject.find(aName);
+  const std::string text =
+    found != aObject.end() && found->is_string() ? found->get<std::string>() : std::string();
+  constexpr int kHexBase = 16;
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value, kHexBase);
+  return parsed.ec == std::errc{} && parsed.ptr == end ? value : 0;
+}
+
 } // namespace
 
 suspicion_archive::suspicion_archive(double aRandom)
@@ -129,8 +146,8 @@
 {
   json crashes = json::array();
   for (const auto& [key, crash] : aContent.crashes) {
-    crashes.push_back({ { "fingerprint", crash.message.fingerprint },
-                        { "crash", crash.message.crash },
+    crashes.push_back({ { "fingerprint", FingerprintText(crash.message.fingerprint) },
+                        { "crash", FingerprintText(crash.message.crash) },
                         { "weight", crash.message.weight },
                         { "isolates", crash.message.isolates },
                         { "withdrawn", crash.message.withdrawn },
@@ -138,7 +155,7 @@
   }
   json quarantines = json::array();
   for (const auto& [key, quarantine] : aContent.quarantines) {
-    quarantines.push_back({ { "fingerprint", quarantine.message.fingerprint },
+    quarantines.push_back({ { "fingerprint", FingerprintText(quarantine.message.fingerprint) },
                             { "count", quarantine.message.count },
                             { "lifted", quarantine.message.lifted },
                             { "at", quarantine.at.ms } });
@@ -164,8 +181,8 @@
   };
   forEach("crashes", [&result](const json& aItem, time_point aAt) {
     peers::crash_message crash;
-    crash.fingerprint = MemberOr<std::uint64_t>(aItem, "fingerprint", 0);
-    crash.crash = MemberOr<std::uint64_t>(aItem, "crash", 0);
+    crash.fingerprint = HexMember(aItem, "fingerprint");
+    crash.crash = HexMember(aItem, "crash");
     crash.weight = std::min(MemberOr<std::uint32_t>(aItem, "weight", 0), kEarlyCrashWeight);
     crash.isolates = MemberOr(aItem, "isolates", false);
     crash.withdrawn = MemberOr(aItem, "withdrawn", false);
@@ -173,7 +190,7 @@
   });
   forEach("quarantines", [&result](const json& aItem, time_point aAt) {
     peers::quarantine_message quarantine;
-    quarantine.fingerprint = MemberOr<std::uint64_t>(aItem, "fingerprint", 0);
+    quarantine.fingerprint = HexMember(aItem, "fingerprint");
     quarantine.count = MemberOr<std::uint32_t>(aItem, "count", 0);
     quarantine.lifted = MemberOr(aItem, "lifted", false);
     result.quarantines[{ quarantine.fingerprint, 0 }] = { quarantine, aAt };
--- a/src/poison/tests/suspicionarchivetests.cpp
+++ b/src/poison/tests/suspicionarchivetests.cpp
@@ -68,6 +68,17 @@
   CHECK(lifted->expected == revision{ 9 });
 }
 
+// Guards against a fingerprint that is lost in a store that keeps numbers as floating point.
+TEST(suspicion_archive, FingerprintsAreStoredAsText)
+{
+  archive.OnRead("", std::nullopt, kWall);
+  suspicion_changes entries = Quarantined(kRequest);
+  entries.crashes.push_back({ kRequest, kRequest + 1, kEarlyCrashWeight, true, false, {} });
+  const auto write = Next(entries);
+  CHECK(write->text.find("\"fingerprint\":\"fedcba9876543210\"") != std::string::npos);
+  CHECK(write->text.find("\"crash\":\"fedcba9876543211\"") != std::string::npos);
+}
+
 // Guards against all processes writing at the same moment.
 TEST(suspicion_archive, WaitsForOthersToWriteWhatTheyObserved)
 {
