Gateway: headers of upstreams that it does not know are counted and logged

Now: unknown_header (8048) names each unknown header once, and persimmon_gateway_unknown_headers_total counts them. With call_sent, which names gateway, upstream and time, the three hypotheses differ: the header unknown (line present, rate as before), each gateway within the limit and the sum above it, or excess only right after the first statement.

--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,6 +7,7 @@
 #include "dispatch/upstreamselector.h"
 #include "gateway/crashmonitor.h"
 #include "gateway/demandmeter.h"
+#include "gateway/unknownheaderlog.h"
 #include "metrics/metrics.h"
 #include "upstream/upstreamloop.h"
 
@@ -26,6 +27,7 @@
   dispatch::retry_limits retryLimits;
   std::unordered_map<service_name, dispatch::retry_budget> retryBudgets{};
   demand_meter demandMeter{};
+  unknown_header_log unknownHeaders{ metrics };
   /// Number of live gateways, including this one.
   std::size_t gatewayCount = 1;
   /// True while this process stops; responses then close their connections.
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -38,6 +38,7 @@
 constexpr log_event kReportNotUnderstood{ 8045, "report_not_understood", log_level::warning };
 constexpr log_event kSuspicionWriteFailed{ 8047, "suspicion_write_failed", log_level::warning };
 constexpr log_event kInstancesIdle{ 8046, "instances_idle", log_level::info };
+constexpr log_event kUnknownHeader{ 8048, "unknown_header", log_level::warning };
 
 /// All log events that a gateway writes.
 inline constexpr std::array kGatewayEvents{ kGatewayStarted,
@@ -71,6 +72,7 @@
                                             kOrderGiven,
                                             kReportNotUnderstood,
                                             kInstancesIdle,
-                                            kSuspicionWriteFailed };
+                                            kSuspicionWriteFailed,
+                                            kUnknownHeader };
 
 } // namespace persimmon::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -39,6 +39,9 @@
   "persimmon_gateway_quarantined",
   "Requests that are refused since upstreams crashed under them"
 };
+constexpr metric_spec kUnknownHeaders{ "persimmon_gateway_unknown_headers_total",
+                                       "Headers of upstreams' responses that have no effect since "
+                                       "they are not known" };
 constexpr metric_spec kPeers{ "persimmon_gateway_peers", "Live gateways, this one included" };
 
 } // namespace persimmon::gateway
--- a/src/gateway/responseinfo.h
+++ b/src/gateway/responseinfo.h
@@ -3,6 +3,8 @@
 #include "dispatch/upstreamload.h"
 
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace persimmon::gateway {
 
@@ -23,6 +25,8 @@
   bool bodyModified = false;
   /// True when the body is a stream of server-sent events.
   bool isEventStream = false;
+  /// Names of headers that this process does not know; what they state has no effect.
+  std::vector<std::string> unknownHeaders;
   /// Load that the upstream reports with the response; nothing when it reports none.
   std::optional<dispatch::upstream_load> load;
 };
