--- a/src/dispatch/callaction.h
+++ b/src/dispatch/callaction.h
@@ -16,6 +16,8 @@
   no_upstream,
   /// All upstreams are full or refused the call without running it, and no other may be tried.
   upstream_full,
+  /// All upstreams state limits that allow this process no call now.
+  upstream_limited,
   /// The upstream that was running the call was lost.
   upstream_lost,
   /// The timeout of the caller or of the route has expired.
--- a/src/dispatch/callstatemachine.h
+++ b/src/dispatch/callstatemachine.h
@@ -59,12 +59,21 @@
 private:
   /// Sends the call to an available upstream, waits for one, or gives up.
   call_action SelectOrWait(time_point aNow);
-  /// Returns how long the call may wait in this process: for a free slot when all upstreams are
-  /// full, otherwise for an upstream to become available.
-  [[nodiscard]] duration MaxWait(bool aAllFull) const;
+  /// Returns how long the call may wait in this process: for a free slot or a permit when the
+  /// upstreams are full or limited, otherwise for an upstream to become available.
+  [[nodiscard]] duration MaxWait(upstream_shortage aShortage) const;
+  /// Returns whether a call that may wait until aUntil should do so.
+  [[nodiscard]] bool IsWaitUseful(upstream_shortage aShortage,
+                                  time_point aUntil,
+                                  time_point aNow) const;
+  [[nodiscard]] failure_cause CauseOf(upstream_shortage aShortage) const;
+  /// Returns the time after which a call that was refused for limits is likely to succeed.
+  [[nodiscard]] duration RetryAfterLimited(time_point aNow) const;
   /// Ends the call: aborts a started response, fails a call that may have run, refuses any other.
   [[nodiscard]] call_action GiveUp(failure_cause aCause) const;
   [[nodiscard]] call_action GiveUp(failure_cause aCause, duration aRetryAfter) const;
+  /// Ends a call for which there is no upstream.
+  [[nodiscard]] call_action GiveUp(upstream_shortage aShortage, time_point aNow) const;
   [[nodiscard]] selection_request MakeSelectionRequest();
   [[nodiscard]] call_action SendOrGiveUp(const instance_id& aUpstream, time_point aNow);
   [[nodiscard]] send_action MakeSendAction(const instance_id& aUpstream) const;
--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -24,6 +24,13 @@
 constexpr duration kRetryAfterNoUpstream = 1_s;
 /// Retry-After with full upstreams: the time in which a slot usually becomes free.
 constexpr duration kRetryAfterFull = 1_s;
+/// Retry-After with limited upstreams, when this process has no share in their limits: other
+/// processes, which the caller's next attempt may reach, have one.
+constexpr duration kRetryAfterLimited = 1_s;
+/// Bounds of the Retry-After until the next permit: not before another process can be reached, and
+/// not so late that the end of a limit is missed.
+constexpr duration kMinRetryAfterLimited = 100_ms;
+constexpr duration kMaxRetryAfterLimited = 2_s;
 /// Retry-After of a stopping process: the time until load balancers stop selecting it.
 constexpr duration kRetryAfterStopping = 100_ms;
 /// Upstreams that may fail to connect before a call is refused.
@@ -35,6 +42,8 @@
   switch (aCause) {
     case failure_cause::upstream_full:
       return kRetryAfterFull;
+    case failure_cause::upstream_limited:
+      return kRetryAfterLimited;
     case failure_cause::stopping:
       return kRetryAfterStopping;
     case failure_cause::quarantined:
@@ -56,6 +65,8 @@
       return "no_upstream";
     case failure_cause::upstream_full:
       return "upstream_full";
+    case failure_cause::upstream_limited:
+      return "upstream_limited";
     case failure_cause::upstream_lost:
       return "upstream_lost";
     case failure_cause::time_up:
@@ -152,24 +163,70 @@
 }
 
 duration
-call_state_machine::MaxWait(bool aAllFull) const
+call_state_machine::MaxWait(upstream_shortage aShortage) const
 {
   const duration longest =
     std::min(kMaxWait, (mAttributes.deadline - mAttributes.arrivedAt) / kCallTimeDivisor);
-  const bool hasTarget = aAllFull && mAttributes.latencyTarget.ms > 0;
+  const bool hasTarget =
+    aShortage != upstream_shortage::none_available && mAttributes.latencyTarget.ms > 0;
   return hasTarget ? std::min(longest, mAttributes.latencyTarget / kLatencyTargetDivisor) : longest;
 }
 
+bool
+call_state_machine::IsWaitUseful(upstream_shortage aShortage,
+                                 time_point aUntil,
+                                 time_point aNow) const
+{
+  // A started stream waits for its next upstream until its deadline.
+  if (mResponseStarted) {
+    return true;
+  }
+  if (aNow >= aUntil) {
+    return false;
+  }
+  if (aShortage != upstream_shortage::all_limited) {
+    return true;
+  }
+  const auto permitIn = mSelector.TimeToNextPermit(mAttributes.service, mAttributes.model, aNow);
+  return permitIn && aNow + *permitIn <= aUntil;
+}
+
+failure_cause
+call_state_machine::CauseOf(upstream_shortage aShortage) const
+{
+  if (aShortage == upstream_shortage::all_limited) {
+    return failure_cause::upstream_limited;
+  }
+  const bool isFull = aShortage == upstream_shortage::all_full || mRefusedAsFull;
+  return isFull ? failure_cause::upstream_full : failure_cause::no_upstream;
+}
+
+duration
+call_state_machine::RetryAfterLimited(time_point aNow) const
+{
+  const auto permitIn = mSelector.TimeToNextPermit(mAttributes.service, mAttributes.model, aNow);
+  return std::clamp(
+    permitIn.value_or(kRetryAfterLimited), kMinRetryAfterLimited, kMaxRetryAfterLimited);
+}
+
+call_action
+call_state_machine::GiveUp(upstream_shortage aShortage, time_point aNow) const
+{
+  const failure_cause cause = CauseOf(aShortage);
+  const bool isLimited = cause == failure_cause::upstream_limited;
+  return GiveUp(cause, isLimited ? RetryAfterLimited(aNow) : RetryAfter(cause));
+}
+
 call_action
 call_state_machine::SelectOrWait(time_point aNow)
 {
   if (const auto selected = mSelector.Select(MakeSelectionRequest(), aNow)) {
     return SendOrGiveUp(*selected, aNow);
   }
-  const bool allFull = mSelector.CanServe(mAttributes.service, mAttributes.model, aNow);
-  const time_point until = mAttributes.arrivedAt + MaxWait(allFull);
-  // A started stream waits for its next upstream until its deadline.
-  if (aNow < until || mResponseStarted) {
+  const upstream_shortage shortage =
+    mSelector.FindShortage(mAttributes.service, mAttributes.model, aNow);
+  const time_point until = mAttributes.arrivedAt + MaxWait(shortage);
+  if (IsWaitUseful(shortage, until, aNow)) {
     return wait_action{ std::min(aNow + kRecheckInterval, mAttributes.deadline) };
   }
   selection_request lateRequest = MakeSelectionRequest();
@@ -178,8 +235,7 @@
     mIsLate = true;
     return SendOrGiveUp(*selected, aNow);
   }
-  const bool refusedForCapacity = allFull || mRefusedAsFull;
-  return GiveUp(refusedForCapacity ? failure_cause::upstream_full : failure_cause::no_upstream);
+  return GiveUp(shortage, aNow);
 }
 
 call_action
--- /dev/null
+++ b/src/dispatch/internal/upstreamratelimits.cpp
@@ -0,0 +1,231 @@
+#include "dispatch/upstreamratelimits.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace persimmon::dispatch {
+namespace {
+
+/// Time after the latest statement of a limit within which a call must not have been sent for its
+/// response to end the limit: responses overtake each other, and an upstream at its limit may state
+/// it in some responses only.
+constexpr duration kMinTimeToEnd = 1_s;
+
+} // namespace
+
+upstream_rate_limits::upstream_rate_limits(router_id aSelf)
+  : mSelf(std::move(aSelf))
+{
+  mRouters[mSelf] = {};
+}
+
+void
+upstream_rate_limits::SetRouters(const std::vector<router_id>& aLive, time_point aNow)
+{
+  mStartedAt = mStartedAt.value_or(aNow);
+  const std::size_t countBefore = mRouters.size();
+  bool changed = false;
+  for (const router_id& router : aLive) {
+    changed = mRouters.insert_or_assign(router, aNow).second || changed;
+  }
+  mRouters[mSelf] = aNow;
+  std::erase_if(mRouters, [aNow](const auto& aRouter) {
+    return aNow - aRouter.second > kAbsentRouterLifetime;
+  });
+  if (!changed && mRouters.size() == countBefore) {
+    return;
+  }
+  for (auto& [upstream, limited] : mEntries) {
+    limited.rank = RankFor(upstream);
+    UpdateShare(limited, aNow);
+  }
+}
+
+std::size_t
+upstream_rate_limits::RankFor(const instance_id& aUpstream) const
+{
+  const std::uint64_t own = RendezvousWeight(aUpstream.value, mSelf.value);
+  std::size_t rank = 0;
+  for (const auto& [router, lastLiveAt] : mRouters) {
+    const std::uint64_t weight = RendezvousWeight(aUpstream.value, router.value);
+    rank += weight > own || (weight == own && router < mSelf) ? 1 : 0;
+  }
+  return rank;
+}
+
+void
+upstream_rate_limits::UpdateShare(entry& aEntry, time_point aNow) const
+{
+  rate_limit_share share;
+  const bool hasSettled = mStartedAt && aNow - *mStartedAt >= kRouterSettleTime;
+  if (aEntry.limit && hasSettled) {
+    const rate_limit_plan plan = PlanRateLimit(*aEntry.limit, mRouters.size());
+    const duration silence = aNow - aEntry.lastStatedAt;
+    share = HoldsShare(plan, aEntry.rank, mRouters.size(), silence) ? plan.share : share;
+  }
+  aEntry.permits.SetShare(share, aNow);
+}
+
+void
+upstream_rate_limits::Update(time_point aNow)
+{
+  std::erase_if(mEntries, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.lastStatedAt > kLimitRetention;
+  });
+  for (auto& [upstream, limited] : mEntries) {
+    UpdateShare(limited, aNow);
+  }
+}
+
+upstream_rate_limits::entry*
+upstream_rate_limits::EntryOf(const instance_id& aUpstream, incarnation aIncarnation)
+{
+  const auto [position, added] = mEntries.try_emplace(aUpstream);
+  entry& found = position->second;
+  if (!added && found.incarnationId > aIncarnation) {
+    return nullptr;
+  }
+  if (added || found.incarnationId < aIncarnation) {
+    found = {};
+    found.incarnationId = aIncarnation;
+    found.rank = RankFor(aUpstream);
+  }
+  return &found;
+}
+
+bool
+upstream_rate_limits::MergeLimit(entry& aEntry,
+                                 const limit_observation& aObservation,
+                                 time_point aNow)
+{
+  const bool isLower = aEntry.limit && *aObservation.limit <= *aEntry.limit;
+  // A higher limit counts only when the call was sent after the present one was last stated.
+  const bool isLater = !aEntry.limit || aObservation.sentAt >= aEntry.limitStatedAt;
+  if (!isLower && !isLater) {
+    return false;
+  }
+  const bool changed = aEntry.limit != aObservation.limit;
+  aEntry.limit = aObservation.limit;
+  aEntry.limitStatedAt = aNow;
+  return changed;
+}
+
+bool
+upstream_rate_limits::EndsLimit(const entry& aEntry, const limit_observation& aObservation)
+{
+  return aEntry.limit && aObservation.executed &&
+         aObservation.sentAt >= aEntry.lastStatedAt + kMinTimeToEnd;
+}
+
+std::optional<peers::rate_limit_message>
+upstream_rate_limits::RecordResponse(const limit_observation& aObservation, time_point aNow)
+{
+  const bool isKnown = mEntries.count(aObservation.upstream) != 0;
+  if (!aObservation.limit && !isKnown) {
+    return std::nullopt;
+  }
+  entry* known = EntryOf(aObservation.upstream, aObservation.incarnationId);
+  if (known == nullptr) {
+    return std::nullopt;
+  }
+  bool changed = false;
+  if (aObservation.limit) {
+    changed = MergeLimit(*known, aObservation, aNow);
+    known->lastStatedAt = aNow;
+  } else if (EndsLimit(*known, aObservation)) {
+    known->limit.reset();
+    known->lastStatedAt = aNow;
+    changed = true;
+  } else {
+    return std::nullopt;
+  }
+  UpdateShare(*known, aNow);
+  if (!changed && aNow - known->publishedAt < kLimitRenewalInterval) {
+    return std::nullopt;
+  }
+  ++known->sequence;
+  known->publishedAt = aNow;
+  return peers::rate_limit_message{
+    aObservation.upstream, known->incarnationId, known->sequence, known->limit, {}
+  };
+}
+
+bool
+upstream_rate_limits::Apply(const peers::rate_limit_message& aMessage, time_point aNow)
+{
+  entry* known = EntryOf(aMessage.upstream, aMessage.incarnationId);
+  if (known == nullptr || aMessage.sequence <= known->sequence) {
+    return false;
+  }
+  const bool changed = known->limit != aMessage.limit;
+  const time_point statedAt = aNow - aMessage.age;
+  known->sequence = aMessage.sequence;
+  known->limit = aMessage.limit;
+  known->limitStatedAt = std::max(known->limitStatedAt, statedAt);
+  known->lastStatedAt = std::max(known->lastStatedAt, statedAt);
+  known->publishedAt = aNow;
+  UpdateShare(*known, aNow);
+  return changed;
+}
+
+const upstream_rate_limits::entry*
+upstream_rate_limits::FindLimited(const instance_id& aUpstream, incarnation aIncarnation) const
+{
+  const auto found = mEntries.find(aUpstream);
+  const bool limits =
+    found != mEntries.end() && found->second.limit && found->second.incarnationId >= aIncarnation;
+  return limits ? &found->second : nullptr;
+}
+
+void
+upstream_rate_limits::RecordCall(const instance_id& aUpstream,
+                                 incarnation aIncarnation,
+                                 time_point aNow)
+{
+  if (FindLimited(aUpstream, aIncarnation) != nullptr) {
+    mEntries[aUpstream].permits.Take(aNow);
+  }
+}
+
+bool
+upstream_rate_limits::MaySend(const instance_id& aUpstream,
+                              incarnation aIncarnation,
+                              time_point aNow) const
+{
+  const entry* limited = FindLimited(aUpstream, aIncarnation);
+  return limited == nullptr || limited->permits.HasPermit(aNow);
+}
+
+std::optional<duration>
+upstream_rate_limits::TimeToNextPermit(const instance_id& aUpstream,
+                                       incarnation aIncarnation,
+                                       time_point aNow) const
+{
+  const entry* limited = FindLimited(aUpstream, aIncarnation);
+  return limited == nullptr ? duration{} : limited->permits.TimeToNextPermit(aNow);
+}
+
+std::optional<limited_upstream>
+upstream_rate_limits::Find(const instance_id& aUpstream) const
+{
+  const auto found = mEntries.find(aUpstream);
+  if (found == mEntries.end() || !found->second.limit) {
+    return std::nullopt;
+  }
+  return limited_upstream{ aUpstream, *found->second.limit, found->second.permits.Share() };
+}
+
+std::vector<limited_upstream>
+upstream_rate_limits::All() const
+{
+  std::vector<limited_upstream> all;
+  for (const auto& [upstream, known] : mEntries) {
+    if (known.limit) {
+      all.push_back({ upstream, *known.limit, known.permits.Share() });
+    }
+  }
+  return all;
+}
+
+} // namespace persimmon::dispatch
--- a/src/dispatch/internal/upstreamselector.cpp
+++ b/src/dispatch/internal/upstreamselector.cpp
@@ -74,8 +74,9 @@
 
 } // namespace
 
-upstream_selector::upstream_selector(zone_name aZone)
+upstream_selector::upstream_selector(zone_name aZone, router_id aSelf)
   : mZone(std::move(aZone))
+  , mLimits(std::move(aSelf))
 {
 }
 
@@ -196,6 +197,12 @@
   return head != nullptr && IsAvailable(*head, aNow);
 }
 
+bool
+upstream_selector::HasPermit(const fleet::instance& aUpstream, time_point aNow) const
+{
+  return mLimits.MaySend(aUpstream.id, aUpstream.incarnationId, aNow);
+}
+
 double
 upstream_selector::QueueWaitMs(const fleet::engine_group& aGroup,
                                const model_parameters& aModel,
@@ -291,7 +298,8 @@
   std::vector<double> costs;
   for (const fleet::engine_group& group : mGroups) {
     const bool matches = group.service == aRequest.service && group.model == aRequest.model;
-    if (!matches || !IsAvailable(group, aNow) || IsExcluded(aRequest, group.Head())) {
+    if (!matches || !IsAvailable(group, aNow) || IsExcluded(aRequest, group.Head()) ||
+        !HasPermit(*mFleet.Find(group.Head()), aNow)) {
       continue;
     }
     if (aRequest.maxQueueWait &&
@@ -332,7 +340,8 @@
 {
   std::vector<scored_upstream> candidates;
   for (const fleet::instance* upstream : mFleet.InstancesOfService(aRequest.service)) {
-    if (IsAvailable(*upstream, aNow) && !IsExcluded(aRequest, upstream->id)) {
+    if (IsAvailable(*upstream, aNow) && !IsExcluded(aRequest, upstream->id) &&
+        HasPermit(*upstream, aNow)) {
       candidates.push_back({ &upstream->id, PlainUpstreamCost(*upstream, aNow) });
     }
   }
@@ -356,15 +365,76 @@
   return SelectGroup(aRequest, { profile, model == nullptr ? 1 : model->timeFactor, slots }, aNow);
 }
 
-bool
-upstream_selector::CanServe(const service_name& aService,
-                            const routes::model_name& aModel,
-                            time_point aNow) const
+std::vector<const fleet::instance*>
+upstream_selector::AvailableInstances(const service_name& aService,
+                                      const routes::model_name& aModel,
+                                      time_point aNow) const
 {
-  selection_request any;
-  any.service = aService;
-  any.model = aModel;
-  return Select(any, aNow).has_value();
+  const routes::service_profile* service = mRoutes ? mRoutes->FindService(aService) : nullptr;
+  std::vector<const fleet::instance*> available;
+  if (service == nullptr) {
+    return available;
+  }
+  if (!service->engine) {
+    for (const fleet::instance* upstream : mFleet.InstancesOfService(aService)) {
+      if (IsAvailable(*upstream, aNow)) {
+        available.push_back(upstream);
+      }
+    }
+    return available;
+  }
+  for (const fleet::engine_group& group : mGroups) {
+    if (group.service == aService && group.model == aModel && IsAvailable(group, aNow)) {
+      available.push_back(mFleet.Find(group.Head()));
+    }
+  }
+  return available;
+}
+
+upstream_shortage
+upstream_selector::FindShortage(const service_name& aService,
+                                const routes::model_name& aModel,
+                                time_point aNow) const
+{
+  const auto available = AvailableInstances(aService, aModel, aNow);
+  if (available.empty()) {
+    return upstream_shortage::none_available;
+  }
+  const bool anyPermit =
+    std::any_of(available.begin(), available.end(), [&](const auto* aUpstream) {
+      return HasPermit(*aUpstream, aNow);
+    });
+  return anyPermit ? upstream_shortage::all_full : upstream_shortage::all_limited;
+}
+
+std::optional<duration>
+upstream_selector::TimeToNextPermit(const service_name& aService,
+                                    const routes::model_name& aModel,
+                                    time_point aNow) const
+{
+  std::optional<duration> shortest;
+  for (const fleet::instance* upstream : AvailableInstances(aService, aModel, aNow)) {
+    const auto time = mLimits.TimeToNextPermit(upstream->id, upstream->incarnationId, aNow);
+    if (time && (!shortest || *time < *shortest)) {
+      shortest = time;
+    }
+  }
+  return shortest;
+}
+
+std::size_t
+upstream_selector::CountWithoutPermit(const service_name& aService,
+                                      const routes::model_name& aModel,
+                                      time_point aNow) const
+{
+  if (mLimits.Empty()) {
+    return 0;
+  }
+  const auto available = AvailableInstances(aService, aModel, aNow);
+  return static_cast<std::size_t>(
+    std::count_if(available.begin(), available.end(), [&](const auto* aUpstream) {
+      return !HasPermit(*aUpstream, aNow);
+    }));
 }
 
 std::vector<fleet::engine_group>
@@ -388,12 +458,15 @@
 }
 
 void
-upstream_selector::OnCallStarted(const instance_id& aUpstream, std::uint64_t aPromptTokens)
+upstream_selector::OnCallStarted(const instance_id& aUpstream,
+                                 std::uint64_t aPromptTokens,
+                                 time_point aNow)
 {
   upstream_stats& stats = CurrentStats(aUpstream);
   ++stats.inFlight;
   ++stats.callsSinceReport;
   stats.pendingPromptTokens += aPromptTokens;
+  mLimits.RecordCall(aUpstream, stats.incarnationId, aNow);
 }
 
 void
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -238,3 +238,37 @@
   CHECK(As<fail_action>(step).cause == failure_cause::quarantined);
   CHECK_EQUAL(1, call.SendCount());
 }
+
+// Guards against calls that are held until their deadline although every upstream is at its limit.
+TEST(call_state_machine, CallIsRefusedAtOnceWhenNoLimitAllowsItInTime)
+{
+  for (const char* id : { "desk-0", "desk-1", "desk-2" }) {
+    fixture.SetLimit(id, 1, now);
+  }
+  call_state_machine call(Plain(routes::call_kind::idempotent), fixture.selector, budget, 1);
+  const call_action step = call.OnArrival(now);
+  CHECK(failure_cause::upstream_limited == As<refuse_action>(step).cause);
+  CHECK_EQUAL(1112, As<refuse_action>(step).retryAfter.ms);
+}
+
+TEST(call_state_machine, CallWaitsForAPermitThatComesInTime)
+{
+  for (const char* id : { "desk-0", "desk-1", "desk-2" }) {
+    fixture.SetLimit(id, 2, now);
+  }
+  call_state_machine call(Plain(routes::call_kind::idempotent), fixture.selector, budget, 1);
+  CHECK(std::holds_alternative<wait_action>(call.OnArrival(now)));
+  CHECK(std::holds_alternative<send_action>(call.OnWaitOver(now + 600_ms)));
+}
+
+// Guards against a call that the limits refuse after an upstream may have run it.
+TEST(call_state_machine, LostCallFailsWhenTheOtherUpstreamsAreLimited)
+{
+  call_state_machine call(Plain(routes::call_kind::idempotent), fixture.selector, budget, 1);
+  const instance_id first = As<send_action>(call.OnArrival(now)).upstream;
+  for (const char* id : { "desk-0", "desk-1", "desk-2" }) {
+    fixture.SetLimit(id, 0, now);
+  }
+  const call_action step = call.OnUpstreamLost(first, now);
+  CHECK(failure_cause::upstream_limited == As<fail_action>(step).cause);
+}
--- a/src/dispatch/tests/mocks/selectorfixture.h
+++ b/src/dispatch/tests/mocks/selectorfixture.h
@@ -12,7 +12,7 @@
 /// without an engine.
 struct selector_fixture
 {
-  upstream_selector selector{ zone_name{ "here" } };
+  upstream_selector selector{ zone_name{ "here" }, router_id{ "self" } };
 
   selector_fixture()
   {
@@ -73,6 +73,15 @@
     return instance;
   }
 
+  /// Makes an upstream state a limit of requests per second. The router has a share in all limits
+  /// from then on.
+  void SetLimit(const std::string& aId, std::uint64_t aPerSecond, time_point aNow)
+  {
+    selector.Limits().SetRouters({ { "self" } }, aNow - kRouterSettleTime);
+    selector.Limits().RecordResponse(
+      { { aId }, { 1 }, request_rate{ aPerSecond * 1000 }, true, aNow }, aNow);
+  }
+
   static selection_request PairRequest()
   {
     selection_request request;
--- a/src/dispatch/tests/upstreamselectortests.cpp
+++ b/src/dispatch/tests/upstreamselectortests.cpp
@@ -39,8 +39,8 @@
 
 TEST(upstream_selector, GroupsWithPendingPromptsAreAvoided)
 {
-  fixture.selector.OnCallStarted({ "head-0" }, 4000);
-  fixture.selector.OnCallStarted({ "head-1" }, 4000);
+  fixture.selector.OnCallStarted({ "head-0" }, 4000, now);
+  fixture.selector.OnCallStarted({ "head-1" }, 4000, now);
   CHECK(Selected(fixture.PairRequest()) == std::set<std::string>{ "head-2" });
 }
 
@@ -123,8 +123,8 @@
 
 TEST(upstream_selector, IdleUpstreamOnlyCallIsSentToAnIdleGroup)
 {
-  fixture.selector.OnCallStarted({ "head-0" }, 10);
-  fixture.selector.OnCallStarted({ "head-1" }, 10);
+  fixture.selector.OnCallStarted({ "head-0" }, 10, now);
+  fixture.selector.OnCallStarted({ "head-1" }, 10, now);
   selection_request request = fixture.PairRequest();
   request.idleUpstreamOnly = true;
   CHECK(Selected(request) == std::set<std::string>{ "head-2" });
@@ -143,3 +143,37 @@
   }
   UNSIGNED_LONGS_EQUAL(3, Selected(fixture.PairRequest()).size());
 }
+
+// Guards against calls to an upstream beyond the limit that it states.
+TEST(upstream_selector, LimitedUpstreamIsSelectedWhileThereIsAPermit)
+{
+  fixture.SetLimit("desk-0", 2, now);
+  UNSIGNED_LONGS_EQUAL(0, Selected(fixture.PlainRequest()).count("desk-0"));
+  UNSIGNED_LONGS_EQUAL(1, fixture.selector.CountWithoutPermit({ "desk" }, {}, now));
+  now = now + 600_ms;
+  UNSIGNED_LONGS_EQUAL(1, Selected(fixture.PlainRequest()).count("desk-0"));
+  fixture.selector.OnCallStarted({ "desk-0" }, 0, now);
+  UNSIGNED_LONGS_EQUAL(0, Selected(fixture.PlainRequest()).count("desk-0"));
+  UNSIGNED_LONGS_EQUAL(2, Selected(fixture.PlainRequest()).size());
+}
+
+TEST(upstream_selector, LimitOfAHeadHoldsForItsGroup)
+{
+  fixture.SetLimit("head-1", 2, now);
+  CHECK(Selected(fixture.PairRequest()) == (std::set<std::string>{ "head-0", "head-2" }));
+  now = now + 600_ms;
+  UNSIGNED_LONGS_EQUAL(1, Selected(fixture.PairRequest()).count("head-1"));
+}
+
+TEST(upstream_selector, ShortageTellsLimitsFromFullAndMissingUpstreams)
+{
+  CHECK(upstream_shortage::all_full == fixture.selector.FindShortage({ "desk" }, {}, now));
+  CHECK(upstream_shortage::none_available ==
+        fixture.selector.FindShortage({ "llm" }, { "unknown" }, now));
+  for (const char* id : { "desk-0", "desk-1", "desk-2" }) {
+    fixture.SetLimit(id, 2, now);
+  }
+  CHECK(upstream_shortage::all_limited == fixture.selector.FindShortage({ "desk" }, {}, now));
+  CHECK_EQUAL(556, fixture.selector.TimeToNextPermit({ "desk" }, {}, now)->ms);
+  CHECK(upstream_shortage::all_full == fixture.selector.FindShortage({ "desk" }, {}, now + 600_ms));
+}
--- /dev/null
+++ b/src/dispatch/upstreamratelimits.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "dispatch/limitobservation.h"
+#include "dispatch/permitbucket.h"
+#include "dispatch/ratelimitplan.h"
+#include "peers/messages.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmon::dispatch {
+
+/// Interval at which a limit that goes on being stated is told to the other routers again.
+constexpr duration kLimitRenewalInterval = 2_s;
+/// Time for which a router counts for the division of limits after it was last known to be live: a
+/// router that is only cut off goes on using its share.
+constexpr duration kAbsentRouterLifetime = 15_s;
+/// Time after its start in which a router uses no share: until it has met the others, it would take
+/// all limits for its own.
+constexpr duration kRouterSettleTime = 3_s;
+/// Time after the last statement about an upstream until it is forgotten.
+constexpr duration kLimitRetention = 600_s;
+
+/// A limit in force and the share of this router.
+struct limited_upstream
+{
+  instance_id upstream;
+  request_rate limit;
+  rate_limit_share share;
+};
+
+/// Rate limits that upstreams state for all routers together, and the permits of this router. Which
+/// routers have a share follows from the statements and the live routers, by rendezvous hashing, so
+/// that routers need to exchange nothing else. Does no I/O and reads no clock; not thread-safe.
+class upstream_rate_limits
+{
+public:
+  explicit upstream_rate_limits(router_id aSelf);
+
+  /// Sets the live routers, among which the limits are divided; this router always counts. Until
+  /// kRouterSettleTime after the first call it has no share.
+  void SetRouters(const std::vector<router_id>& aLive, time_point aNow);
+  /// Updates the shares and forgets old limits; call about once a second.
+  void Update(time_point aNow);
+
+  /// Records what a response tells. Returns the message that the other routers need, if any.
+  std::optional<peers::rate_limit_message> RecordResponse(const limit_observation& aObservation,
+                                                          time_point aNow);
+  /// Applies a message of another router. Returns whether it changed a limit.
+  bool Apply(const peers::rate_limit_message& aMessage, time_point aNow);
+  /// Takes a permit for a call that is sent; does nothing for an upstream without a limit.
+  void RecordCall(const instance_id& aUpstream, incarnation aIncarnation, time_point aNow);
+
+  /// Returns whether this router may send a call to an upstream now.
+  [[nodiscard]] bool MaySend(const instance_id& aUpstream,
+                             incarnation aIncarnation,
+                             time_point aNow) const;
+  /// Returns the time until this router may send a call to an upstream; empty when it has no share
+  /// in the upstream's limit.
+  [[nodiscard]] std::optional<duration> TimeToNextPermit(const instance_id& aUpstream,
+                                                         incarnation aIncarnation,
+                                                         time_point aNow) const;
+  /// Returns the limit of an upstream; empty when there is none.
+  [[nodiscard]] std::optional<limited_upstream> Find(const instance_id& aUpstream) const;
+  /// Returns all limits in force.
+  [[nodiscard]] std::vector<limited_upstream> All() const;
+  /// Returns whether no upstream states a limit or has stated one lately.
+  [[nodiscard]] bool Empty() const { return mEntries.empty(); }
+  /// Number of routers among which the limits are divided.
+  [[nodiscard]] std::size_t RouterCount() const { return mRouters.size(); }
+
+private:
+  struct entry
+  {
+    incarnation incarnationId;
+    /// Sequence number of the latest statement that was told.
+    std::uint64_t sequence = 0;
+    /// Empty once the upstream no longer states a limit.
+    std::optional<request_rate> limit;
+    /// Time at which the upstream last stated this limit or a lower one.
+    time_point limitStatedAt;
+    /// Time at which it last stated any limit, or that there is none.
+    time_point lastStatedAt;
+    /// Time at which a router last told the others.
+    time_point publishedAt;
+    /// Position of this router for the upstream, from 0, in the order of rendezvous hashing.
+    std::size_t rank = 0;
+    permit_bucket permits;
+  };
+
+  /// Returns the entry of an upstream, created if missing and reset for a later incarnation;
+  /// nullptr when a later incarnation than aIncarnation is known.
+  entry* EntryOf(const instance_id& aUpstream, incarnation aIncarnation);
+  /// Returns the entry when it limits this incarnation; nullptr otherwise.
+  [[nodiscard]] const entry* FindLimited(const instance_id& aUpstream,
+                                         incarnation aIncarnation) const;
+  /// Merges a stated limit. Returns whether the limit changed.
+  static bool MergeLimit(entry& aEntry, const limit_observation& aObservation, time_point aNow);
+  /// Returns whether a response without a limit ends the limit in force.
+  [[nodiscard]] static bool EndsLimit(const entry& aEntry, const limit_observation& aObservation);
+  [[nodiscard]] std::size_t RankFor(const instance_id& aUpstream) const;
+  void UpdateShare(entry& aEntry, time_point aNow) const;
+
+  router_id mSelf;
+  /// Time of the first call of SetRouters().
+  std::optional<time_point> mStartedAt;
+  /// Routers that count, and when each was last known to be live.
+  std::map<router_id, time_point> mRouters;
+  std::unordered_map<instance_id, entry> mEntries;
+};
+
+} // namespace persimmon::dispatch
--- a/src/dispatch/upstreamselector.h
+++ b/src/dispatch/upstreamselector.h
@@ -2,6 +2,8 @@
 
 #include "dispatch/callrate.h"
 #include "dispatch/selectionrequest.h"
+#include "dispatch/upstreamratelimits.h"
+#include "dispatch/upstreamshortage.h"
 #include "dispatch/upstreamstats.h"
 #include "fleet/fleetview.h"
 #include "routes/routetable.h"
@@ -22,7 +24,8 @@
 class upstream_selector
 {
 public:
-  explicit upstream_selector(zone_name aZone);
+  /// Selects for the router aSelf, which prefers upstreams of its own zone.
+  upstream_selector(zone_name aZone, router_id aSelf);
 
   // Configuration and registered instances.
   void SetRoutes(std::shared_ptr<const routes::route_table> aRoutes);
@@ -41,12 +44,23 @@
 
   // Selection.
   /// Returns an upstream among those with the lowest predicted cost; empty when none is available.
+  /// An upstream that states a limit is available while this router has a permit for it.
   [[nodiscard]] std::optional<instance_id> Select(const selection_request& aRequest,
                                                   time_point aNow) const;
-  /// True when some upstream currently accepts calls for a service and model.
-  [[nodiscard]] bool CanServe(const service_name& aService,
-                              const routes::model_name& aModel,
-                              time_point aNow) const;
+  /// Returns why Select() finds no upstream for a service and model.
+  [[nodiscard]] upstream_shortage FindShortage(const service_name& aService,
+                                               const routes::model_name& aModel,
+                                               time_point aNow) const;
+  /// Returns the time until this router may send a call to the first of the upstreams of a service
+  /// and model that state limits; empty when it has a share in none of those limits.
+  [[nodiscard]] std::optional<duration> TimeToNextPermit(const service_name& aService,
+                                                         const routes::model_name& aModel,
+                                                         time_point aNow) const;
+  /// Returns the number of upstreams of a service and model that are not available only since their
+  /// limits allow this router no call now.
+  [[nodiscard]] std::size_t CountWithoutPermit(const service_name& aService,
+                                               const routes::model_name& aModel,
+                                               time_point aNow) const;
   /// Returns the groups that currently accept calls.
   [[nodiscard]] std::vector<fleet::engine_group> AvailableGroups(time_point aNow) const;
   /// Returns the group that has an instance as its head; nullptr when there is none.
@@ -55,11 +69,15 @@
   [[nodiscard]] const fleet::engine_group* FindGroup(const group_id& aGroup,
                                                      generation aEpoch) const;
 
+  /// Returns the rate limits that upstreams state.
+  upstream_rate_limits& Limits() { return mLimits; }
+  [[nodiscard]] const upstream_rate_limits& Limits() const { return mLimits; }
+
   // Events of calls.
   /// Records the arrival of a call for a service and model.
   void RecordCall(const service_name& aService, const routes::model_name& aModel, time_point aNow);
-  /// Records that a call was sent to an upstream.
-  void OnCallStarted(const instance_id& aUpstream, std::uint64_t aPromptTokens);
+  /// Records that a call was sent to an upstream, which takes a permit if it states a limit.
+  void OnCallStarted(const instance_id& aUpstream, std::uint64_t aPromptTokens, time_point aNow);
   /// Records the start of a response; the prompt tokens of the call are no longer pending.
   void OnFirstByte(const instance_id& aUpstream, std::uint64_t aPromptTokens, time_point aNow);
   /// Records that the upstream is responsive.
@@ -101,6 +119,13 @@
   upstream_stats& CurrentStats(const instance_id& aUpstream);
   [[nodiscard]] bool IsAvailable(const fleet::engine_group& aGroup, time_point aNow) const;
   [[nodiscard]] bool IsAvailable(const fleet::instance& aUpstream, time_point aNow) const;
+  /// Returns the instances to which calls for a service and model may be sent, limits aside.
+  [[nodiscard]] std::vector<const fleet::instance*> AvailableInstances(
+    const service_name& aService,
+    const routes::model_name& aModel,
+    time_point aNow) const;
+  /// Returns whether the limit of an upstream, if it states one, allows a call now.
+  [[nodiscard]] bool HasPermit(const fleet::instance& aUpstream, time_point aNow) const;
   /// Returns the predicted time until a group answers a prompt, in milliseconds, with penalties for
   /// slowness and failures.
   [[nodiscard]] double GroupCostMs(const fleet::engine_group& aGroup,
@@ -143,6 +168,7 @@
   /// Maps the head of a group to its index in mGroups.
   std::unordered_map<instance_id, std::size_t> mGroupByHead;
   std::unordered_map<instance_id, upstream_stats> mStats;
+  upstream_rate_limits mLimits;
   std::set<std::pair<group_id, generation>> mBrokenGroups;
   std::size_t mRouterCount = 1;
   std::map<std::pair<service_name, routes::model_name>, call_rate> mCallRates;
--- /dev/null
+++ b/src/dispatch/upstreamshortage.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace persimmon::dispatch {
+
+/// Why no upstream is selected for a call.
+enum class upstream_shortage
+{
+  /// No upstream accepts calls for the service and model.
+  none_available,
+  /// Some accept calls, but all of them state limits that allow this router no call now.
+  all_limited,
+  /// Some would be selected for a call that waits long enough or was not refused by them.
+  all_full
+};
+
+} // namespace persimmon::dispatch
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -17,6 +17,8 @@
 struct attempt
 {
   instance_id upstream;
+  /// Incarnation of the upstream to which the call was sent.
+  incarnation incarnationId;
   upstream::call_id call;
   monitored_attempt monitored;
   /// True when the crash monitor finds out whether the upstream has crashed.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,6 +7,7 @@
 #include "dispatch/upstreamselector.h"
 #include "gateway/crashmonitor.h"
 #include "gateway/demandmeter.h"
+#include "gateway/ratelimitmonitor.h"
 #include "gateway/unknownheaderlog.h"
 #include "metrics/metrics.h"
 #include "upstream/upstreamloop.h"
@@ -23,6 +24,7 @@
   dispatch::upstream_selector& upstreams;
   metrics_registry& metrics;
   crash_monitor& crashes;
+  rate_limit_monitor& rateLimits;
   random_source random;
   dispatch::retry_limits retryLimits;
   std::unordered_map<service_name, dispatch::retry_budget> retryBudgets{};
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -39,6 +39,11 @@
 constexpr log_event kSuspicionWriteFailed{ 8047, "suspicion_write_failed", log_level::warning };
 constexpr log_event kInstancesIdle{ 8046, "instances_idle", log_level::info };
 constexpr log_event kUnknownHeader{ 8048, "unknown_header", log_level::warning };
+constexpr log_event kUpstreamLimited{ 8050, "upstream_limited", log_level::warning };
+constexpr log_event kUpstreamLimitEnded{ 8051, "upstream_limit_ended", log_level::info };
+constexpr log_event kUpstreamLimitUnreadable{ 8052,
+                                              "upstream_limit_unreadable",
+                                              log_level::warning };
 
 /// All log events that a gateway writes.
 inline constexpr std::array kGatewayEvents{ kGatewayStarted,
@@ -73,6 +78,9 @@
                                             kReportNotUnderstood,
                                             kInstancesIdle,
                                             kSuspicionWriteFailed,
-                                            kUnknownHeader };
+                                            kUnknownHeader,
+                                            kUpstreamLimited,
+                                            kUpstreamLimitEnded,
+                                            kUpstreamLimitUnreadable };
 
 } // namespace persimmon::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -39,6 +39,16 @@
   "persimmon_gateway_quarantined",
   "Requests that are refused since upstreams crashed under them"
 };
+constexpr metric_spec kLimitedUpstreams{ "persimmon_gateway_limited_upstreams",
+                                         "Upstreams that state a limit of requests" };
+constexpr metric_spec kLimitShare{
+  "persimmon_gateway_limit_share_per_second",
+  "Calls a second that this process may send to limited upstreams"
+};
+constexpr metric_spec kCallsPastLimited{
+  "persimmon_gateway_calls_past_limited_total",
+  "Calls sent while the limit of another upstream allowed none"
+};
 constexpr metric_spec kUnknownHeaders{ "persimmon_gateway_unknown_headers_total",
                                        "Headers of upstreams' responses that have no effect since "
                                        "they are not known" };
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -77,10 +77,11 @@
   metrics_registry mMetrics;
   loop::event_loop mLoop;
   upstream::upstream_loop mUpstreamLoop{ mLoop };
-  dispatch::upstream_selector mUpstreams{ mSettings.zone };
+  dispatch::upstream_selector mUpstreams{ mSettings.zone, mSettings.id };
   crash_monitor mCrashes{ mUpstreamLoop, mUpstreams, mMetrics };
+  rate_limit_monitor mRateLimits{ mUpstreams.Limits(), mMetrics };
   gateway_context mContext{
-    mUpstreamLoop,        mUpstreams, mMetrics, mCrashes, random_source(EntropySeed()),
+    mUpstreamLoop,        mUpstreams, mMetrics, mCrashes, mRateLimits, random_source(EntropySeed()),
     mSettings.retryLimits
   };
   exchange_registry mExchanges;
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -99,7 +99,11 @@
   target.remainingTime = aAction.deadline - now;
   target.resumeAfter = aAction.resumeAfter;
   target.priority = aAction.priority;
+  const std::size_t withoutPermit =
+    mContext.upstreams.CountWithoutPermit(Attributes().service, Attributes().model, now);
+  mContext.rateLimits.CountWithoutPermit(withoutPermit);
   attempt& added = AddAttempt(target, now);
+  added.incarnationId = instance->incarnationId;
   WriteLog(
     kCallSent,
     { { "request", Attributes().id.value },
@@ -109,6 +113,7 @@
       { "resume_after", aAction.resumeAfter ? std::to_string(*aAction.resumeAfter) : "none" },
       { "rank", dispatch::QueuePriorityName(aAction.priority) },
       { "fingerprint", poison::FingerprintText(mFingerprint) },
+      { "without_permit", std::to_string(withoutPermit) },
       { "left_ms", std::to_string(target.remainingTime.ms) } });
   added.call =
     mContext.loop.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
@@ -125,7 +130,7 @@
   added->pendingPromptTokens = Attributes().promptTokens;
   added->framer.StartAfter(aTarget.resumeAfter);
   added->monitored = mContext.crashes.Started(mFingerprint, added->upstream);
-  mContext.upstreams.OnCallStarted(added->upstream, added->pendingPromptTokens);
+  mContext.upstreams.OnCallStarted(added->upstream, added->pendingPromptTokens, aNow);
   mAttempts.push_back(std::move(added));
   return *mAttempts.back();
 }
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -25,6 +25,7 @@
   aAttempt.responseInfo = Dialect::ParseResponseHead(aHead, mCall);
   const response_info& info = *aAttempt.responseInfo;
   mContext.upstreams.OnBytesReceived(aAttempt.upstream, now);
+  mContext.rateLimits.OnResponse(aAttempt);
   mContext.unknownHeaders.Record(info.unknownHeaders, aAttempt.upstream);
   if (info.load) {
     mContext.upstreams.RecordReportedLoad(aAttempt.upstream, *info.load, now);
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -60,6 +60,9 @@
     aChanges.ForEachMessage([this](const auto& aMessage) { mMesh.Publish(aMessage); });
     mSuspicions.Update(aObservedHere);
   };
+  mRateLimits.onChange = [this](const peers::rate_limit_message& aMessage) {
+    mMesh.Publish(aMessage);
+  };
   mMesh.SetHandler(
     [this](const peers::mesh_message& aMessage, const router_id&) { OnMeshMessage(aMessage); });
 }
@@ -211,7 +214,9 @@
 gateway_process<Dialect>::OnSlowTick()
 {
   const time_point now = mContext.Now();
-  mContext.gatewayCount = mMesh.LiveCount();
+  const std::vector<router_id> liveGateways = mMesh.LiveGateways();
+  mContext.gatewayCount = liveGateways.size();
+  mRateLimits.OnSlowTick(liveGateways);
   mUpstreams.SetRouterCount(mContext.gatewayCount);
   mProber.RecheckBrokenGroups();
   mMetrics.Set(kLogLinesDropped, static_cast<double>(DroppedLogLines()));
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -101,6 +101,8 @@
     }
   } else if (const auto* presence = std::get_if<peers::presence_message>(&aMessage)) {
     OnPresenceMessage(*presence);
+  } else if (const auto* limit = std::get_if<peers::rate_limit_message>(&aMessage)) {
+    mRateLimits.Apply(*limit);
   } else {
     mCrashes.Apply(poison::suspicion_changes::FromMessage(aMessage));
   }
--- a/src/gateway/internal/meshlink.cpp
+++ b/src/gateway/internal/meshlink.cpp
@@ -28,6 +28,7 @@
 
 struct mesh_link::implementation
 {
+  router_id self;
   loop::event_loop& loop;
   std::string reason;
   handler onMessage;
@@ -37,7 +38,8 @@
 mesh_link::mesh_link(const gateway_settings& aSettings,
                      loop::event_loop& aLoop,
                      metrics_registry& aMetrics)
-  : mImplementation(std::make_unique<implementation>(implementation{ aLoop, {}, {}, {} }))
+  : mImplementation(
+      std::make_unique<implementation>(implementation{ aSettings.id, aLoop, {}, {}, {} }))
 {
   if (!aSettings.meshListen.Empty()) {
     mImplementation->node = std::make_unique<peers::mesh_node>(NodeSettings(aSettings), &aMetrics);
@@ -105,12 +107,14 @@
   }
 }
 
-std::size_t
-mesh_link::LiveCount() const
+std::vector<router_id>
+mesh_link::LiveGateways() const
 {
-  return mImplementation->node
-           ? std::max<std::size_t>(mImplementation->node->LiveRouters().size(), 1)
-           : 1;
+  std::vector<router_id> live;
+  if (mImplementation->node) {
+    live = mImplementation->node->LiveRouters();
+  }
+  return live.empty() ? std::vector<router_id>{ mImplementation->self } : live;
 }
 
 const std::string&
--- a/src/gateway/meshlink.h
+++ b/src/gateway/meshlink.h
@@ -36,8 +36,8 @@
   /// Sets whether the watch of the store delivers changes, and whether a list was read since the
   /// start of this process.
   void SetStoreState(bool aUpToDate, bool aHasList);
-  /// Number of live gateways, including this one.
-  [[nodiscard]] std::size_t LiveCount() const;
+  /// Returns the live gateways, including this one.
+  [[nodiscard]] std::vector<router_id> LiveGateways() const;
   /// Reason for which Start() failed.
   [[nodiscard]] const std::string& LastReason() const;
 
--- /dev/null
+++ b/src/gateway/ratelimitmonitor.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "dispatch/upstreamselector.h"
+#include "gateway/attempt.h"
+#include "metrics/metrics.h"
+#include "peers/messages.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmon::gateway {
+
+/// Learns the rate limits that upstreams state from their responses and from other gateways, tells
+/// the other gateways, and logs what changes. For use on the event loop's thread only.
+class rate_limit_monitor
+{
+public:
+  rate_limit_monitor(dispatch::upstream_rate_limits& aLimits, metrics_registry& aMetrics)
+    : mLimits(aLimits)
+    , mMetrics(aMetrics)
+  {
+  }
+
+  /// Called with statements that the other gateways need.
+  std::function<void(const peers::rate_limit_message&)> onChange;
+
+  /// Handles the response head of an attempt.
+  void OnResponse(const attempt& aAttempt);
+  /// Applies a statement of another gateway.
+  void Apply(const peers::rate_limit_message& aMessage);
+  /// Updates shares and metrics; call about once a second with the live gateways.
+  void OnSlowTick(const std::vector<router_id>& aLiveGateways);
+  /// Counts a call that was sent or refused while aCount upstreams had no permit for it.
+  void CountWithoutPermit(std::size_t aCount);
+
+private:
+  void LogChange(const peers::rate_limit_message& aMessage, const char* aSource) const;
+
+  dispatch::upstream_rate_limits& mLimits;
+  metrics_registry& mMetrics;
+  /// Latest limit that could not be read and was logged.
+  std::optional<std::string> mLastUnreadable;
+};
+
+} // namespace persimmon::gateway
--- a/src/gateway/responseinfo.h
+++ b/src/gateway/responseinfo.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/requestrate.h"
 #include "dispatch/upstreamload.h"
 
 #include <optional>
@@ -25,6 +26,11 @@
   bool bodyModified = false;
   /// True when the body is a stream of server-sent events.
   bool isEventStream = false;
+  /// Limit that the upstream states for all gateways together; nothing when it states none.
+  std::optional<request_rate> rateLimit;
+  /// True when a limit is stated that cannot be read; rateLimitText holds it.
+  bool rateLimitUnreadable = false;
+  std::string rateLimitText;
   /// Names of headers that this process does not know; what they state has no effect.
   std::vector<std::string> unknownHeaders;
   /// Load that the upstream reports with the response; nothing when it reports none.
--- a/src/peers/internal/meshcoremessages.cpp
+++ b/src/peers/internal/meshcoremessages.cpp
@@ -79,6 +79,7 @@
     case record_kind::leaving:
     case record_kind::crash:
     case record_kind::quarantine:
+    case record_kind::rate_limit:
     case record_kind::customer_load:
     case record_kind::applied:
       return HandleMessage(aLink, aRecord);
@@ -125,7 +126,8 @@
   messages.ForEach([&](subject_id aSubject, const versioned_message& aEntry) {
     const bool isInitialState = std::holds_alternative<leaving_message>(aEntry.message) ||
                                 std::holds_alternative<crash_message>(aEntry.message) ||
-                                std::holds_alternative<quarantine_message>(aEntry.message);
+                                std::holds_alternative<quarantine_message>(aEntry.message) ||
+                                std::holds_alternative<rate_limit_message>(aEntry.message);
     if (isInitialState) {
       QueueMessage(aLink, aSubject, aEntry);
     }
--- a/src/peers/internal/messagestore.cpp
+++ b/src/peers/internal/messagestore.cpp
@@ -15,6 +15,8 @@
 constexpr duration kCrashRetention = 300_s;
 /// As long as the longest quarantine.
 constexpr duration kQuarantineRetention = 86400_s;
+/// As long as routers remember a limit that nobody states any more.
+constexpr duration kRateLimitRetention = 600_s;
 constexpr std::uint64_t kHalfStampRange = (kStampMask + 1) / 2;
 
 template<typename... Cases>
@@ -42,6 +44,7 @@
                       [](const crash_message&) { return kCrashRetention; },
                       [](const quarantine_message&) { return kQuarantineRetention; },
                       [](const leaving_message&) { return kLeavingRetention; },
+                      [](const rate_limit_message&) { return kRateLimitRetention; },
                       [](const auto&) { return duration{}; },
                     },
                     aMessage);
@@ -77,6 +80,9 @@
         return fmt::format("c\n{}\n{}", aValue.fingerprint, aValue.crash);
       },
       [](const quarantine_message& aValue) { return fmt::format("q\n{}", aValue.fingerprint); },
+      [](const rate_limit_message& aValue) {
+        return fmt::format("r\n{}\n{}", aValue.upstream.value, aValue.incarnationId.value);
+      },
       [](const customer_load_message& aValue) {
         return fmt::format(
           "h\n{}\n{}\n{}", aValue.router.value, aValue.service.value, aValue.customer.value);
@@ -112,6 +118,7 @@
                       [](const leaving_message&) { return message_priority::leaving; },
                       [](const crash_message&) { return message_priority::suspect_request; },
                       [](const quarantine_message&) { return message_priority::suspect_request; },
+                      [](const rate_limit_message&) { return message_priority::leaving; },
                       [](const customer_load_message&) { return message_priority::customer_load; },
                       [](const applied_message&) { return message_priority::applied; },
                     },
@@ -137,6 +144,7 @@
       [](const quarantine_message& aValue) -> std::uint64_t {
         return std::uint64_t{ aValue.count } * 2 + (aValue.lifted ? 1 : 0);
       },
+      [](const rate_limit_message& aValue) { return aValue.sequence; },
       [](const applied_message& aValue) { return aValue.version.value; },
       [](const auto&) -> std::uint64_t { return 0; },
     },
@@ -162,6 +170,7 @@
                       [](const presence_message& aValue) { return aValue.age; },
                       [](const crash_message& aValue) { return aValue.age; },
                       [](const quarantine_message& aValue) { return aValue.age; },
+                      [](const rate_limit_message& aValue) { return aValue.age; },
                       [](const customer_load_message& aValue) { return aValue.age; },
                       [](const auto&) { return duration{}; },
                     },
--- a/src/peers/internal/recordcodec.cpp
+++ b/src/peers/internal/recordcodec.cpp
@@ -169,6 +169,16 @@
       { aValue.fingerprint, std::uint64_t{ aValue.count }, aValue.lifted ? 1ULL : 0ULL, mAge }
     };
   }
+  wire_record operator()(const rate_limit_message& aValue)
+  {
+    return { KindNumber(record_kind::rate_limit),
+             { Intern(aValue.upstream),
+               aValue.incarnationId.value,
+               aValue.sequence,
+               aValue.limit ? 1ULL : 0ULL,
+               aValue.limit.value_or(request_rate{}).milliPerSecond,
+               mAge } };
+  }
   wire_record operator()(const customer_load_message& aValue)
   {
     return { KindNumber(record_kind::customer_load),
@@ -270,6 +280,20 @@
   return { parsed, VersionOf(parsed), aNow - parsed.age };
 }
 
+versioned_message
+ReadRateLimit(field_reader& aFields, time_point aNow)
+{
+  rate_limit_message parsed;
+  parsed.upstream = { aFields.Name() };
+  parsed.incarnationId = { aFields.Number() };
+  parsed.sequence = aFields.Number();
+  const bool isLimited = aFields.Number() != 0;
+  const request_rate limit{ aFields.Number() };
+  parsed.limit = isLimited ? std::optional(limit) : std::nullopt;
+  parsed.age = DecodeAge(aFields.Number());
+  return { parsed, VersionOf(parsed), aNow - parsed.age };
+}
+
 versioned_message
 ReadLeaving(field_reader& aFields, time_point aNow)
 {
@@ -449,6 +473,9 @@
     case record_kind::quarantine:
       parsed = ReadQuarantine(fields, aNow);
       break;
+    case record_kind::rate_limit:
+      parsed = ReadRateLimit(fields, aNow);
+      break;
     case record_kind::customer_load:
       parsed = ReadCustomerLoad(fields, aNow);
       break;
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -2,8 +2,10 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/requestrate.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -95,6 +97,21 @@
   bool operator==(const quarantine_message&) const = default;
 };
 
+/// A limit that an upstream states for the requests of all routers together.
+struct rate_limit_message
+{
+  instance_id upstream;
+  incarnation incarnationId;
+  /// Grows with each message about this incarnation, whichever router sends it.
+  std::uint64_t sequence = 0;
+  /// Empty when the upstream no longer states a limit.
+  std::optional<request_rate> limit;
+  /// Time since the upstream's statement.
+  duration age;
+
+  bool operator==(const rate_limit_message&) const = default;
+};
+
 /// Requests of a customer for a service that run or wait at one router: its share of the service.
 struct customer_load_message
 {
@@ -133,6 +150,7 @@
                                   leaving_message,
                                   crash_message,
                                   quarantine_message,
+                                  rate_limit_message,
                                   customer_load_message,
                                   applied_message>;
 
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -300,3 +300,23 @@
   CHECK_EQUAL(first.weight, last.weight);
   CHECK(last.isolates);
 }
+
+// Guards against a limit that some routers never hear of, and against an end of it that an earlier
+// statement undoes.
+TEST(mesh_core, LimitsOfUpstreamsAndTheirEndReachEveryRouter)
+{
+  const rate_limit_message limited{ { "i-1" }, { 5 }, 1, request_rate{ 1900 }, {} };
+  mesh.Publish(0, limited);
+  mesh.Run(1_s);
+  CHECK_EQUAL(1, delivered[8].size());
+  const auto first = std::get<rate_limit_message>(delivered[8].front());
+  CHECK(limited.limit == first.limit);
+  CHECK(limited.upstream == first.upstream);
+  CHECK(limited.incarnationId == first.incarnationId);
+  CHECK(first.age < 1_s);
+  mesh.Publish(1, rate_limit_message{ { "i-1" }, { 5 }, 2, std::nullopt, {} });
+  mesh.Publish(2, limited);
+  mesh.Run(1_s);
+  CHECK_EQUAL(2, delivered[8].size());
+  CHECK_FALSE(std::get<rate_limit_message>(delivered[8].back()).limit.has_value());
+}
--- a/src/peers/wireframe.h
+++ b/src/peers/wireframe.h
@@ -40,7 +40,8 @@
   prune = 13,
   graft = 14,
   crash = 15,
-  quarantine = 16
+  quarantine = 16,
+  rate_limit = 17
 };
 
 /// Value of a field.
