Retry slack of a gateway that has just started counts for all gateways together

Same class as the limits that upstreams state: a number that holds for all gateways, and a process that takes it for its own. What callers saw: nothing yet; a service would get more retries than its budget after many gateways started at once, or were cut from their peers. Cause: until the first second after the mesh's links were up a gateway counted itself alone and had the whole slack; one that restarted had its part twice within a window; one that lost its peers had the whole slack after 5.5 s. Ruled out: no slack at all in the first window failed gateway_on_platform.IdempotentCallIsRetriedOnceAndTheUpstreamsErrorIsForwarded, rightly: a lone gateway's first call is to be retried.

--- a/src/dispatch/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-retry_budget::retry_budget(retry_limits aLimits)
+retry_budget::retry_budget(retry_limits aLimits, time_point aStartedAt)
   : mLimits(aLimits)
+  , mStartedAt(aStartedAt)
 {
 }
 
@@ -48,8 +49,19 @@
       retries += static_cast<double>(counted.retries);
     }
   }
-  const double slack = mLimits.slack / static_cast<double>(std::max<std::size_t>(mRouterCount, 1));
-  return kSafetyFactor * (mLimits.ratio * calls + slack) - retries;
+  return kSafetyFactor * mLimits.ratio * calls + SlackShare(aNow) - retries;
+}
+
+double
+retry_budget::SlackShare(time_point aNow) const
+{
+  if (!mRouterCount) {
+    return 0;
+  }
+  const bool isFirstWindow = aNow - mStartedAt < mLimits.window;
+  const double usedFraction = isFirstWindow ? 1 - kSafetyFactor : kSafetyFactor;
+  return usedFraction * mLimits.slack /
+         static_cast<double>(std::max<std::size_t>(*mRouterCount, 1));
 }
 
 void
--- a/src/dispatch/internal/upstreamratelimits.cpp
+++ b/src/dispatch/internal/upstreamratelimits.cpp
@@ -42,6 +42,18 @@
   }
 }
 
+bool
+upstream_rate_limits::HasSettled(time_point aNow) const
+{
+  return mIsAlone || (mStartedAt && aNow - *mStartedAt >= kRouterSettleTime);
+}
+
+std::optional<std::size_t>
+upstream_rate_limits::RouterCount(time_point aNow) const
+{
+  return HasSettled(aNow) ? std::optional(mRouters.size()) : std::nullopt;
+}
+
 std::size_t
 upstream_rate_limits::RankFor(const instance_id& aUpstream) const
 {
@@ -58,8 +70,7 @@
 upstream_rate_limits::UpdateShare(entry& aEntry, time_point aNow) const
 {
   rate_limit_share share;
-  const bool hasSettled = mStartedAt && aNow - *mStartedAt >= kRouterSettleTime;
-  if (aEntry.limit && hasSettled) {
+  if (aEntry.limit && HasSettled(aNow)) {
     const rate_limit_plan plan = PlanRateLimit(*aEntry.limit, mRouters.size());
     const duration silence = aNow - aEntry.lastStatedAt;
     share = HoldsShare(plan, aEntry.rank, mRouters.size(), silence) ? plan.share : share;
--- a/src/dispatch/retrybudget.h
+++ b/src/dispatch/retrybudget.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace persimmon::dispatch {
 
@@ -25,10 +26,13 @@
 class retry_budget
 {
 public:
-  explicit retry_budget(retry_limits aLimits);
+  /// aStartedAt is the start of this process. In the window after it, the process takes a smaller
+  /// part of the slack, since it may have used its part before it restarted.
+  retry_budget(retry_limits aLimits, time_point aStartedAt);
 
-  /// Sets the number of routers that share the slack; 0 counts as 1.
-  void SetRouterCount(std::size_t aRouterCount) { mRouterCount = aRouterCount; }
+  /// Sets the number of routers that share the slack; empty while it is not known, and then this
+  /// router takes no part of it.
+  void SetRouterCount(std::optional<std::size_t> aRouterCount) { mRouterCount = aRouterCount; }
   /// Replaces the limits; the window must stay the same. Counted calls and retries are kept.
   void SetLimits(const retry_limits& aLimits) { mLimits = aLimits; }
   /// Records a call from a caller; retries are not recorded here.
@@ -48,10 +52,13 @@
   };
 
   bucket& CurrentBucket(time_point aNow);
+  /// Returns this router's part of the slack.
+  [[nodiscard]] double SlackShare(time_point aNow) const;
   [[nodiscard]] std::int64_t BucketIndex(time_point aNow) const;
 
   retry_limits mLimits;
-  std::size_t mRouterCount = 1;
+  time_point mStartedAt;
+  std::optional<std::size_t> mRouterCount = 1;
   std::deque<bucket> mBuckets;
 };
 
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -10,7 +10,7 @@
 TEST_GROUP(call_state_machine)
 {
   selector_fixture fixture;
-  retry_budget budget{ { 0.2, 100, 10_s } };
+  retry_budget budget{ { 0.2, 100, 10_s }, { 0 } };
   time_point now{ 50000 };
 
   call_attributes Stream()
@@ -119,7 +119,7 @@
 
 TEST(call_state_machine, ExhaustedRetryBudgetPreventsRetry)
 {
-  retry_budget exhausted{ { 0, 0, 10_s } };
+  retry_budget exhausted{ { 0, 0, 10_s }, { 0 } };
   call_state_machine call(Plain(routes::call_kind::idempotent), fixture.selector, exhausted, 1);
   const call_action first = call.OnArrival(now);
   CHECK(
--- a/src/dispatch/upstreamratelimits.h
+++ b/src/dispatch/upstreamratelimits.h
@@ -40,8 +40,10 @@
 public:
   explicit upstream_rate_limits(router_id aSelf);
 
+  /// Tells that there are no other routers, so that this one needs not wait to meet them.
+  void SetAlone() { mIsAlone = true; }
   /// Sets the live routers, among which the limits are divided; this router always counts. Until
-  /// kRouterSettleTime after the first call it has no share.
+  /// kRouterSettleTime after the first call it has no share, unless it is alone.
   void SetRouters(const std::vector<router_id>& aLive, time_point aNow);
   /// Updates the shares and forgets old limits; call about once a second.
   void Update(time_point aNow);
@@ -69,8 +71,8 @@
   [[nodiscard]] std::vector<limited_upstream> All() const;
   /// Returns whether no upstream states a limit or has stated one lately.
   [[nodiscard]] bool Empty() const { return mEntries.empty(); }
-  /// Number of routers among which the limits are divided.
-  [[nodiscard]] std::size_t RouterCount() const { return mRouters.size(); }
+  /// Number of routers among which limits are divided; empty until this router has settled.
+  [[nodiscard]] std::optional<std::size_t> RouterCount(time_point aNow) const;
 
 private:
   struct entry
@@ -101,12 +103,14 @@
   static bool MergeLimit(entry& aEntry, const limit_observation& aObservation, time_point aNow);
   /// Returns whether a response without a limit ends the limit in force.
   [[nodiscard]] static bool EndsLimit(const entry& aEntry, const limit_observation& aObservation);
+  [[nodiscard]] bool HasSettled(time_point aNow) const;
   [[nodiscard]] std::size_t RankFor(const instance_id& aUpstream) const;
   void UpdateShare(entry& aEntry, time_point aNow) const;
 
   router_id mSelf;
   /// Time of the first call of SetRouters().
   std::optional<time_point> mStartedAt;
+  bool mIsAlone = false;
   /// Routers that count, and when each was last known to be live.
   std::map<router_id, time_point> mRouters;
   std::unordered_map<instance_id, entry> mEntries;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -13,6 +13,7 @@
 #include "upstream/upstreamloop.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace persimmon::gateway {
@@ -30,8 +31,11 @@
   std::unordered_map<service_name, dispatch::retry_budget> retryBudgets{};
   demand_meter demandMeter{};
   unknown_header_log unknownHeaders{ metrics };
-  /// Number of live gateways, including this one.
-  std::size_t gatewayCount = 1;
+  /// Start of this process.
+  time_point startedAt = Now();
+  /// Number of gateways among which limits are divided: this one, and all that were live a short
+  /// time ago; empty until this one has met the others.
+  std::optional<std::size_t> gatewayCount{};
   /// True while this process stops; responses then close their connections.
   bool stopping = false;
   /// True when too little of the grace period is left to accept new calls.
@@ -55,7 +59,7 @@
   /// gateways.
   dispatch::retry_budget& RetryBudget(const service_name& aService)
   {
-    auto& budget = retryBudgets.try_emplace(aService, retryLimits).first->second;
+    auto& budget = retryBudgets.try_emplace(aService, retryLimits, startedAt).first->second;
     budget.SetRouterCount(gatewayCount);
     return budget;
   }
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -34,6 +34,9 @@
     return options;
   }())
 {
+  if (mSettings.meshListen.Empty()) {
+    mUpstreams.Limits().SetAlone();
+  }
   mContext.onUpstreamStalled = [this](const instance_id& aHead) { mProber.ProbeGroupOf(aHead); };
   mProber.onBroken = [this](const fleet::engine_group& aGroup, const std::string& aCause) {
     OnGroupBroken(aGroup, aCause, true);
@@ -215,17 +218,18 @@
 {
   const time_point now = mContext.Now();
   const std::vector<router_id> liveGateways = mMesh.LiveGateways();
-  mContext.gatewayCount = liveGateways.size();
   mRateLimits.OnSlowTick(liveGateways);
-  mUpstreams.SetRouterCount(mContext.gatewayCount);
+  // Gateways that this one no longer reaches may go on using their part.
+  mContext.gatewayCount = mUpstreams.Limits().RouterCount(now);
+  mUpstreams.SetRouterCount(liveGateways.size());
   mProber.RecheckBrokenGroups();
   mMetrics.Set(kLogLinesDropped, static_cast<double>(DroppedLogLines()));
-  mMetrics.Set(kPeers, static_cast<double>(mContext.gatewayCount));
+  mMetrics.Set(kPeers, static_cast<double>(liveGateways.size()));
   mMetrics.Set(kGroups,
                static_cast<double>(mUpstreams.AvailableGroups(now).size()),
                { { "state", "serving" } });
   // The gateway that forms the groups needs changes of the instances soonest.
-  const duration batchDelay = BatchDelay(mContext.gatewayCount, mSettings.leaveNotice);
+  const duration batchDelay = BatchDelay(liveGateways.size(), mSettings.leaveNotice);
   mInstances.SetBatchDelay(mLease.IsHolder() ? kMinBatchDelay : batchDelay);
   mCrashes.OnSlowTick();
   mSuspicions.Update(false);
--- a/src/gateway/internal/ratelimitmonitor.cpp
+++ b/src/gateway/internal/ratelimitmonitor.cpp
@@ -70,7 +70,7 @@
              { "incarnation", std::to_string(aMessage.incarnationId.value) },
              { "limit_per_s", fmt::format("{:.3f}", aMessage.limit->PerSecond()) },
              { "share_per_s", fmt::format("{:.3f}", limit ? limit->share.permitsPerSecond : 0.0) },
-             { "gateways", std::to_string(mLimits.RouterCount()) },
+             { "gateways", std::to_string(mLimits.RouterCount(steady_clock().Now()).value_or(0)) },
              { "age_ms", std::to_string(aMessage.age.ms) },
              { "from", aSource } });
 }
