Clean-up: who counts among the routers in one class, sending a call in short steps

live_routers holds which routers count, since when and in which order; upstream_rate_limits had both jobs. exchange::Execute(send_action) was 40 lines: target, log line and send are steps now. No behaviour changes but the field gateways of upstream_limited, which is never 0.

--- a/src/dispatch/internal/upstreamratelimits.cpp
+++ b/src/dispatch/internal/upstreamratelimits.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/upstreamratelimits.h"
 
-#include "base/hash.h"
-
 #include <algorithm>
 
 namespace persimmon::dispatch {
@@ -15,65 +13,27 @@
 } // namespace
 
 upstream_rate_limits::upstream_rate_limits(router_id aSelf)
-  : mSelf(std::move(aSelf))
+  : mRouters(std::move(aSelf))
 {
-  mRouters[mSelf] = {};
 }
 
 void
-upstream_rate_limits::SetRouters(const std::vector<router_id>& aLive, time_point aNow)
-{
-  mStartedAt = mStartedAt.value_or(aNow);
-  const std::size_t countBefore = mRouters.size();
-  bool changed = false;
-  for (const router_id& router : aLive) {
-    changed = mRouters.insert_or_assign(router, aNow).second || changed;
-  }
-  mRouters[mSelf] = aNow;
-  std::erase_if(mRouters, [aNow](const auto& aRouter) {
-    return aNow - aRouter.second > kAbsentRouterLifetime;
-  });
-  if (!changed && mRouters.size() == countBefore) {
-    return;
-  }
-  for (auto& [upstream, limited] : mEntries) {
-    limited.rank = RankFor(upstream);
-    UpdateShare(limited, aNow);
-  }
-}
-
-bool
-upstream_rate_limits::HasSettled(time_point aNow) const
-{
-  return mIsAlone || (mStartedAt && aNow - *mStartedAt >= kRouterSettleTime);
-}
-
-std::optional<std::size_t>
-upstream_rate_limits::RouterCount(time_point aNow) const
-{
-  return HasSettled(aNow) ? std::optional(mRouters.size()) : std::nullopt;
-}
-
-std::size_t
-upstream_rate_limits::RankFor(const instance_id& aUpstream) const
+upstream_rate_limits::OnRoutersChanged(time_point aNow)
 {
-  const std::uint64_t own = RendezvousWeight(aUpstream.value, mSelf.value);
-  std::size_t rank = 0;
-  for (const auto& [router, lastLiveAt] : mRouters) {
-    const std::uint64_t weight = RendezvousWeight(aUpstream.value, router.value);
-    rank += weight > own || (weight == own && router < mSelf) ? 1 : 0;
+  for (auto& [upstream, known] : mEntries) {
+    known.rank = mRouters.RankFor(upstream.value);
+    UpdateShare(known, aNow);
   }
-  return rank;
 }
 
 void
 upstream_rate_limits::UpdateShare(entry& aEntry, time_point aNow) const
 {
   rate_limit_share share;
-  if (aEntry.limit && HasSettled(aNow)) {
-    const rate_limit_plan plan = PlanRateLimit(*aEntry.limit, mRouters.size());
+  if (aEntry.limit && mRouters.HasSettled(aNow)) {
+    const rate_limit_plan plan = PlanRateLimit(*aEntry.limit, mRouters.Count());
     const duration silence = aNow - aEntry.lastStatedAt;
-    share = HoldsShare(plan, aEntry.rank, mRouters.size(), silence) ? plan.share : share;
+    share = HoldsShare(plan, aEntry.rank, mRouters.Count(), silence) ? plan.share : share;
   }
   aEntry.permits.SetShare(share, aNow);
 }
@@ -84,8 +44,8 @@
   std::erase_if(mEntries, [aNow](const auto& aEntry) {
     return aNow - aEntry.second.lastStatedAt > kLimitRetention;
   });
-  for (auto& [upstream, limited] : mEntries) {
-    UpdateShare(limited, aNow);
+  for (auto& [upstream, known] : mEntries) {
+    UpdateShare(known, aNow);
   }
 }
 
@@ -100,7 +60,7 @@
   if (added || found.incarnationId < aIncarnation) {
     found = {};
     found.incarnationId = aIncarnation;
-    found.rank = RankFor(aUpstream);
+    found.rank = mRouters.RankFor(aUpstream.value);
   }
   return &found;
 }
--- a/src/dispatch/tests/mocks/limitedfleet.h
+++ b/src/dispatch/tests/mocks/limitedfleet.h
@@ -129,7 +129,9 @@
       }
     }
     for (auto& [id, router] : mRouters) {
-      router.SetRouters(live, now);
+      if (router.Routers().SetLive(live, now)) {
+        router.OnRoutersChanged(now);
+      }
       router.Update(now);
     }
   }
--- a/src/dispatch/tests/mocks/selectorfixture.h
+++ b/src/dispatch/tests/mocks/selectorfixture.h
@@ -77,7 +77,7 @@
   /// from then on.
   void SetLimit(const std::string& aId, std::uint64_t aPerSecond, time_point aNow)
   {
-    selector.Limits().SetRouters({ { "self" } }, aNow - kRouterSettleTime);
+    selector.Limits().Routers().SetAlone();
     selector.Limits().RecordResponse(
       { { aId }, { 1 }, request_rate{ aPerSecond * 1000 }, true, aNow }, aNow);
   }
--- a/src/dispatch/tests/upstreamratelimitstests.cpp
+++ b/src/dispatch/tests/upstreamratelimitstests.cpp
@@ -141,7 +141,7 @@
   upstream_rate_limits limits(router_id{ "self" });
   const time_point now{ 50000 };
   limits.RecordResponse({ { "i" }, { 1 }, PerSecond(100), true, now }, now);
-  limits.SetRouters({ { "self" } }, now);
+  limits.Routers().SetLive({ { "self" } }, now);
   limits.Update(now + 2_s);
   CHECK_FALSE(limits.MaySend({ "i" }, { 1 }, now + 2_s));
   limits.Update(now + kRouterSettleTime);
--- a/src/dispatch/upstreamratelimits.h
+++ b/src/dispatch/upstreamratelimits.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "dispatch/limitobservation.h"
+#include "dispatch/liverouters.h"
 #include "dispatch/permitbucket.h"
 #include "dispatch/ratelimitplan.h"
 #include "peers/messages.h"
 
-#include <functional>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -15,12 +14,6 @@
 
 /// Interval at which a limit that goes on being stated is told to the other routers again.
 constexpr duration kLimitRenewalInterval = 2_s;
-/// Time for which a router counts for the division of limits after it was last known to be live: a
-/// router that is only cut off goes on using its share.
-constexpr duration kAbsentRouterLifetime = 15_s;
-/// Time after its start in which a router uses no share: until it has met the others, it would take
-/// all limits for its own.
-constexpr duration kRouterSettleTime = 3_s;
 /// Time after the last statement about an upstream until it is forgotten.
 constexpr duration kLimitRetention = 600_s;
 
@@ -40,11 +33,12 @@
 public:
   explicit upstream_rate_limits(router_id aSelf);
 
-  /// Tells that there are no other routers, so that this one needs not wait to meet them.
-  void SetAlone() { mIsAlone = true; }
-  /// Sets the live routers, among which the limits are divided; this router always counts. Until
-  /// kRouterSettleTime after the first call it has no share, unless it is alone.
-  void SetRouters(const std::vector<router_id>& aLive, time_point aNow);
+  /// Returns the routers among which the limits are divided; call OnRoutersChanged() after a
+  /// change.
+  live_routers& Routers() { return mRouters; }
+  [[nodiscard]] const live_routers& Routers() const { return mRouters; }
+  /// Divides the limits anew.
+  void OnRoutersChanged(time_point aNow);
   /// Updates the shares and forgets old limits; call about once a second.
   void Update(time_point aNow);
 
@@ -71,8 +65,6 @@
   [[nodiscard]] std::vector<limited_upstream> All() const;
   /// Returns whether no upstream states a limit or has stated one lately.
   [[nodiscard]] bool Empty() const { return mEntries.empty(); }
-  /// Number of routers among which limits are divided; empty until this router has settled.
-  [[nodiscard]] std::optional<std::size_t> RouterCount(time_point aNow) const;
 
 private:
   struct entry
@@ -103,16 +95,9 @@
   static bool MergeLimit(entry& aEntry, const limit_observation& aObservation, time_point aNow);
   /// Returns whether a response without a limit ends the limit in force.
   [[nodiscard]] static bool EndsLimit(const entry& aEntry, const limit_observation& aObservation);
-  [[nodiscard]] bool HasSettled(time_point aNow) const;
-  [[nodiscard]] std::size_t RankFor(const instance_id& aUpstream) const;
   void UpdateShare(entry& aEntry, time_point aNow) const;
 
-  router_id mSelf;
-  /// Time of the first call of SetRouters().
-  std::optional<time_point> mStartedAt;
-  bool mIsAlone = false;
-  /// Routers that count, and when each was last known to be live.
-  std::map<router_id, time_point> mRouters;
+  live_routers mRouters;
   std::unordered_map<instance_id, entry> mEntries;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,6 +89,11 @@
   /// budget allow it. Returns whether it did.
   bool RetryElsewhere(attempt& aAttempt);
 
+  [[nodiscard]] upstream_target MakeTarget(const dispatch::send_action& aAction,
+                                           const fleet::instance& aInstance,
+                                           time_point aNow) const;
+  /// Logs that the call is about to be sent, and counts it if limits left out other upstreams.
+  void LogSend(const dispatch::send_action& aAction, const upstream_target& aTarget);
   attempt& AddAttempt(const upstream_target& aTarget, time_point aNow);
   /// Returns handlers that pass the events of an attempt's call on while the attempt exists.
   upstream::call_handlers MakeHandlers(const attempt& aAttempt);
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -92,31 +92,50 @@
     Execute(mStateMachine.OnNotSent(aAction.upstream, now));
     return;
   }
+  const upstream_target target = MakeTarget(aAction, *instance, now);
+  LogSend(aAction, target);
+  attempt& added = AddAttempt(target, now);
+  added.incarnationId = instance->incarnationId;
+  added.call =
+    mContext.loop.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
+}
+
+template<gateway_dialect Dialect>
+upstream_target
+exchange<Dialect>::MakeTarget(const dispatch::send_action& aAction,
+                              const fleet::instance& aInstance,
+                              time_point aNow) const
+{
   upstream_target target;
-  target.instance = instance->id;
-  target.address = instance->address;
+  target.instance = aInstance.id;
+  target.address = aInstance.address;
   target.customer = mCustomer;
-  target.remainingTime = aAction.deadline - now;
+  target.remainingTime = aAction.deadline - aNow;
   target.resumeAfter = aAction.resumeAfter;
   target.priority = aAction.priority;
+  return target;
+}
+
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::LogSend(const dispatch::send_action& aAction, const upstream_target& aTarget)
+{
   const std::size_t withoutPermit =
-    mContext.upstreams.CountWithoutPermit(Attributes().service, Attributes().model, now);
-  mContext.rateLimits.CountWithoutPermit(withoutPermit);
-  attempt& added = AddAttempt(target, now);
-  added.incarnationId = instance->incarnationId;
+    mContext.upstreams.CountWithoutPermit(Attributes().service, Attributes().model, mContext.Now());
+  if (withoutPermit > 0) {
+    mContext.metrics.Count(kCallsPastLimited);
+  }
   WriteLog(
     kCallSent,
     { { "request", Attributes().id.value },
       { "service", Attributes().service.value },
-      { "upstream", added.upstream.value },
+      { "upstream", aTarget.instance.value },
       { "attempt", std::to_string(mStateMachine.SendCount()) },
       { "resume_after", aAction.resumeAfter ? std::to_string(*aAction.resumeAfter) : "none" },
       { "rank", dispatch::QueuePriorityName(aAction.priority) },
       { "fingerprint", poison::FingerprintText(mFingerprint) },
       { "without_permit", std::to_string(withoutPermit) },
-      { "left_ms", std::to_string(target.remainingTime.ms) } });
-  added.call =
-    mContext.loop.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
+      { "left_ms", std::to_string(aTarget.remainingTime.ms) } });
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -35,7 +35,7 @@
   }())
 {
   if (mSettings.meshListen.Empty()) {
-    mUpstreams.Limits().SetAlone();
+    mUpstreams.Limits().Routers().SetAlone();
   }
   mContext.onUpstreamStalled = [this](const instance_id& aHead) { mProber.ProbeGroupOf(aHead); };
   mProber.onBroken = [this](const fleet::engine_group& aGroup, const std::string& aCause) {
@@ -220,7 +220,8 @@
   const std::vector<router_id> liveGateways = mMesh.LiveGateways();
   mRateLimits.OnSlowTick(liveGateways);
   // Gateways that this one no longer reaches may go on using their part.
-  mContext.gatewayCount = mUpstreams.Limits().RouterCount(now);
+  const dispatch::live_routers& gateways = mUpstreams.Limits().Routers();
+  mContext.gatewayCount = gateways.HasSettled(now) ? std::optional(gateways.Count()) : std::nullopt;
   mUpstreams.SetRouterCount(liveGateways.size());
   mProber.RecheckBrokenGroups();
   mMetrics.Set(kLogLinesDropped, static_cast<double>(DroppedLogLines()));
--- a/src/gateway/internal/ratelimitmonitor.cpp
+++ b/src/gateway/internal/ratelimitmonitor.cpp
@@ -17,10 +17,24 @@
          aInfo.status < kFirstNonSuccessStatus;
 }
 
+dispatch::limit_observation
+MakeObservation(const attempt& aAttempt)
+{
+  const response_info& info = *aAttempt.responseInfo;
+  dispatch::limit_observation observation;
+  observation.upstream = aAttempt.upstream;
+  observation.incarnationId = aAttempt.incarnationId;
+  observation.limit = info.rateLimit;
+  // A limit that cannot be read is a limit still.
+  observation.executed = IsExecuted(info) && !info.rateLimitUnreadable;
+  observation.sentAt = aAttempt.startedAt;
+  return observation;
+}
+
 } // namespace
 
 void
-rate_limit_monitor::OnResponse(const attempt& aAttempt)
+rate_limit_monitor::LogUnreadable(const attempt& aAttempt)
 {
   const response_info& info = *aAttempt.responseInfo;
   if (info.rateLimitUnreadable && info.rateLimitText != mLastUnreadable) {
@@ -28,18 +42,19 @@
     WriteLog(kUpstreamLimitUnreadable,
              { { "upstream", aAttempt.upstream.value }, { "value", info.rateLimitText } });
   }
+}
+
+void
+rate_limit_monitor::OnResponse(const attempt& aAttempt)
+{
+  LogUnreadable(aAttempt);
+  const response_info& info = *aAttempt.responseInfo;
   // Another instance, which now has the address, may have answered.
   if (!info.matchesAttempt || info.misdirected) {
     return;
   }
-  dispatch::limit_observation observation;
-  observation.upstream = aAttempt.upstream;
-  observation.incarnationId = aAttempt.incarnationId;
-  observation.limit = info.rateLimit;
-  observation.executed = IsExecuted(info) && !info.rateLimitUnreadable;
-  observation.sentAt = aAttempt.startedAt;
   const auto former = mLimits.Find(aAttempt.upstream);
-  const auto message = mLimits.RecordResponse(observation, steady_clock().Now());
+  const auto message = mLimits.RecordResponse(MakeObservation(aAttempt), steady_clock().Now());
   if (!message) {
     return;
   }
@@ -70,7 +85,7 @@
              { "incarnation", std::to_string(aMessage.incarnationId.value) },
              { "limit_per_s", fmt::format("{:.3f}", aMessage.limit->PerSecond()) },
              { "share_per_s", fmt::format("{:.3f}", limit ? limit->share.permitsPerSecond : 0.0) },
-             { "gateways", std::to_string(mLimits.RouterCount(steady_clock().Now()).value_or(0)) },
+             { "gateways", std::to_string(mLimits.Routers().Count()) },
              { "age_ms", std::to_string(aMessage.age.ms) },
              { "from", aSource } });
 }
@@ -79,7 +94,9 @@
 rate_limit_monitor::OnSlowTick(const std::vector<router_id>& aLiveGateways)
 {
   const time_point now = steady_clock().Now();
-  mLimits.SetRouters(aLiveGateways, now);
+  if (mLimits.Routers().SetLive(aLiveGateways, now)) {
+    mLimits.OnRoutersChanged(now);
+  }
   mLimits.Update(now);
   double share = 0;
   const auto limits = mLimits.All();
@@ -90,12 +107,4 @@
   mMetrics.Set(kLimitShare, share);
 }
 
-void
-rate_limit_monitor::CountWithoutPermit(std::size_t aCount)
-{
-  if (aCount > 0) {
-    mMetrics.Count(kCallsPastLimited);
-  }
-}
-
 } // namespace persimmon::gateway
--- a/src/gateway/ratelimitmonitor.h
+++ b/src/gateway/ratelimitmonitor.h
@@ -32,10 +32,10 @@
   void Apply(const peers::rate_limit_message& aMessage);
   /// Updates shares and metrics; call about once a second with the live gateways.
   void OnSlowTick(const std::vector<router_id>& aLiveGateways);
-  /// Counts a call that was sent or refused while aCount upstreams had no permit for it.
-  void CountWithoutPermit(std::size_t aCount);
 
 private:
+  /// Logs a limit that cannot be read, unless it was the last one that was logged.
+  void LogUnreadable(const attempt& aAttempt);
   void LogChange(const peers::rate_limit_message& aMessage, const char* aSource) const;
 
   dispatch::upstream_rate_limits& mLimits;
