Requests whose header names or transfer codings leave their framing in doubt get 400

What callers would see: behind "Transfer-Encoding : chunked" or "Content-Length : N", with white space between name and colon, the server ran what followed as a request of its own, and passed the header with the space on to the instance. Other software reads such a header as unknown, so that the bytes are the body of one request there and another request here. The same held for a header name with a space in it, for "Transfer-Encoding: identity, chunked", and for the two codings on two lines.

Cause: RESTinio's HTTP parser (http_parser 2.9.4, built without its strict mode) takes a space for a byte of a header name and skips it when it compares the name with those that it knows. It decides the framing by that, but reports the name with the space.

Change: entry::FindFramingFault() looks at the headers as the parser reports them: each name has to be a token (RFC 9110, 5.6.2), Content-Length a number, Transfer-Encoding a single "chunked" (RFC 9112, 5.1 and 6.3). A fault is answered 400 with Connection: close from within RESTinio's request handler; RESTinio marks the connection as closed there and parses no bytes behind the request, so nothing that is smuggled can run.

Ruled out: the parser's strict mode, which is a compile-time switch of the packaged library, and its lenient flag, which allows more, not less.

Not covered, and not by this check: bytes that the parser skips without reporting them, such as a carriage return and another byte in place of a line end.

--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "entry/httpserver.h"
 
+#include "entry/entryevents.h"
+#include "entry/internal/requestframing.h"
 #include "entry/internal/responderimplementation.h"
 #include "loop/internal/eventloopimplementation.h"
 
@@ -20,6 +22,7 @@
 constexpr std::size_t kMaxPipelinedRequests = 2;
 constexpr std::size_t kMaxFieldBytes = 65536;
 constexpr std::size_t kMaxHeaderCount = 200;
+constexpr int kStatusBadRequest = 400;
 
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -89,6 +92,20 @@
   return converted;
 }
 
+/// Answers a request whose framing is in doubt and closes its connection. For use in RESTinio's
+/// request handler: the connection is marked as closed before RESTinio parses any bytes behind the
+/// request.
+void
+Reject(const server_request& aRequest,
+       std::string_view aFault,
+       responder::implementation& aResponse)
+{
+  const std::string cause(aFault);
+  WriteLog(kRequestRejected,
+           { { "cause", cause }, { "method", aRequest.method }, { "path", aRequest.path } });
+  aResponse.Send({ kStatusBadRequest, {}, cause, true });
+}
+
 } // namespace
 
 struct http_server::implementation
@@ -126,6 +143,10 @@
     request.loop = aLoop;
     const auto connection = aRequest->connection_id();
     auto response = std::make_shared<responder::implementation>(std::move(aRequest));
+    if (const std::string_view fault = FindFramingFault(request.headers); !fault.empty()) {
+      Reject(request, fault, *response);
+      return restinio::request_accepted();
+    }
     listener->Track(connection, response);
     (*handler)(std::move(request), std::make_shared<responder>(std::move(response)));
     return restinio::request_accepted();
