Events whose lines end with CRLF are forwarded as they arrive

What callers would see of an instance that ends the lines of its events with CRLF: nothing of the stream until its end, when it was taken for one that ended within an event. A stream that may be resumed then ran a second time elsewhere, any other ended in a closed connection without an event.

Cause: event_framer looked for two line feeds in a row alone. Change: it looks at lines; an event ends with a blank one, and a line ends with LF or CRLF, as in the format of event streams.

Evidence: event_framer.EventsWithCarriageReturnsAreReturnedImmediately and event_framer.EventsAreTheSameHoweverTheirBytesArrive fail on the old code (no event of two returned) and pass now, as do the other 8 of the group.

A carriage return alone, which the format also allows as a line end, is still not taken for one: what follows it would have to be awaited at each end.

--- a/src/gateway/eventframer.h
+++ b/src/gateway/eventframer.h
@@ -9,7 +9,8 @@
 namespace persimmon::gateway {
 
 /// Splits a stream of server-sent events into complete events and parses their ids, so that an
-/// interrupted stream can be resumed after its last complete event.
+/// interrupted stream can be resumed after its last complete event. An event ends with a blank
+/// line; lines end with LF or CRLF.
 class event_framer
 {
 public:
@@ -21,6 +22,7 @@
   {
     mPartial.clear();
     mSearched = 0;
+    mLineStart = 0;
   }
   /// Sets the last event that the caller already has; nothing for none.
   void StartAfter(std::optional<std::uint64_t> aId) { mLastEventId = aId; }
@@ -41,8 +43,10 @@
   void AppendEvent(std::string_view aEvent);
 
   std::string mPartial;
-  /// Bytes of mPartial that hold no end of an event.
+  /// Bytes of mPartial that hold no further end of a line.
   std::size_t mSearched = 0;
+  /// Begin of the last line of mPartial, whose end has not come.
+  std::size_t mLineStart = 0;
   std::string mCompleted;
   std::optional<std::uint64_t> mLastEventId;
   std::uint64_t mEventCount = 0;
--- a/src/gateway/internal/eventframer.cpp
+++ b/src/gateway/internal/eventframer.cpp
@@ -6,7 +6,6 @@
 namespace persimmon::gateway {
 namespace {
 
-constexpr std::string_view kBlankLine = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
 /// Returns the id of an event; nothing when it has no numeric id.
@@ -30,6 +29,14 @@
   return std::nullopt;
 }
 
+/// Returns whether a line without its line feed is blank; lines end with a line feed, with or
+/// without a carriage return before it.
+bool
+IsBlankLine(std::string_view aLine)
+{
+  return aLine.empty() || aLine == "\r";
+}
+
 } // namespace
 
 void
@@ -56,15 +63,19 @@
   mCompleted.clear();
   mPartial.append(aBytes);
   std::size_t start = 0;
-  for (std::size_t end = mPartial.find(kBlankLine, mSearched); end != std::string::npos;
-       end = mPartial.find(kBlankLine, start)) {
-    const std::size_t size = end + kBlankLine.size() - start;
-    AppendEvent(std::string_view(mPartial).substr(start, size));
-    start += size;
+  std::size_t end = mPartial.find('\n', mSearched);
+  while (end != std::string::npos) {
+    const std::size_t next = end + 1;
+    if (IsBlankLine(std::string_view(mPartial).substr(mLineStart, end - mLineStart))) {
+      AppendEvent(std::string_view(mPartial).substr(start, next - start));
+      start = next;
+    }
+    mLineStart = next;
+    end = mPartial.find('\n', next);
   }
   mPartial.erase(0, start);
-  // The end of an event may begin with the last byte.
-  mSearched = mPartial.size() - std::min(mPartial.size(), kBlankLine.size() - 1);
+  mLineStart -= start;
+  mSearched = mPartial.size();
   return mCompleted;
 }
 
--- a/src/gateway/tests/eventframertests.cpp
+++ b/src/gateway/tests/eventframertests.cpp
@@ -46,6 +46,33 @@
   STRCMP_EQUAL(event.c_str(), Feed("\n").c_str());
 }
 
+// Guards against events whose lines end with CRLF being held back until the stream has ended.
+TEST(event_framer, EventsWithCarriageReturnsAreReturnedImmediately)
+{
+  const std::string first = "id: 1\r\ndata: token\r\n\r\n";
+  const std::string mixed = "id: 2\r\ndata: token\n\r\n";
+  STRCMP_EQUAL((first + mixed).c_str(), Feed(first + mixed + "id: 3\r\n").c_str());
+  UNSIGNED_LONGS_EQUAL(2, framer.EventCount());
+  UNSIGNED_LONGS_EQUAL(2, framer.LastEventId().value_or(0));
+  CHECK(framer.HasPartial());
+}
+
+TEST(event_framer, EventsAreTheSameHoweverTheirBytesArrive)
+{
+  const std::string bytes = "id: 1\r\ndata: a\r\n\r\n" + Event(2) + ": note\n\nid: 3\r\n\r\n";
+  for (std::size_t size = 1; size < bytes.size(); ++size) {
+    framer = {};
+    std::string received;
+    for (std::size_t i = 0; i < bytes.size(); i += size) {
+      received += Feed(bytes.substr(i, size));
+    }
+    STRCMP_EQUAL(bytes.c_str(), received.c_str());
+    UNSIGNED_LONGS_EQUAL(4, framer.EventCount());
+    UNSIGNED_LONGS_EQUAL(3, framer.LastEventId().value_or(0));
+    CHECK_FALSE(framer.HasPartial());
+  }
+}
+
 TEST(event_framer, EventsUpToTheResumePointAreSkipped)
 {
   framer.StartAfter(4);
