--- a/src/assembly/tests/groupcontrollertests.cpp
+++ b/src/assembly/tests/groupcontrollertests.cpp
@@ -92,6 +92,27 @@
   UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::leave));
 }
 
+// Guards against sound instances that are silent for up to three seconds and then go on: releasing
+// their group for that cuts off whatever it runs, at every router.
+TEST(group_controller, SilenceOfASoundInstanceReleasesNoGroup)
+{
+  Start(2, 10);
+  fixture.sentOrders.clear();
+  for (const duration silence : { 600_ms, 1000_ms, 1600_ms, 3000_ms }) {
+    for (const bool isHead : { true, false }) {
+      engine_simulator::engine* silent = fixture.FindMember(isHead);
+      const fleet::group_membership group = *silent->entry.membership;
+      silent->reachable = false;
+      fixture.RunFor(300_ms);
+      fixture.controller.SuspectGroup(group.group, group.epoch, fixture.now);
+      fixture.RunFor(silence - 300_ms);
+      silent->reachable = true;
+      fixture.RunFor(1_s);
+    }
+  }
+  UNSIGNED_LONGS_EQUAL(0, fixture.sentOrders.size());
+}
+
 TEST(group_controller, SurvivorsOfUnreachableHeadLeaveBeforeJoining)
 {
   Start(1, 10);
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -218,6 +218,23 @@
   CHECK_FALSE(idempotent.TryHedge(now).has_value());
 }
 
+// Guards against a call that is given up when one of its two concurrent attempts is lost, although
+// the other may still be answered.
+TEST(call_state_machine, LossOfOneOfTwoAttemptsIsNotTheEndOfTheCall)
+{
+  call_state_machine call(Plain(routes::call_kind::idempotent), fixture.selector, budget, 1);
+  const call_action first = call.OnArrival(now);
+  const auto hedge = call.TryHedge(now);
+  CHECK(hedge.has_value());
+  CHECK(hedge->upstream != As<send_action>(first).upstream);
+  const call_action step = call.OnUpstreamLost(hedge->upstream, now);
+  CHECK_FALSE(std::holds_alternative<fail_action>(step));
+  CHECK_FALSE(std::holds_alternative<send_action>(step));
+  // The end of the other attempt then is the end of the call.
+  const call_action last = call.OnUpstreamLost(As<send_action>(first).upstream, now);
+  CHECK(As<fail_action>(last).cause == failure_cause::upstream_lost);
+}
+
 TEST(call_state_machine, QuarantinedRequestIsRefusedUntilTheQuarantineEnds)
 {
   call_state_machine call(Stream(), fixture.selector, budget, 1);
