Silence alone releases a group only after 3.2 s; a proved loss releases it as soon as before

What callers would see: a cut answer. A member that missed two or three probes (420 to 660 ms) counted as lost; its group was released, and the order to leave takes effect at once: whatever the group ran was cut off at every gateway, and the model was joined anew. A sound instance may be silent for a second or so.

Cause: "no report" and "ended" were one thing for whoever asks for reports. Now the result of a request for a report says which: nothing came (proves nothing), the connection was refused, or another instance answers at the address (both prove the end). A proved loss counts after two probes, before after three; another membership, a later life and a head that reports its group broken count at once, as before. Silence alone counts after 3.2 s: what runs at a stalled group has been given up by its callers then (their longest gap is 2 to 2.4 s), so that the order to leave cuts nothing off. Groups that are still forming run nothing and do without a silent member as before. Probes of groups by gateways carry the same evidence (`group_broken`).

Test: group_controller.SilenceOfASoundInstanceReleasesNoGroup, red before (71 orders where none is due), passes; SilenceWithoutEndReleasesTheGroup and RefusedConnectionsReleaseTheGroupAtOnce guard the contrary. The simulated fleet's dead engines now refuse connections, its unreachable ones are silent, so that SurvivorsOfLostMemberServeInNewGroups asks what it asked. NoJoinOrderWhileLeaveIsUnconfirmed runs 6 s instead of 3, since the group is released later, and now checks that it is.

Ruled out: more probes before the release (a silent instance answers none of them); the registry's entry (it lapses after 3.6 s, no sooner).

--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -24,10 +24,18 @@
   duration maxProbeInterval{ 1800 };
   /// Delay before an instance that did not answer is probed again.
   duration probeRetryDelay{ 60 };
-  /// Consecutive probes without an answer after which an instance counts as lost.
-  std::uint32_t missesUntilLost = 3;
+  /// Consecutive probes without an answer after which an instance counts as unresponsive: it is not
+  /// selected, and a group that is still forming does without it.
+  std::uint32_t missesUntilUnresponsive = 3;
   /// The same for members of a group that a router suspects to be stalled.
-  std::uint32_t missesUntilLostIfSuspected = 2;
+  std::uint32_t missesUntilUnresponsiveIfSuspected = 2;
+  /// Consecutive probes without an answer, the latest of which proves that the instance has ended,
+  /// after which it counts as lost.
+  std::uint32_t missesUntilLostIfProved = 2;
+  /// Silence after which an instance counts as lost without any proof. Releasing its group cuts off
+  /// whatever the group runs, and a sound instance may be silent for seconds; after this time the
+  /// callers of the group have given up.
+  duration silenceUntilLost{ 3200 };
   /// Delay before an order that had no effect is sent again.
   duration orderRetryInterval{ 400 };
   /// Time that a closing group may take to finish its requests.
--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -45,14 +45,14 @@
     mDemandByModel = std::move(aDemand);
   }
 
-  /// Records the answer of an instance to a probe; empty when it did not answer.
+  /// Records the result of a probe of an instance.
   void HandleReport(const instance_id& aInstance,
-                    const std::optional<fleet::engine_report>& aReport,
+                    const fleet::report_result& aResult,
                     time_point aNow);
   /// Records the outcome of an order; ignored when the order is not pending.
   void HandleOrderOutcome(order_id aOrder, order_outcome aOutcome, time_point aNow);
   /// Records that a router suspects a group to be stalled: probes its members at once and counts
-  /// them as lost after fewer missed probes.
+  /// them as unresponsive after fewer missed probes.
   void SuspectGroup(const group_id& aGroup, generation aEpoch, time_point aNow);
 
   /// Compares the wanted groups with the fleet and returns the actions to perform now; empty when
@@ -60,7 +60,7 @@
   std::vector<assembly_action> Reconcile(const fleet::fleet_view& aFleet, time_point aNow);
 
   [[nodiscard]] const std::vector<managed_group>& Groups() const { return mGroups; }
-  /// Returns true when an instance is unknown or has missed so many probes that it counts as lost.
+  /// Returns true when an instance is unknown or has missed several probes in a row.
   [[nodiscard]] bool IsUnresponsive(const instance_id& aInstance) const;
 
 private:
@@ -139,7 +139,14 @@
   /// Returns why a member counts as lost; empty when it does not.
   [[nodiscard]] std::string LossCause(const managed_group& aGroup,
                                       const managed_member& aMember,
-                                      const fleet::fleet_view& aFleet) const;
+                                      const fleet::fleet_view& aFleet,
+                                      time_point aNow) const;
+  /// Returns why a member without answers counts as lost; empty when it does not. A forming group
+  /// runs nothing, so it does not wait for a silent member.
+  [[nodiscard]] std::string SilenceCause(const managed_group& aGroup,
+                                         const instance_id& aMember,
+                                         const instance_state& aState,
+                                         time_point aNow) const;
   /// Returns the latest known membership of an instance, from its report or its registry entry;
   /// empty when it is in no group.
   [[nodiscard]] std::optional<fleet::group_membership> MembershipOf(
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "fleet/enginereport.h"
+#include "fleet/reportresult.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,10 @@
   time_point lastReportAt{ INT64_MIN / 2 };
   /// Consecutive probes without an answer.
   std::uint32_t missedReports = 0;
+  /// Time of the first of them; meaningless when there are none.
+  time_point silentSince{ INT64_MIN / 2 };
+  /// Why the latest of them brought no report.
+  fleet::report_failure lastFailure = fleet::report_failure::no_answer;
   /// True while a probe is in flight.
   bool probePending = false;
   time_point nextProbeAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -77,8 +77,8 @@
     return true;
   }
   const instance_state& state = found->second;
-  return state.missedReports >=
-         (state.stallSuspected ? mOptions.missesUntilLostIfSuspected : mOptions.missesUntilLost);
+  return state.missedReports >= (state.stallSuspected ? mOptions.missesUntilUnresponsiveIfSuspected
+                                                      : mOptions.missesUntilUnresponsive);
 }
 
 std::vector<assembly_action>
@@ -156,7 +156,7 @@
 
 void
 group_controller::HandleReport(const instance_id& aInstance,
-                               const std::optional<fleet::engine_report>& aReport,
+                               const fleet::report_result& aResult,
                                time_point aNow)
 {
   const auto found = mInstanceStates.find(aInstance);
@@ -165,24 +165,27 @@
   }
   instance_state& state = found->second;
   state.probePending = false;
-  if (!aReport) {
+  const auto& report = aResult.report;
+  if (!report) {
+    state.silentSince = state.missedReports == 0 ? aNow : state.silentSince;
     ++state.missedReports;
+    state.lastFailure = aResult.failure;
     state.nextProbeAt = aNow + mOptions.probeRetryDelay;
     return;
   }
-  if (aReport->incarnationId > state.incarnationId) {
+  if (report->incarnationId > state.incarnationId) {
     const endpoint address = state.address;
     state = {};
-    state.incarnationId = aReport->incarnationId;
+    state.incarnationId = report->incarnationId;
     state.address = address;
   }
-  state.report = aReport;
+  state.report = report;
   state.lastReportAt = aNow;
   state.missedReports = 0;
   state.stallSuspected = false;
   state.nextProbeAt = aNow + ProbeInterval(aInstance);
-  if (aReport->membership) {
-    mHighestEpoch = std::max(mHighestEpoch, aReport->membership->epoch.value);
+  if (report->membership) {
+    mHighestEpoch = std::max(mHighestEpoch, report->membership->epoch.value);
   }
 }
 
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -1,6 +1,7 @@
 #include "assembly/groupcontroller.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace persimmon::assembly {
 namespace {
@@ -73,10 +74,31 @@
   return membership && membership->group == aGroup && membership->epoch == aEpoch;
 }
 
+std::string
+group_controller::SilenceCause(const managed_group& aGroup,
+                               const instance_id& aMember,
+                               const instance_state& aState,
+                               time_point aNow) const
+{
+  const bool isProved = fleet::ProvesLoss(aState.lastFailure);
+  if (isProved && aState.missedReports >= mOptions.missesUntilLostIfProved) {
+    return "instance " + aMember.value + " no longer runs at its address";
+  }
+  if (aGroup.currentStage == managed_group::stage::forming && IsUnresponsive(aMember)) {
+    return "instance " + aMember.value + " does not answer";
+  }
+  const duration silence = aState.missedReports > 0 ? aNow - aState.silentSince : duration{};
+  if (silence >= mOptions.silenceUntilLost) {
+    return fmt::format("instance {} has not answered for {} ms", aMember.value, silence.ms);
+  }
+  return {};
+}
+
 std::string
 group_controller::LossCause(const managed_group& aGroup,
                             const managed_member& aMember,
-                            const fleet::fleet_view& aFleet) const
+                            const fleet::fleet_view& aFleet,
+                            time_point aNow) const
 {
   const auto found = mInstanceStates.find(aMember.instance);
   if (found == mInstanceStates.end()) {
@@ -86,8 +108,9 @@
   if (state.incarnationId > aMember.incarnationId) {
     return "instance " + aMember.instance.value + " restarted";
   }
-  if (IsUnresponsive(aMember.instance)) {
-    return "instance " + aMember.instance.value + " does not answer";
+  std::string silenceCause = SilenceCause(aGroup, aMember.instance, state, aNow);
+  if (!silenceCause.empty()) {
+    return silenceCause;
   }
   const bool joinSettled = aMember.joinAccepted && aMember.joinSentAt &&
                            state.lastReportAt > *aMember.joinSentAt + kOrderSettleTime;
@@ -108,7 +131,7 @@
     return;
   }
   for (const managed_member& member : aGroup.members) {
-    const std::string cause = LossCause(aGroup, member, aFleet);
+    const std::string cause = LossCause(aGroup, member, aFleet, aNow);
     if (cause.empty()) {
       continue;
     }
--- /dev/null
+++ b/src/fleet/reportresult.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "fleet/enginereport.h"
+
+#include <optional>
+
+namespace persimmon::fleet {
+
+/// Why a request for the report of an instance brought none.
+enum class report_failure
+{
+  /// Nothing arrived in time, or the connection broke. A sound instance may be silent for seconds
+  /// and then go on, so this proves nothing.
+  no_answer,
+  /// What arrived is no valid report.
+  invalid,
+  /// Nothing listens at the address: the process of the instance has ended.
+  refused,
+  /// Another instance answers at the address.
+  misdirected
+};
+
+/// Returns whether a failure proves that the instance no longer runs at its address.
+[[nodiscard]] constexpr bool
+ProvesLoss(report_failure aFailure)
+{
+  return aFailure == report_failure::refused || aFailure == report_failure::misdirected;
+}
+
+/// The report of an instance, or why there is none.
+struct report_result
+{
+  std::optional<engine_report> report;
+  /// Meaningless with a report.
+  report_failure failure = report_failure::no_answer;
+};
+
+} // namespace persimmon::fleet
--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -3,7 +3,7 @@
 #include "assembly/groupcontroller.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/gatewaymetrics.h"
-#include "gateway/groupprober.h"
+#include "gateway/reportrequest.h"
 
 #include <functional>
 #include <map>
@@ -179,10 +179,10 @@
     mContext,
     aAction.instance,
     aAction.address,
-    [this, aController, id = aAction.instance](std::optional<fleet::engine_report> aReport) {
-      aController->HandleReport(id, aReport, mContext.Now());
-      if (aReport && onReport) {
-        onReport(id, *aReport);
+    [this, aController, id = aAction.instance](const fleet::report_result& aResult) {
+      aController->HandleReport(id, aResult, mContext.Now());
+      if (aResult.report && onReport) {
+        onReport(id, *aResult.report);
       }
     });
 }
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -58,7 +58,7 @@
   void OnMeshMessage(const peers::mesh_message& aMessage);
   void OnPresenceMessage(const peers::presence_message& aPresence);
   /// Marks a group as broken; aPublish also reports it to the mesh and the assemblers.
-  void OnGroupBroken(const fleet::engine_group& aGroup, const std::string& aCause, bool aPublish);
+  void OnGroupBroken(const fleet::engine_group& aGroup, const member_fault& aFault, bool aPublish);
   void OnEngineReport(const instance_id& aInstance, const fleet::engine_report& aReport);
   /// Returns the highest slowdown that a group's members reported, between 1 and a maximum.
   [[nodiscard]] double HighestSlowdown(const fleet::engine_group& aGroup) const;
--- a/src/gateway/groupprober.h
+++ b/src/gateway/groupprober.h
@@ -3,69 +3,18 @@
 #include "gateway/gatewaycontext.h"
 #include "gateway/gatewaydialect.h"
 #include "gateway/gatewayevents.h"
-#include "gateway/httpstatus.h"
 #include "gateway/memberfault.h"
+#include "gateway/reportrequest.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
-#include <string>
+#include <utility>
 
 namespace persimmon::gateway {
 
-/// Records what an engine states of itself in the head of a response to an order or to a request
-/// for its report.
-template<gateway_dialect Dialect>
-void
-RecordEngineStatements(gateway_context& aContext,
-                       const instance_id& aEngine,
-                       const upstream::response_head& aHead)
-{
-  aContext.statements.OnEngineResponse(aEngine, aHead.status, Dialect::ParseStatements(aHead));
-}
-
-/// Requests the state report of one engine. aDone receives nothing when no valid report arrives in
-/// time. What the engine states of itself in the response's head is kept to.
-template<gateway_dialect Dialect>
-void
-RequestReport(gateway_context& aContext,
-              const instance_id& aInstance,
-              const endpoint& aAddress,
-              std::function<void(std::optional<fleet::engine_report>)> aDone)
-{
-  fleet::instance target;
-  target.id = aInstance;
-  target.address = aAddress;
-  struct received_response
-  {
-    int status = 0;
-    std::string body;
-  };
-  const auto response = std::make_shared<received_response>();
-  upstream::call_handlers handlers;
-  handlers.onHead = [&aContext, aInstance, response](const upstream::response_head& aHead) {
-    response->status = aHead.status;
-    RecordEngineStatements<Dialect>(aContext, aInstance, aHead);
-  };
-  handlers.onData = [response](std::string_view aData) { response->body.append(aData); };
-  handlers.onDone =
-    [response, aInstance, done = std::move(aDone)](const upstream::call_outcome& aOutcome) {
-      if (aOutcome.end != upstream::call_end::whole || response->status != kStatusOk) {
-        done(std::nullopt);
-        return;
-      }
-      json_problem problem;
-      auto report = Dialect::ParseEngineReport(response->body, problem);
-      if (!report) {
-        WriteLog(kReportNotUnderstood,
-                 { { "instance", aInstance.value }, { "problem", problem.Text() } });
-      }
-      done(std::move(report));
-    };
-  aContext.loop.Start(Dialect::BuildReportCall(target), std::move(handlers));
-}
-
 /// Determines whether a stalled group has lost a member, by requesting the reports of all its
 /// members. For use on the event loop's thread only.
 template<gateway_dialect Dialect>
@@ -77,8 +26,9 @@
   {
   }
 
-  /// Called once for each group that is found to be broken, never within ProbeGroupOf().
-  std::function<void(const fleet::engine_group&, const std::string& aCause)> onBroken;
+  /// Called when a group is found not to work, and once more when silence turns out to be proved a
+  /// loss; never within ProbeGroupOf().
+  std::function<void(const fleet::engine_group&, const member_fault&)> onBroken;
   /// Called when a group that was marked as broken proves to be whole.
   std::function<void(const fleet::engine_group&)> onRecovered;
   /// Called when the probe of a group starts.
@@ -97,8 +47,8 @@
     fleet::engine_group group;
     /// Number of members that have not reported yet.
     std::size_t pending = 0;
-    /// Fault of the last faulty member that was found; empty when there is none.
-    std::string fault;
+    /// A fault that was found, a proved one before others; nothing when there is none.
+    std::optional<member_fault> fault;
     time_point startedAt;
   };
 
@@ -106,14 +56,17 @@
   void ProbeMember(const std::shared_ptr<probe_round>& aRound,
                    const instance_id& aMember,
                    bool aIsRetry);
-  /// Records what was found about a member, empty when it is sound; the last one ends the round.
-  void RecordMember(const std::shared_ptr<probe_round>& aRound, const std::string& aFault);
+  /// Records what was found about a member, nothing when it is sound; the last one ends the round.
+  void RecordMember(const std::shared_ptr<probe_round>& aRound,
+                    const std::optional<member_fault>& aFault);
   void FinishRound(const probe_round& aRound);
 
   gateway_context& mContext;
   std::map<group_id, time_point> mLastProbeAt;
   /// Groups with a probe in progress.
   std::set<group_id> mProbing;
+  /// Groups and epochs of which a member is proved to be lost.
+  std::set<std::pair<group_id, generation>> mProved;
 };
 
 /// Minimum time between two probes of one group.
@@ -175,7 +128,9 @@
   if (instance == nullptr) {
     // Not at once: the end of the round may end the attempt whose failure has started it.
     mContext.loop.Post([this, aRound, aMember] {
-      RecordMember(aRound, "instance " + aMember.value + " is not registered");
+      RecordMember(aRound,
+                   member_fault{ fault_evidence::silence,
+                                 "instance " + aMember.value + " is not registered" });
     });
     return;
   }
@@ -184,22 +139,23 @@
     mContext,
     aMember,
     instance->address,
-    [this, aRound, aMember, aIsRetry, incarnationId](std::optional<fleet::engine_report> aReport) {
+    [this, aRound, aMember, aIsRetry, incarnationId](const fleet::report_result& aResult) {
       // Retry once: a single lost packet does not mean that the member is lost.
-      if (!aReport && !aIsRetry) {
+      if (!aResult.report && !aIsRetry) {
         ProbeMember(aRound, aMember, true);
         return;
       }
-      RecordMember(aRound, FindMemberFault(aRound->group, aMember, incarnationId, aReport));
+      RecordMember(aRound, FindMemberFault(aRound->group, aMember, incarnationId, aResult));
     });
 }
 
 template<gateway_dialect Dialect>
 void
 group_prober<Dialect>::RecordMember(const std::shared_ptr<probe_round>& aRound,
-                                    const std::string& aFault)
+                                    const std::optional<member_fault>& aFault)
 {
-  if (!aFault.empty()) {
+  const bool hasProof = aRound->fault && aRound->fault->evidence == fault_evidence::proof;
+  if (aFault && !hasProof) {
     aRound->fault = aFault;
   }
   if (--aRound->pending == 0) {
@@ -212,22 +168,34 @@
 group_prober<Dialect>::FinishRound(const probe_round& aRound)
 {
   mProbing.erase(aRound.group.id);
-  const bool broken = mContext.upstreams.IsBroken(aRound.group.id, aRound.group.epoch);
-  const dispatch::upstream_stats* stats = mContext.upstreams.Stats().Find(aRound.group.Head());
-  const bool headResponded = stats != nullptr && stats->lastByteAt > aRound.startedAt;
-  if (aRound.fault.empty()) {
+  const std::pair<group_id, generation> group{ aRound.group.id, aRound.group.epoch };
+  const bool broken = mContext.upstreams.IsBroken(group.first, group.second);
+  if (!aRound.fault) {
     if (broken && onRecovered) {
       onRecovered(aRound.group);
     }
-  } else if (!broken && !headResponded && onBroken) {
-    onBroken(aRound.group, aRound.fault);
+    return;
+  }
+  const dispatch::upstream_stats* stats = mContext.upstreams.Stats().Find(aRound.group.Head());
+  const bool headResponded = stats != nullptr && stats->lastByteAt > aRound.startedAt;
+  const bool proved = aRound.fault->evidence == fault_evidence::proof;
+  const bool isNews = !broken || (proved && mProved.count(group) == 0);
+  if (!isNews || headResponded || !onBroken) {
+    return;
+  }
+  if (proved) {
+    mProved.insert(group);
   }
+  onBroken(aRound.group, *aRound.fault);
 }
 
 template<gateway_dialect Dialect>
 void
 group_prober<Dialect>::RecheckBrokenGroups()
 {
+  std::erase_if(mProved, [this](const auto& aGroup) {
+    return mContext.upstreams.FindGroup(aGroup.first, aGroup.second) == nullptr;
+  });
   for (const routes::service_profile& service :
        mContext.upstreams.Routes() ? mContext.upstreams.Routes()->Configuration().services
                                    : std::vector<routes::service_profile>{}) {
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -38,8 +38,8 @@
     mUpstreams.Conditions().Limits().Routers().SetAlone();
   }
   mContext.onUpstreamStalled = [this](const instance_id& aHead) { mProber.ProbeGroupOf(aHead); };
-  mProber.onBroken = [this](const fleet::engine_group& aGroup, const std::string& aCause) {
-    OnGroupBroken(aGroup, aCause, true);
+  mProber.onBroken = [this](const fleet::engine_group& aGroup, const member_fault& aFault) {
+    OnGroupBroken(aGroup, aFault, true);
   };
   mProber.onSuspected = [this](const fleet::engine_group& aGroup) {
     mAssembly.SuspectGroup(aGroup.id, aGroup.epoch);
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -130,14 +130,15 @@
   const dispatch::upstream_stats* stats = mUpstreams.Stats().Find(group->Head());
   const bool recentlyReceived = stats != nullptr && now - stats->lastByteAt < kHeadActivityWindow;
   if (!recentlyReceived && !mUpstreams.IsBroken(group->id, group->epoch)) {
-    OnGroupBroken(*group, "reported by gateway " + aPresence.observer.value, false);
+    const std::string cause = "reported by gateway " + aPresence.observer.value;
+    OnGroupBroken(*group, { fault_evidence::silence, cause }, false);
   }
 }
 
 template<gateway_dialect Dialect>
 void
 gateway_process<Dialect>::OnGroupBroken(const fleet::engine_group& aGroup,
-                                        const std::string& aCause,
+                                        const member_fault& aFault,
                                         bool aPublish)
 {
   const fleet::engine_group group = aGroup;
@@ -146,7 +147,8 @@
            { { "group", group.id.value },
              { "epoch", std::to_string(group.epoch.value) },
              { "head", group.Head().value },
-             { "cause", aCause } });
+             { "evidence", FaultEvidenceName(aFault.evidence) },
+             { "cause", aFault.cause } });
   if (aPublish) {
     mMesh.Publish(peers::presence_message{ group.id, group.epoch, mSettings.id, {}, false, 0, 0 });
     mAssembly.SuspectGroup(group.id, group.epoch);
--- a/src/gateway/internal/memberfault.cpp
+++ b/src/gateway/internal/memberfault.cpp
@@ -1,27 +1,49 @@
 #include "gateway/memberfault.h"
 
 namespace persimmon::gateway {
+namespace {
 
-std::string
+/// Returns the fault of a member that gave no report.
+member_fault
+FaultWithoutReport(const instance_id& aMember, fleet::report_failure aFailure)
+{
+  switch (aFailure) {
+    case fleet::report_failure::refused:
+      return { fault_evidence::proof, "instance " + aMember.value + " refuses connections" };
+    case fleet::report_failure::misdirected:
+      return { fault_evidence::proof,
+               "another instance answers at the address of " + aMember.value };
+    case fleet::report_failure::no_answer:
+    case fleet::report_failure::invalid:
+      break;
+  }
+  return { fault_evidence::silence, "no report from instance " + aMember.value };
+}
+
+} // namespace
+
+std::optional<member_fault>
 FindMemberFault(const fleet::engine_group& aGroup,
                 const instance_id& aMember,
                 incarnation aIncarnation,
-                const std::optional<fleet::engine_report>& aReport)
+                const fleet::report_result& aResult)
 {
-  if (!aReport) {
-    return "no report from instance " + aMember.value;
+  if (!aResult.report) {
+    return FaultWithoutReport(aMember, aResult.failure);
   }
-  if (aReport->incarnationId > aIncarnation) {
-    return "instance " + aMember.value + " restarted";
+  const fleet::engine_report& report = *aResult.report;
+  if (report.incarnationId > aIncarnation) {
+    return member_fault{ fault_evidence::proof, "instance " + aMember.value + " restarted" };
   }
-  const auto& membership = aReport->membership;
+  const auto& membership = report.membership;
   if (!membership || membership->group != aGroup.id || membership->epoch != aGroup.epoch) {
-    return "instance " + aMember.value + " left the group";
+    return member_fault{ fault_evidence::proof, "instance " + aMember.value + " left the group" };
   }
   if (membership->phase == fleet::member_phase::broken) {
-    return "instance " + aMember.value + " reports the group broken";
+    return member_fault{ fault_evidence::proof,
+                         "instance " + aMember.value + " reports the group broken" };
   }
-  return {};
+  return std::nullopt;
 }
 
 } // namespace persimmon::gateway
--- a/src/gateway/memberfault.h
+++ b/src/gateway/memberfault.h
@@ -1,20 +1,28 @@
 #pragma once
 
 #include "fleet/enginegroup.h"
-#include "fleet/enginereport.h"
+#include "fleet/reportresult.h"
+#include "gateway/faultevidence.h"
 
 #include <optional>
 #include <string>
 
 namespace persimmon::gateway {
 
-/// Returns a description of the fault of a member of a serving group, or an empty text when it has
-/// none. aIncarnation is the registered incarnation of the member; aReport is its response to a
-/// state request, or nothing when it did not respond.
-std::string
+/// Why a group may not work because of one of its members.
+struct member_fault
+{
+  fault_evidence evidence = fault_evidence::silence;
+  /// Description for logs.
+  std::string cause;
+};
+
+/// Returns the fault of a member of a serving group; nothing when it has none. aIncarnation is the
+/// registered incarnation of the member; aResult is its response to a request for its report.
+std::optional<member_fault>
 FindMemberFault(const fleet::engine_group& aGroup,
                 const instance_id& aMember,
                 incarnation aIncarnation,
-                const std::optional<fleet::engine_report>& aReport);
+                const fleet::report_result& aResult);
 
 } // namespace persimmon::gateway
