A call whose upstream is silent stays open; a second attempt beside it, and the first answer wins

Cause: as soon as a member gave no report for 360 ms, here or at another gateway, each silent attempt at its group was ended as lost; where attempts, budget or groups were used up, the call with it. Two more of the same kind, found by the new tests: the concurrent attempt of an idempotent call went to the upstream that was slow (it was not left out), and the loss, refusal or failed connection of one of two attempts ended the call, also when the other was still at work.

Now silence costs nothing that can't be undone: the group gets no new calls until it reports again, the attempt stays open, and the call is sent to a second upstream as well where it may run again (idempotent, or a stream that may be resumed; within max-attempts and the retry budget, as before). Whichever gets a response head or an event first ends the other, so that pieces of two runs never mix. A call ends only with its last attempt, its deadline or the caller. Where a member is proved to be lost, attempts end at once as before. An error of an upstream is not passed on while another attempt is open.

Tests (without network): call_state_machine.LossOfOneOfTwoAttemptsIsNotTheEndOfTheCall, red before; StreamAwaitsItsSilentUpstreamWhenTheSecondAttemptEnds, SecondAttemptThatDoesNotRunLeavesTheFirst, ConcurrentAttemptsAreLimited.

Ruled out: longer thresholds alone (a sound second attempt then starts later and dark members cost more).

--- a/src/dispatch/callaction.h
+++ b/src/dispatch/callaction.h
@@ -87,8 +87,12 @@
   failure_cause cause = failure_cause::upstream_lost;
 };
 
+/// Does nothing: another attempt of the call is in flight and may still be answered.
+struct await_action
+{};
+
 /// Next action for a call.
 using call_action =
-  std::variant<send_action, wait_action, refuse_action, fail_action, abort_action>;
+  std::variant<send_action, wait_action, refuse_action, fail_action, abort_action, await_action>;
 
 } // namespace persimmon::dispatch
--- a/src/dispatch/callstatemachine.h
+++ b/src/dispatch/callstatemachine.h
@@ -41,10 +41,12 @@
   call_action OnSendWithheld(duration aRemaining);
   /// Handles the deadline of the call.
   [[nodiscard]] call_action OnDeadline() const;
-  /// Returns a second, concurrent attempt for a call whose upstream is slow to respond; empty
-  /// unless the call is idempotent, has no response yet, and an upstream and the retry budget are
-  /// left.
-  std::optional<send_action> TryHedge(time_point aNow);
+  /// Returns a second, concurrent attempt for a call whose only upstream is slow or silent; empty
+  /// unless the call may run again, or its stream may be resumed, and an attempt, an upstream and
+  /// the retry budget are left.
+  std::optional<send_action> TryConcurrentAttempt(time_point aNow);
+  /// Records that an attempt was cancelled because another one is answered.
+  void OnSuperseded(const instance_id& aUpstream) { ReleaseUpstream(aUpstream); }
 
   /// Records that the response head was forwarded to the caller.
   void OnResponseStarted() { mResponseStarted = true; }
@@ -83,8 +85,10 @@
   [[nodiscard]] call_action SendOrGiveUp(const instance_id& aUpstream, time_point aNow);
   [[nodiscard]] send_action MakeSendAction(const instance_id& aUpstream) const;
   void Exclude(const instance_id& aUpstream);
-  /// Records that the call is no longer in flight at one of its upstreams.
-  void ReleaseUpstream();
+  /// Records that the call is no longer in flight at an upstream.
+  void ReleaseUpstream(const instance_id& aUpstream);
+  /// Does the same as SelectOrWait(), but awaits an attempt that is still in flight.
+  call_action AwaitOrSelect(time_point aNow);
 
   call_attributes mAttributes;
   const upstream_selector& mSelector;
@@ -95,8 +99,8 @@
   std::uint32_t mSendCount = 0;
   /// Number of upstreams that could not be reached.
   std::uint32_t mUnreachableCount = 0;
-  /// Number of upstreams at which the call is in flight.
-  std::uint32_t mInFlight = 0;
+  /// Upstreams at which the call is in flight, in the order in which it was sent.
+  std::vector<instance_id> mInFlight;
   /// An upstream that was lost may have run the call.
   bool mMayHaveRun = false;
   bool mRefusedAsFull = false;
--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -118,6 +118,7 @@
   request.model = mAttributes.model;
   request.promptTokens = mAttributes.promptTokens;
   request.excluded = mExcluded;
+  request.excluded.insert(request.excluded.end(), mInFlight.begin(), mInFlight.end());
   request.random = mRandom;
   if (!mResponseStarted && mAttributes.latencyTarget.ms > 0) {
     request.maxQueueWait = mAttributes.latencyTarget / kLatencyTargetDivisor;
@@ -142,9 +143,18 @@
 }
 
 void
-call_state_machine::ReleaseUpstream()
+call_state_machine::ReleaseUpstream(const instance_id& aUpstream)
 {
-  mInFlight -= std::min<std::uint32_t>(mInFlight, 1);
+  std::erase(mInFlight, aUpstream);
+}
+
+call_action
+call_state_machine::AwaitOrSelect(time_point aNow)
+{
+  if (!mInFlight.empty()) {
+    return await_action{};
+  }
+  return SelectOrWait(aNow);
 }
 
 call_action
@@ -159,7 +169,7 @@
   if (mResponseStarted) {
     return abort_action{ aCause };
   }
-  if (mMayHaveRun || mInFlight > 0) {
+  if (mMayHaveRun || !mInFlight.empty()) {
     return fail_action{ aCause };
   }
   return refuse_action{ aCause, aRetryAfter };
@@ -262,7 +272,7 @@
     return GiveUp(mRefusedAsFull ? failure_cause::upstream_full : failure_cause::upstream_lost);
   }
   ++mSendCount;
-  ++mInFlight;
+  mInFlight.push_back(aUpstream);
   return MakeSendAction(aUpstream);
 }
 
@@ -287,39 +297,40 @@
 {
   Exclude(aUpstream);
   mSendCount -= std::min<std::uint32_t>(mSendCount, 1);
-  ReleaseUpstream();
-  if (++mUnreachableCount >= kMaxUnreachable) {
+  ReleaseUpstream(aUpstream);
+  if (++mUnreachableCount >= kMaxUnreachable && mInFlight.empty()) {
     return GiveUp(failure_cause::no_upstream);
   }
-  return SelectOrWait(aNow);
+  return AwaitOrSelect(aNow);
 }
 
 call_action
 call_state_machine::OnNotExecuted(const instance_id& aUpstream, time_point aNow)
 {
   Exclude(aUpstream);
-  ReleaseUpstream();
+  ReleaseUpstream(aUpstream);
   mRefusedAsFull = true;
-  if (mSendCount >= mAttributes.maxAttempts) {
+  if (mSendCount >= mAttributes.maxAttempts && mInFlight.empty()) {
     const upstream_shortage shortage =
       mSelector.FindShortage(mAttributes.service, mAttributes.model, aNow);
     return shortage == upstream_shortage::all_paused ? GiveUp(shortage, aNow)
                                                      : GiveUp(failure_cause::upstream_full);
   }
-  return SelectOrWait(aNow);
+  return AwaitOrSelect(aNow);
 }
 
 call_action
 call_state_machine::OnUpstreamLost(const instance_id& aUpstream, time_point aNow)
 {
   Exclude(aUpstream);
-  ReleaseUpstream();
+  ReleaseUpstream(aUpstream);
   mMayHaveRun = true;
   const bool mayContinue = mResponseStarted ? mAttributes.resumable : mAttributes.retryable;
-  if (!mayContinue || mSendCount >= mAttributes.maxAttempts) {
+  const bool isLast = !mayContinue || mSendCount >= mAttributes.maxAttempts;
+  if (isLast && mInFlight.empty()) {
     return GiveUp(failure_cause::upstream_lost);
   }
-  return SelectOrWait(aNow);
+  return AwaitOrSelect(aNow);
 }
 
 call_action
@@ -332,7 +343,10 @@
 call_state_machine::OnSendWithheld(duration aRemaining)
 {
   mSendCount -= std::min<std::uint32_t>(mSendCount, 1);
-  ReleaseUpstream();
+  mInFlight.pop_back();
+  if (!mInFlight.empty()) {
+    return await_action{};
+  }
   return OnQuarantined(aRemaining);
 }
 
@@ -343,18 +357,25 @@
 }
 
 std::optional<send_action>
-call_state_machine::TryHedge(time_point aNow)
+call_state_machine::TryConcurrentAttempt(time_point aNow)
 {
-  const bool allowed = mAttributes.kind == routes::call_kind::idempotent && !mResponseStarted;
-  if (!allowed || mSendCount == 0 || mSendCount >= mAttributes.maxAttempts) {
+  const bool mayRunAgain = mResponseStarted ? mAttributes.resumable : mAttributes.retryable;
+  if (!mayRunAgain || mInFlight.size() != 1 || mSendCount >= mAttributes.maxAttempts) {
     return std::nullopt;
   }
-  const auto selected = mSelector.Select(MakeSelectionRequest(), aNow);
+  selection_request request = MakeSelectionRequest();
+  const bool isLate = mAttributes.kind == routes::call_kind::streaming && !mResponseStarted &&
+                      aNow > mAttributes.arrivedAt + mAttributes.latencyTarget;
+  if (isLate) {
+    request.maxQueueWait = (mAttributes.deadline - aNow) / kRemainingTimeDivisor;
+  }
+  const auto selected = mSelector.Select(request, aNow);
   if (!selected || !mRetryBudget.TryAcquire(aNow)) {
     return std::nullopt;
   }
+  mIsLate = mIsLate || isLate;
   ++mSendCount;
-  ++mInFlight;
+  mInFlight.push_back(*selected);
   return MakeSendAction(*selected);
 }
 
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -211,11 +211,11 @@
   call_state_machine nonIdempotent(
     Plain(routes::call_kind::non_idempotent), fixture.selector, budget, 1);
   nonIdempotent.OnArrival(now);
-  CHECK_FALSE(nonIdempotent.TryHedge(now).has_value());
+  CHECK_FALSE(nonIdempotent.TryConcurrentAttempt(now).has_value());
   call_state_machine idempotent(Plain(routes::call_kind::idempotent), fixture.selector, budget, 1);
   idempotent.OnArrival(now);
-  CHECK(idempotent.TryHedge(now).has_value());
-  CHECK_FALSE(idempotent.TryHedge(now).has_value());
+  CHECK(idempotent.TryConcurrentAttempt(now).has_value());
+  CHECK_FALSE(idempotent.TryConcurrentAttempt(now).has_value());
 }
 
 // Guards against a call that is given up when one of its two concurrent attempts is lost, although
@@ -224,7 +224,7 @@
 {
   call_state_machine call(Plain(routes::call_kind::idempotent), fixture.selector, budget, 1);
   const call_action first = call.OnArrival(now);
-  const auto hedge = call.TryHedge(now);
+  const auto hedge = call.TryConcurrentAttempt(now);
   CHECK(hedge.has_value());
   CHECK(hedge->upstream != As<send_action>(first).upstream);
   const call_action step = call.OnUpstreamLost(hedge->upstream, now);
@@ -235,6 +235,61 @@
   CHECK(As<fail_action>(last).cause == failure_cause::upstream_lost);
 }
 
+// Guards against a started stream that is cut although its silent first upstream may go on with it.
+TEST(call_state_machine, StreamAwaitsItsSilentUpstreamWhenTheSecondAttemptEnds)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const instance_id silent = As<send_action>(call.OnArrival(now)).upstream;
+  call.OnResponseStarted();
+  call.OnEventForwarded(7);
+  const auto second = call.TryConcurrentAttempt(now + 1_s);
+  CHECK(second.has_value());
+  CHECK(second->upstream != silent);
+  UNSIGNED_LONGS_EQUAL(7, second->resumeAfter.value_or(0));
+  const call_action step = call.OnUpstreamLost(second->upstream, now + 2_s);
+  CHECK(std::holds_alternative<await_action>(step));
+  // No attempt is left: the stream waits for its first upstream alone.
+  CHECK_FALSE(call.TryConcurrentAttempt(now + 2_s).has_value());
+  const call_action last = call.OnUpstreamLost(silent, now + 3_s);
+  CHECK(std::holds_alternative<abort_action>(last));
+}
+
+// Guards against a second attempt that is given up with the whole call when it reaches no upstream,
+// is refused, or is withheld.
+TEST(call_state_machine, SecondAttemptThatDoesNotRunLeavesTheFirst)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  call.OnArrival(now);
+  auto second = call.TryConcurrentAttempt(now);
+  CHECK(std::holds_alternative<await_action>(call.OnNotSent(second->upstream, now)));
+  second = call.TryConcurrentAttempt(now);
+  CHECK(second.has_value());
+  CHECK(std::holds_alternative<await_action>(call.OnSendWithheld(20_s)));
+  second = call.TryConcurrentAttempt(now);
+  CHECK(second.has_value());
+  CHECK(std::holds_alternative<await_action>(call.OnNotExecuted(second->upstream, now)));
+  CHECK(std::holds_alternative<fail_action>(call.OnDeadline()));
+}
+
+// Guards against more runs at a time than a call needs, and against a second run of a call that may
+// run only once.
+TEST(call_state_machine, ConcurrentAttemptsAreLimited)
+{
+  call_attributes attributes = Stream();
+  attributes.maxAttempts = 4;
+  call_state_machine call(attributes, fixture.selector, budget, 1);
+  const instance_id first = As<send_action>(call.OnArrival(now)).upstream;
+  CHECK(call.TryConcurrentAttempt(now).has_value());
+  CHECK_FALSE(call.TryConcurrentAttempt(now).has_value());
+  call.OnSuperseded(first);
+  CHECK(call.TryConcurrentAttempt(now).has_value());
+  attributes.retryable = false;
+  attributes.resumable = false;
+  call_state_machine once(attributes, fixture.selector, budget, 1);
+  once.OnArrival(now);
+  CHECK_FALSE(once.TryConcurrentAttempt(now).has_value());
+}
+
 TEST(call_state_machine, QuarantinedRequestIsRefusedUntilTheQuarantineEnds)
 {
   call_state_machine call(Stream(), fixture.selector, budget, 1);
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -24,6 +24,8 @@
   incarnation incarnationId;
   upstream::call_id call;
   monitored_attempt monitored;
+  /// True when the upstream's group was found silent and nothing has arrived since.
+  bool isStalled = false;
   /// True when the crash monitor finds out whether the upstream has crashed.
   bool lossReported = false;
   time_point startedAt;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,7 +53,7 @@
   void Begin();
   void CheckProgress() override;
   void OnUpstreamsChanged() override;
-  void OnGroupBroken(const instance_id& aHead) override;
+  void OnGroupBroken(const instance_id& aHead, fault_evidence aEvidence) override;
   void OnShutdown() override;
 
 private:
@@ -68,6 +68,7 @@
   void Execute(const dispatch::refuse_action& aAction);
   void Execute(const dispatch::fail_action& aAction);
   void Execute(const dispatch::abort_action& aAction);
+  void Execute(const dispatch::await_action&) {}
 
   void OnResponseHead(attempt& aAttempt, const upstream::response_head& aHead);
   void OnResponseData(attempt& aAttempt, std::string_view aData);
@@ -81,6 +82,11 @@
   void OnCallerHasRead();
   void ForwardEvents(attempt& aAttempt, std::string_view aData);
   void OnStreamEnded(attempt& aAttempt);
+  /// Sends a call whose upstream is silent to a second one as well, if the call may run again. The
+  /// first attempt stays open: whichever is answered first ends the other.
+  void SendBesideStalledAttempt();
+  /// Ends all attempts but one, which is being answered.
+  void EndOtherAttempts(const attempt& aAnswered);
   /// Ends an attempt whose upstream stated that it has not executed the call.
   void OnNotExecuted(attempt& aAttempt);
   /// Ends an attempt that may have executed the call but delivers no complete response. With
--- a/src/gateway/exchangeregistry.h
+++ b/src/gateway/exchangeregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "gateway/faultevidence.h"
 
 #include <functional>
 #include <memory>
@@ -18,8 +19,8 @@
   virtual void CheckProgress() = 0;
   /// The set of upstreams has changed; a waiting call chooses again.
   virtual void OnUpstreamsChanged() = 0;
-  /// The group with this head is broken.
-  virtual void OnGroupBroken(const instance_id& aHead) = 0;
+  /// The group with this head is silent, or proved to be broken.
+  virtual void OnGroupBroken(const instance_id& aHead, fault_evidence aEvidence) = 0;
   /// The process is about to exit; the exchange ends with a final response.
   virtual void OnShutdown() = 0;
 };
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -28,6 +28,7 @@
 constexpr log_event kAttemptEnded{ 8026, "attempt_ended", log_level::info };
 constexpr log_event kUpstreamCrashed{ 8027, "upstream_crashed", log_level::warning };
 constexpr log_event kLossConcluded{ 8028, "loss_concluded", log_level::info };
+constexpr log_event kAttemptStalled{ 8029, "attempt_stalled", log_level::info };
 constexpr log_event kGroupSuspected{ 8030, "group_suspected", log_level::info };
 constexpr log_event kGroupBroken{ 8031, "group_broken", log_level::warning };
 constexpr log_event kGroupWhole{ 8032, "group_whole", log_level::info };
@@ -69,6 +70,7 @@
                                             kAttemptEnded,
                                             kUpstreamCrashed,
                                             kLossConcluded,
+                                            kAttemptStalled,
                                             kGroupSuspected,
                                             kGroupBroken,
                                             kGroupWhole,
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -9,7 +9,8 @@
 constexpr duration kMaxEventSilence = 230_ms;
 /// Wait for the first event after which the group is probed.
 constexpr duration kMaxFirstEventWait = 700_ms;
-/// An attempt that received data within this time is not ended when its group is reported broken.
+/// An attempt that received data within this time is not affected when its group is reported
+/// broken.
 constexpr duration kAttemptActivityWindow = 150_ms;
 /// Delay of the hedged attempt of an idempotent call, as a multiple of its latency target.
 constexpr std::int64_t kHedgeDelayTargets = 1;
@@ -110,11 +111,12 @@
       mContext.onUpstreamStalled(current->upstream);
     }
   }
+  SendBesideStalledAttempt();
   const duration elapsed = now - Attributes().arrivedAt;
   const duration hedgeDelay = Attributes().latencyTarget * exchange_limits::kHedgeDelayTargets;
   if (Attributes().kind == routes::call_kind::idempotent && mAttempts.size() == 1 &&
       elapsed > hedgeDelay && !mAttempts.front()->responseInfo) {
-    const auto hedge = QuarantineLeft() ? std::nullopt : mStateMachine.TryHedge(now);
+    const auto hedge = QuarantineLeft() ? std::nullopt : mStateMachine.TryConcurrentAttempt(now);
     if (hedge) {
       Execute(*hedge);
     }
@@ -134,17 +136,57 @@
 
 template<gateway_dialect Dialect>
 void
-exchange<Dialect>::OnGroupBroken(const instance_id& aHead)
+exchange<Dialect>::OnGroupBroken(const instance_id& aHead, fault_evidence aEvidence)
 {
   const time_point now = mContext.Now();
   for (const attempt_ptr& current : mAttempts) {
-    const bool silent = mPausedCall != current->call &&
-                        now - current->lastReceivedAt > exchange_limits::kAttemptActivityWindow;
-    if (current->upstream == aHead && silent && Attributes().retryable) {
+    const duration silence = now - current->lastReceivedAt;
+    const bool isSilent =
+      mPausedCall != current->call && silence > exchange_limits::kAttemptActivityWindow;
+    if (current->upstream != aHead || !isSilent || !Attributes().retryable) {
+      continue;
+    }
+    if (aEvidence == fault_evidence::proof) {
       ReportLoss(*current, ScopeOfStandstill(*current));
       OnAttemptLost(*current, "group_lost", false);
       return;
     }
+    current->isStalled = true;
+    WriteLog(kAttemptStalled,
+             { { "request", Attributes().id.value },
+               { "upstream", aHead.value },
+               { "silent_ms", std::to_string(silence.ms) },
+               { "attempts", std::to_string(mAttempts.size()) } });
+  }
+  SendBesideStalledAttempt();
+}
+
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::SendBesideStalledAttempt()
+{
+  if (mEnded || mAttempts.size() != 1 || !mAttempts.front()->isStalled) {
+    return;
+  }
+  if (QuarantineLeft()) {
+    mAttempts.front()->isStalled = false;
+    return;
+  }
+  if (const auto second = mStateMachine.TryConcurrentAttempt(mContext.Now())) {
+    Execute(*second);
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::EndOtherAttempts(const attempt& aAnswered)
+{
+  while (mAttempts.size() > 1) {
+    attempt& other = mAttempts.front().get() == &aAnswered ? *mAttempts.back() : *mAttempts.front();
+    if (other.isStalled) {
+      ReportLoss(other, ScopeOfStandstill(other));
+    }
+    mStateMachine.OnSuperseded(EndAttempt(other, "superseded"));
   }
 }
 
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -25,6 +25,7 @@
 {
   const time_point now = mContext.Now();
   aAttempt.lastReceivedAt = now;
+  aAttempt.isStalled = false;
   aAttempt.responseHead = aHead;
   aAttempt.responseInfo = Dialect::ParseResponseHead(aHead, mCall);
   const response_info& info = *aAttempt.responseInfo;
@@ -55,6 +56,7 @@
   }
   mStreaming = true;
   mStateMachine.OnResponseStarted();
+  EndOtherAttempts(aAttempt);
   const auto end = mContext.stopping ? entry::stream_end::closes : entry::stream_end::keeps;
   mResponder->OnDrain([weak = this->weak_from_this(), &context = mContext] {
     context.loop.Post([weak] {
@@ -148,6 +150,8 @@
     }
     aAttempt.hasReceivedEvent = true;
     aAttempt.lastReceivedAt = now;
+    aAttempt.isStalled = false;
+    EndOtherAttempts(aAttempt);
     RecordDelivery();
     if (const auto last = aAttempt.framer.LastEventId()) {
       mStateMachine.OnEventForwarded(*last);
@@ -234,6 +238,11 @@
 exchange<Dialect>::RetryElsewhere(attempt& aAttempt)
 {
   const bool failed = aAttempt.responseInfo->status >= kFirstServerErrorStatus;
+  if (failed && mAttempts.size() > 1) {
+    // The other attempt may still be answered.
+    OnAttemptLost(aAttempt, "upstream_error", false);
+    return true;
+  }
   if (!failed || !Attributes().retryable || mStateMachine.SendCount() >= Attributes().maxAttempts) {
     return false;
   }
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -154,7 +154,7 @@
     mAssembly.SuspectGroup(group.id, group.epoch);
   }
   for (const auto& exchange : mExchanges.Snapshot()) {
-    exchange->OnGroupBroken(group.Head());
+    exchange->OnGroupBroken(group.Head(), aFault.evidence);
   }
 }
 
