After review: what is no proof of a loss, and attempts that missed the news of a silent group

A reader who hadn't seen the work went through trace and fix; each point below was found by reading. - A refused connection proves nothing of an instance that drains or whose entry has gone: it stops listening while its head still works, and its group was cut off then (also before this mend). Proofs count in a row. - Silence between the leader and one member isn't silence of the group: while the group's head sends data, it isn't released. At least three probes have to be missed. - A new leader released a group of which an entry had lapsed at once; now a head that serves finishes, and a group that a former leader formed isn't taken for one that runs nothing. - Attempts that were younger than 150 ms, or paused, when their group was marked missed the news for good. The evidence now stands in the selector and each attempt reads it every 50 ms; an attempt whose head has restarted or serves a later group ends at once, and news of a peer, which tells no evidence, starts a probe. - An attempt that stands still isn't taken for a crash at once (stalled: counts once a crash is proved), and is reported also when its caller leaves. - A started stream isn't given up after three failed connections; the end of a second attempt without an event doesn't end the stream while the first is open; a second attempt of a quarantined request takes no permit.

Tests: group_controller.DrainingMemberThatStopsListeningIsNotLost, GroupAtWorkIsNotReleasedForSilence, AdoptedGroupWithALapsedEntryFinishesItsRequests, upstream_selector.ProofThatAGroupIsBrokenIsKept, call_state_machine.StartedStreamOutlastsUpstreamsThatAcceptNoConnection.

--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -29,12 +29,11 @@
   std::uint32_t missesUntilUnresponsive = 3;
   /// The same for members of a group that a router suspects to be stalled.
   std::uint32_t missesUntilUnresponsiveIfSuspected = 2;
-  /// Consecutive probes without an answer, the latest of which proves that the instance has ended,
-  /// after which it counts as lost.
-  std::uint32_t missesUntilLostIfProved = 2;
-  /// Silence after which an instance counts as lost without any proof. Releasing its group cuts off
-  /// whatever the group runs, and a sound instance may be silent for seconds; after this time the
-  /// callers of the group have given up.
+  /// Consecutive probes that prove that an instance has ended, after which it counts as lost.
+  std::uint32_t provedLossesUntilLost = 2;
+  /// Silence after which an instance counts as lost without any proof, unless its group is at work.
+  /// Releasing a group cuts off whatever it runs, and a sound instance may be silent for seconds;
+  /// after this time the callers of a group that stands still have given up.
   duration silenceUntilLost{ 3200 };
   /// Delay before an order that had no effect is sent again.
   duration orderRetryInterval{ 400 };
--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -51,6 +51,8 @@
                     time_point aNow);
   /// Records the outcome of an order; ignored when the order is not pending.
   void HandleOrderOutcome(order_id aOrder, order_outcome aOutcome, time_point aNow);
+  /// Records that the group of a head was at work at a time.
+  void RecordActivity(const instance_id& aHead, time_point aAt);
   /// Records that a router suspects a group to be stalled: probes its members at once and counts
   /// them as unresponsive after fewer missed probes.
   void SuspectGroup(const group_id& aGroup, generation aEpoch, time_point aNow);
@@ -141,12 +143,16 @@
                                       const managed_member& aMember,
                                       const fleet::fleet_view& aFleet,
                                       time_point aNow) const;
-  /// Returns why a member without answers counts as lost; empty when it does not. A forming group
-  /// runs nothing, so it does not wait for a silent member.
+  /// Returns why a member without answers counts as lost; empty when it does not. A group that this
+  /// leader forms runs nothing, so it does not wait for a silent member.
   [[nodiscard]] std::string SilenceCause(const managed_group& aGroup,
                                          const instance_id& aMember,
-                                         const instance_state& aState,
+                                         const fleet::fleet_view& aFleet,
                                          time_point aNow) const;
+  /// Returns the time since a member last answered or its group was last at work.
+  [[nodiscard]] duration Silence(const managed_group& aGroup,
+                                 const instance_state& aState,
+                                 time_point aNow) const;
   /// Returns the latest known membership of an instance, from its report or its registry entry;
   /// empty when it is in no group.
   [[nodiscard]] std::optional<fleet::group_membership> MembershipOf(
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -22,8 +22,10 @@
   std::uint32_t missedReports = 0;
   /// Time of the first of them; meaningless when there are none.
   time_point silentSince{ INT64_MIN / 2 };
-  /// Why the latest of them brought no report.
-  fleet::report_failure lastFailure = fleet::report_failure::no_answer;
+  /// Number of the latest of them in a row that prove that the instance has ended.
+  std::uint32_t provedLosses = 0;
+  /// Latest time at which the group that it heads was at work, as far as its callers have told.
+  time_point lastActivityAt{ INT64_MIN / 2 };
   /// True while a probe is in flight.
   bool probePending = false;
   time_point nextProbeAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -169,7 +169,7 @@
   if (!report) {
     state.silentSince = state.missedReports == 0 ? aNow : state.silentSince;
     ++state.missedReports;
-    state.lastFailure = aResult.failure;
+    state.provedLosses = fleet::ProvesLoss(aResult.failure) ? state.provedLosses + 1 : 0;
     state.nextProbeAt = aNow + mOptions.probeRetryDelay;
     return;
   }
@@ -182,6 +182,7 @@
   state.report = report;
   state.lastReportAt = aNow;
   state.missedReports = 0;
+  state.provedLosses = 0;
   state.stallSuspected = false;
   state.nextProbeAt = aNow + ProbeInterval(aInstance);
   if (report->membership) {
@@ -189,6 +190,15 @@
   }
 }
 
+void
+group_controller::RecordActivity(const instance_id& aHead, time_point aAt)
+{
+  const auto found = mInstanceStates.find(aHead);
+  if (found != mInstanceStates.end()) {
+    found->second.lastActivityAt = std::max(found->second.lastActivityAt, aAt);
+  }
+}
+
 void
 group_controller::SuspectGroup(const group_id& aGroup, generation aEpoch, time_point aNow)
 {
@@ -286,8 +296,13 @@
       adoptedGroup.currentStage = managed_group::stage::releasing;
       break;
   }
+  adoptedGroup.isAdopted = true;
   if (!aGroup.complete) {
-    adoptedGroup.currentStage = managed_group::stage::releasing;
+    // An entry that has lapsed proves no loss. A head that serves finishes what it runs, or reports
+    // the group broken.
+    adoptedGroup.currentStage = aGroup.headPhase == fleet::member_phase::open && reportsCurrent
+                                  ? managed_group::stage::closing
+                                  : managed_group::stage::releasing;
   }
   RecordDecision(record_decision::decision_kind::adopted,
                  adoptedGroup,
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -74,20 +74,39 @@
   return membership && membership->group == aGroup && membership->epoch == aEpoch;
 }
 
+duration
+group_controller::Silence(const managed_group& aGroup,
+                          const instance_state& aState,
+                          time_point aNow) const
+{
+  if (aState.missedReports < mOptions.missesUntilUnresponsive) {
+    return {};
+  }
+  const auto head = mInstanceStates.find(aGroup.Head().instance);
+  const time_point activeAt =
+    head == mInstanceStates.end() ? aState.silentSince : head->second.lastActivityAt;
+  return aNow - std::max(aState.silentSince, activeAt);
+}
+
 std::string
 group_controller::SilenceCause(const managed_group& aGroup,
                                const instance_id& aMember,
-                               const instance_state& aState,
+                               const fleet::fleet_view& aFleet,
                                time_point aNow) const
 {
-  const bool isProved = fleet::ProvesLoss(aState.lastFailure);
-  if (isProved && aState.missedReports >= mOptions.missesUntilLostIfProved) {
+  const instance_state& state = mInstanceStates.at(aMember);
+  // An instance that leaves as planned stops listening before its group has finished.
+  const fleet::instance* entry = aFleet.Find(aMember);
+  const bool isLeaving = entry == nullptr || entry->draining;
+  if (!isLeaving && state.provedLosses >= mOptions.provedLossesUntilLost) {
     return "instance " + aMember.value + " no longer runs at its address";
   }
-  if (aGroup.currentStage == managed_group::stage::forming && IsUnresponsive(aMember)) {
+  const bool runsNothing =
+    aGroup.currentStage == managed_group::stage::forming && !aGroup.isAdopted;
+  if (runsNothing && IsUnresponsive(aMember)) {
     return "instance " + aMember.value + " does not answer";
   }
-  const duration silence = aState.missedReports > 0 ? aNow - aState.silentSince : duration{};
+  const duration silence = Silence(aGroup, state, aNow);
   if (silence >= mOptions.silenceUntilLost) {
     return fmt::format("instance {} has not answered for {} ms", aMember.value, silence.ms);
   }
@@ -108,7 +127,7 @@
   if (state.incarnationId > aMember.incarnationId) {
     return "instance " + aMember.instance.value + " restarted";
   }
-  std::string silenceCause = SilenceCause(aGroup, aMember.instance, state, aNow);
+  std::string silenceCause = SilenceCause(aGroup, aMember.instance, aFleet, aNow);
   if (!silenceCause.empty()) {
     return silenceCause;
   }
--- a/src/assembly/managedgroup.h
+++ b/src/assembly/managedgroup.h
@@ -53,6 +53,9 @@
   /// Head first. Empty once the group has ended.
   std::vector<managed_member> members;
   stage currentStage = stage::forming;
+  /// True when a former leader formed the group: its head may serve although its entry does not
+  /// show it yet.
+  bool isAdopted = false;
   /// When the current stage began; for `serving`, when the preceding stage began.
   time_point stageStartedAt;
   /// When the latest order to open was sent.
--- a/src/assembly/tests/groupcontrollertests.cpp
+++ b/src/assembly/tests/groupcontrollertests.cpp
@@ -134,6 +134,54 @@
   CHECK(CountOrders(order_kind::leave) > 0);
 }
 
+// Guards against a member that drains as planned and stops listening, and whose group is cut off
+// before its head has finished.
+TEST(group_controller, DrainingMemberThatStopsListeningIsNotLost)
+{
+  Start(2, 10);
+  engine_simulator::engine* member = fixture.FindMember(false);
+  fixture.holdOrders = true;
+  member->entry.draining = true;
+  fixture.RunFor(100_ms);
+  member->alive = false;
+  fixture.sentOrders.clear();
+  fixture.RunFor(2_s);
+  UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::leave));
+  CHECK(CountOrders(order_kind::close) > 0);
+}
+
+// Guards against a group that is cut off although it is at work, since this process alone does not
+// hear one of its members.
+TEST(group_controller, GroupAtWorkIsNotReleasedForSilence)
+{
+  Start(2, 10);
+  engine_simulator::engine* member = fixture.FindMember(false);
+  const instance_id head = member->members.front();
+  member->reachable = false;
+  fixture.sentOrders.clear();
+  for (int i = 0; i < 12; ++i) {
+    fixture.controller.RecordActivity(head, fixture.now);
+    fixture.RunFor(500_ms);
+  }
+  UNSIGNED_LONGS_EQUAL(0, fixture.sentOrders.size());
+  fixture.RunFor(5_s);
+  CHECK(CountOrders(order_kind::leave) > 0);
+}
+
+// Guards against a working group that a new leader cuts off since the entry of a member has lapsed.
+TEST(group_controller, AdoptedGroupWithALapsedEntryFinishesItsRequests)
+{
+  Start(2, 10);
+  const engine_simulator::engine lapsed = *fixture.FindMember(false);
+  fixture.simulator.engines.erase(lapsed.entry.id);
+  fixture.sentOrders.clear();
+  fixture.holdOrders = true;
+  fixture.controller.StartLeading({ 2 }, fixture.now);
+  fixture.RunFor(3_s);
+  UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::leave));
+  CHECK(CountOrders(order_kind::close) > 0);
+}
+
 TEST(group_controller, SurvivorsOfUnreachableHeadLeaveBeforeJoining)
 {
   Start(1, 10);
--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -298,7 +298,8 @@
   Exclude(aUpstream);
   mSendCount -= std::min<std::uint32_t>(mSendCount, 1);
   ReleaseUpstream(aUpstream);
-  if (++mUnreachableCount >= kMaxUnreachable && mInFlight.empty()) {
+  const bool isHopeless = ++mUnreachableCount >= kMaxUnreachable;
+  if (isHopeless && mInFlight.empty() && !mResponseStarted) {
     return GiveUp(failure_cause::no_upstream);
   }
   return AwaitOrSelect(aNow);
--- a/src/dispatch/internal/upstreamselector.cpp
+++ b/src/dispatch/internal/upstreamselector.cpp
@@ -49,7 +49,7 @@
     }
   }
   std::erase_if(mBrokenGroups, [this](const auto& aMark) {
-    return FindGroup(aMark.first, aMark.second) == nullptr;
+    return FindGroup(aMark.first.first, aMark.first.second) == nullptr;
   });
   mStats.Prune();
 }
@@ -308,9 +308,14 @@
 }
 
 void
-upstream_selector::MarkBroken(const group_id& aGroup, generation aEpoch)
+upstream_selector::MarkBroken(const group_id& aGroup,
+                              generation aEpoch,
+                              fleet::fault_evidence aEvidence)
 {
-  mBrokenGroups.emplace(aGroup, aEpoch);
+  const auto [mark, added] = mBrokenGroups.try_emplace({ aGroup, aEpoch }, aEvidence);
+  if (!added && aEvidence == fleet::fault_evidence::proof) {
+    mark->second = aEvidence;
+  }
 }
 
 void
@@ -319,10 +324,11 @@
   mBrokenGroups.erase({ aGroup, aEpoch });
 }
 
-bool
-upstream_selector::IsBroken(const group_id& aGroup, generation aEpoch) const
+std::optional<fleet::fault_evidence>
+upstream_selector::BrokenEvidence(const group_id& aGroup, generation aEpoch) const
 {
-  return mBrokenGroups.count({ aGroup, aEpoch }) != 0;
+  const auto found = mBrokenGroups.find({ aGroup, aEpoch });
+  return found == mBrokenGroups.end() ? std::nullopt : std::optional(found->second);
 }
 
 } // namespace persimmon::dispatch
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -182,7 +182,7 @@
   call.OnResponseStarted();
   call.OnEventForwarded(1);
   for (const char* group : { "g0", "g1", "g2" }) {
-    fixture.selector.MarkBroken({ group }, { 1 });
+    fixture.selector.MarkBroken({ group }, { 1 }, fleet::fault_evidence::silence);
   }
   CHECK(
     std::holds_alternative<wait_action>(call.OnUpstreamLost(As<send_action>(first).upstream, now)));
@@ -228,8 +228,7 @@
   CHECK(hedge.has_value());
   CHECK(hedge->upstream != As<send_action>(first).upstream);
   const call_action step = call.OnUpstreamLost(hedge->upstream, now);
-  CHECK_FALSE(std::holds_alternative<fail_action>(step));
-  CHECK_FALSE(std::holds_alternative<send_action>(step));
+  CHECK(std::holds_alternative<await_action>(step));
   // The end of the other attempt then is the end of the call.
   const call_action last = call.OnUpstreamLost(As<send_action>(first).upstream, now);
   CHECK(As<fail_action>(last).cause == failure_cause::upstream_lost);
@@ -271,6 +270,24 @@
   CHECK(std::holds_alternative<fail_action>(call.OnDeadline()));
 }
 
+// Guards against a started stream that is cut after three upstreams in a row accept no connection.
+TEST(call_state_machine, StartedStreamOutlastsUpstreamsThatAcceptNoConnection)
+{
+  call_attributes attributes = Stream();
+  attributes.maxAttempts = 4;
+  call_state_machine call(attributes, fixture.selector, budget, 1);
+  const instance_id lost = As<send_action>(call.OnArrival(now)).upstream;
+  call.OnResponseStarted();
+  call.OnEventForwarded(3);
+  call_action step = call.OnUpstreamLost(lost, now);
+  for (int i = 0; i < 2; ++i) {
+    step = call.OnNotSent(As<send_action>(step).upstream, now);
+  }
+  // All groups have been tried; the stream waits for another one.
+  CHECK(std::holds_alternative<wait_action>(step));
+  CHECK(std::holds_alternative<abort_action>(call.OnWaitOver(attributes.deadline)));
+}
+
 // Guards against more runs at a time than a call needs, and against a second run of a call that may
 // run only once.
 TEST(call_state_machine, ConcurrentAttemptsAreLimited)
--- a/src/dispatch/tests/upstreamselectortests.cpp
+++ b/src/dispatch/tests/upstreamselectortests.cpp
@@ -25,6 +25,19 @@
 };
 // clang-format on
 
+// Guards against a group that is proved to be broken and counts as silent again after later news.
+TEST(upstream_selector, ProofThatAGroupIsBrokenIsKept)
+{
+  using fleet::fault_evidence;
+  fixture.selector.MarkBroken({ "g0" }, { 1 }, fault_evidence::silence);
+  CHECK(fixture.selector.BrokenEvidence({ "g0" }, { 1 }) == fault_evidence::silence);
+  fixture.selector.MarkBroken({ "g0" }, { 1 }, fault_evidence::proof);
+  fixture.selector.MarkBroken({ "g0" }, { 1 }, fault_evidence::silence);
+  CHECK(fixture.selector.BrokenEvidence({ "g0" }, { 1 }) == fault_evidence::proof);
+  fixture.selector.ClearBroken({ "g0" }, { 1 });
+  CHECK_FALSE(fixture.selector.BrokenEvidence({ "g0" }, { 1 }).has_value());
+}
+
 TEST(upstream_selector, EqualGroupsShareTheCalls)
 {
   UNSIGNED_LONGS_EQUAL(3, Selected(fixture.PairRequest()).size());
@@ -46,7 +59,7 @@
 
 TEST(upstream_selector, BrokenGroupIsNotSelectedUntilCleared)
 {
-  fixture.selector.MarkBroken({ "g0" }, { 1 });
+  fixture.selector.MarkBroken({ "g0" }, { 1 }, fleet::fault_evidence::silence);
   UNSIGNED_LONGS_EQUAL(2, Selected(fixture.PairRequest()).size());
   fixture.selector.ClearBroken({ "g0" }, { 1 });
   UNSIGNED_LONGS_EQUAL(3, Selected(fixture.PairRequest()).size());
@@ -54,7 +67,7 @@
 
 TEST(upstream_selector, BrokenMarkIsDroppedWithItsGroup)
 {
-  fixture.selector.MarkBroken({ "g0" }, { 1 });
+  fixture.selector.MarkBroken({ "g0" }, { 1 }, fleet::fault_evidence::silence);
   fixture.selector.Fleet().Remove({ "head-0" });
   fixture.selector.Fleet().Remove({ "tail-0" });
   fixture.selector.OnFleetChanged();
--- a/src/dispatch/upstreamselector.h
+++ b/src/dispatch/upstreamselector.h
@@ -5,6 +5,7 @@
 #include "dispatch/upstreamconditions.h"
 #include "dispatch/upstreamshortage.h"
 #include "dispatch/upstreamstatstable.h"
+#include "fleet/faultevidence.h"
 #include "fleet/fleetview.h"
 #include "routes/routetable.h"
 
@@ -12,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -97,11 +97,17 @@
   /// Records that a call was sent to an upstream, which takes a permit if it states a limit.
   void OnCallStarted(const instance_id& aUpstream, std::uint64_t aPromptTokens, time_point aNow);
   /// Excludes a group from selection until ClearBroken(); another epoch of the group is not
-  /// affected.
-  void MarkBroken(const group_id& aGroup, generation aEpoch);
+  /// affected. A group that is proved to be broken stays so.
+  void MarkBroken(const group_id& aGroup, generation aEpoch, fleet::fault_evidence aEvidence);
   /// Ends the exclusion after all members of the group have proved healthy.
   void ClearBroken(const group_id& aGroup, generation aEpoch);
-  [[nodiscard]] bool IsBroken(const group_id& aGroup, generation aEpoch) const;
+  [[nodiscard]] bool IsBroken(const group_id& aGroup, generation aEpoch) const
+  {
+    return BrokenEvidence(aGroup, aEpoch).has_value();
+  }
+  /// Returns how certain it is that a group is broken; nothing when it is not marked as broken.
+  [[nodiscard]] std::optional<fleet::fault_evidence> BrokenEvidence(const group_id& aGroup,
+                                                                    generation aEpoch) const;
 
 private:
   [[nodiscard]] bool IsAvailable(const fleet::engine_group& aGroup, time_point aNow) const;
@@ -137,7 +143,7 @@
   std::unordered_map<instance_id, std::size_t> mGroupByHead;
   upstream_stats_table mStats{ mFleet };
   upstream_conditions mConditions;
-  std::set<std::pair<group_id, generation>> mBrokenGroups;
+  std::map<std::pair<group_id, generation>, fleet::fault_evidence> mBrokenGroups;
   std::size_t mRouterCount = 1;
   std::map<std::pair<service_name, routes::model_name>, call_rate> mCallRates;
 };
--- a/src/gateway/faultevidence.h
+++ b/src/fleet/faultevidence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace persimmon::gateway {
+namespace persimmon::fleet {
 
 /// How certain it is that a group does not work.
 enum class fault_evidence
@@ -20,4 +20,4 @@
   return aEvidence == fault_evidence::proof ? "proof" : "silence";
 }
 
-} // namespace persimmon::gateway
+} // namespace persimmon::fleet
--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -45,6 +45,8 @@
 private:
   using controller_ptr = std::shared_ptr<assembly::group_controller>;
 
+  /// Tells a controller when the groups that it manages last sent data to this process.
+  void RecordActivity(assembly::group_controller& aController) const;
   void Execute(const controller_ptr& aController, const assembly::send_order& aAction);
   void Execute(const controller_ptr& aController, const assembly::probe_instance& aAction);
   void Execute(const controller_ptr& aController, const assembly::record_decision& aAction);
@@ -119,6 +121,7 @@
       continue;
     }
     controller->SetDemand(mContext.demandMeter.DemandByModel(now));
+    RecordActivity(*controller);
     for (const assembly::assembly_action& action :
          controller->Reconcile(mContext.upstreams.Fleet(), now)) {
       std::visit([&](const auto& aAction) { Execute(controller, aAction); }, action);
@@ -126,6 +129,18 @@
   }
 }
 
+template<gateway_dialect Dialect>
+void
+assembly_runner<Dialect>::RecordActivity(assembly::group_controller& aController) const
+{
+  for (const assembly::managed_group& group : aController.Groups()) {
+    const auto* stats = mContext.upstreams.Stats().Find(group.Head().instance);
+    if (stats != nullptr) {
+      aController.RecordActivity(group.Head().instance, stats->lastByteAt);
+    }
+  }
+}
+
 template<gateway_dialect Dialect>
 void
 assembly_runner<Dialect>::Execute(const controller_ptr& aController,
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -14,6 +14,13 @@
 
 namespace persimmon::gateway {
 
+/// The group to which a call was sent.
+struct sent_group
+{
+  group_id id;
+  generation epoch;
+};
+
 /// One call to one upstream on behalf of an exchange.
 struct attempt
 {
@@ -22,6 +29,8 @@
   instance_id upstream;
   /// Incarnation of the upstream to which the call was sent.
   incarnation incarnationId;
+  /// The group that its upstream headed when the call was sent; nothing at a plain service.
+  std::optional<sent_group> group;
   upstream::call_id call;
   monitored_attempt monitored;
   /// True when the upstream's group was found silent and nothing has arrived since.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,7 +53,6 @@
   void Begin();
   void CheckProgress() override;
   void OnUpstreamsChanged() override;
-  void OnGroupBroken(const instance_id& aHead, fault_evidence aEvidence) override;
   void OnShutdown() override;
 
 private:
@@ -82,6 +81,12 @@
   void OnCallerHasRead();
   void ForwardEvents(attempt& aAttempt, std::string_view aData);
   void OnStreamEnded(attempt& aAttempt);
+  /// Returns how certain it is that an attempt's group does not continue it; nothing when nothing
+  /// speaks against the group.
+  [[nodiscard]] std::optional<fleet::fault_evidence> EvidenceAgainst(const attempt& aAttempt) const;
+  /// Returns the first attempt that receives nothing from a group that is proved to be broken;
+  /// nullptr when there is none. Marks those whose groups are only silent as stalled.
+  attempt* FindAttemptAtBrokenGroup();
   /// Sends a call whose upstream is silent to a second one as well, if the call may run again. The
   /// first attempt stays open: whichever is answered first ends the other.
   void SendBesideStalledAttempt();
--- a/src/gateway/exchangeregistry.h
+++ b/src/gateway/exchangeregistry.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/ids.h"
-#include "gateway/faultevidence.h"
 
 #include <functional>
 #include <memory>
@@ -15,12 +14,11 @@
 {
 public:
   virtual ~active_exchange() = default;
-  /// Detects silent upstreams and sends a hedged attempt when one is due; called frequently.
+  /// Detects silent upstreams, leaves those whose groups are broken, and sends a concurrent attempt
+  /// when one is due; called frequently, and when a group is found to be broken.
   virtual void CheckProgress() = 0;
   /// The set of upstreams has changed; a waiting call chooses again.
   virtual void OnUpstreamsChanged() = 0;
-  /// The group with this head is silent, or proved to be broken.
-  virtual void OnGroupBroken(const instance_id& aHead, fault_evidence aEvidence) = 0;
   /// The process is about to exit; the exchange ends with a final response.
   virtual void OnShutdown() = 0;
 };
--- a/src/gateway/groupprober.h
+++ b/src/gateway/groupprober.h
@@ -37,6 +37,8 @@
   /// Probes the group of a head at which a call makes no progress. Does nothing when the group is
   /// already marked as broken or its head has sent data recently.
   void ProbeGroupOf(const instance_id& aHead);
+  /// Probes a group that another gateway has found to be broken: its news tells no evidence.
+  void ProbeReportedGroup(const fleet::engine_group& aGroup) { StartRound(aGroup); }
   /// Probes the groups that are marked as broken again; call about once a second.
   void RecheckBrokenGroups();
 
@@ -65,8 +67,6 @@
   std::map<group_id, time_point> mLastProbeAt;
   /// Groups with a probe in progress.
   std::set<group_id> mProbing;
-  /// Groups and epochs of which a member is proved to be lost.
-  std::set<std::pair<group_id, generation>> mProved;
 };
 
 /// Minimum time between two probes of one group.
@@ -129,7 +129,7 @@
     // Not at once: the end of the round may end the attempt whose failure has started it.
     mContext.loop.Post([this, aRound, aMember] {
       RecordMember(aRound,
-                   member_fault{ fault_evidence::silence,
+                   member_fault{ fleet::fault_evidence::silence,
                                  "instance " + aMember.value + " is not registered" });
     });
     return;
@@ -145,7 +145,12 @@
         ProbeMember(aRound, aMember, true);
         return;
       }
-      RecordMember(aRound, FindMemberFault(aRound->group, aMember, incarnationId, aResult));
+      // An instance that leaves as planned stops listening before its group has finished.
+      const fleet::instance* present = mContext.upstreams.Fleet().Find(aMember);
+      const bool isLeaving = present == nullptr || present->draining;
+      const fleet::report_result result =
+        isLeaving && !aResult.report ? fleet::report_result{} : aResult;
+      RecordMember(aRound, FindMemberFault(aRound->group, aMember, incarnationId, result));
     });
 }
 
@@ -154,7 +159,7 @@
 group_prober<Dialect>::RecordMember(const std::shared_ptr<probe_round>& aRound,
                                     const std::optional<member_fault>& aFault)
 {
-  const bool hasProof = aRound->fault && aRound->fault->evidence == fault_evidence::proof;
+  const bool hasProof = aRound->fault && aRound->fault->evidence == fleet::fault_evidence::proof;
   if (aFault && !hasProof) {
     aRound->fault = aFault;
   }
@@ -168,34 +173,26 @@
 group_prober<Dialect>::FinishRound(const probe_round& aRound)
 {
   mProbing.erase(aRound.group.id);
-  const std::pair<group_id, generation> group{ aRound.group.id, aRound.group.epoch };
-  const bool broken = mContext.upstreams.IsBroken(group.first, group.second);
+  const auto known = mContext.upstreams.BrokenEvidence(aRound.group.id, aRound.group.epoch);
   if (!aRound.fault) {
-    if (broken && onRecovered) {
+    if (known && onRecovered) {
       onRecovered(aRound.group);
     }
     return;
   }
   const dispatch::upstream_stats* stats = mContext.upstreams.Stats().Find(aRound.group.Head());
   const bool headResponded = stats != nullptr && stats->lastByteAt > aRound.startedAt;
-  const bool proved = aRound.fault->evidence == fault_evidence::proof;
-  const bool isNews = !broken || (proved && mProved.count(group) == 0);
-  if (!isNews || headResponded || !onBroken) {
-    return;
-  }
-  if (proved) {
-    mProved.insert(group);
+  const bool isNews = !known || (*known == fleet::fault_evidence::silence &&
+                                 aRound.fault->evidence == fleet::fault_evidence::proof);
+  if (isNews && !headResponded && onBroken) {
+    onBroken(aRound.group, *aRound.fault);
   }
-  onBroken(aRound.group, *aRound.fault);
 }
 
 template<gateway_dialect Dialect>
 void
 group_prober<Dialect>::RecheckBrokenGroups()
 {
-  std::erase_if(mProved, [this](const auto& aGroup) {
-    return mContext.upstreams.FindGroup(aGroup.first, aGroup.second) == nullptr;
-  });
   for (const routes::service_profile& service :
        mContext.upstreams.Routes() ? mContext.upstreams.Routes()->Configuration().services
                                    : std::vector<routes::service_profile>{}) {
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -155,6 +155,9 @@
   added->lastReceivedAt = aNow;
   added->pendingPromptTokens = Attributes().promptTokens;
   added->framer.StartAfter(aTarget.resumeAfter);
+  if (const fleet::engine_group* group = mContext.upstreams.FindGroupByHead(aTarget.instance)) {
+    added->group = sent_group{ group->id, group->epoch };
+  }
   added->monitored = mContext.crashes.Started(mFingerprint, added->upstream);
   mContext.upstreams.OnCallStarted(added->upstream, added->pendingPromptTokens, aNow);
   mAttempts.push_back(std::move(added));
@@ -269,7 +272,9 @@
   while (!mAttempts.empty()) {
     attempt& cancelled = *mAttempts.back();
     const duration waited = mContext.Now() - cancelled.startedAt;
-    if (!cancelled.responseInfo && waited > exchange_limits::kMaxUnansweredWait) {
+    if (cancelled.isStalled) {
+      ReportLoss(cancelled, ScopeOfStandstill(cancelled));
+    } else if (!cancelled.responseInfo && waited > exchange_limits::kMaxUnansweredWait) {
       ReportLoss(cancelled, loss_scope::silent_head);
     }
     EndAttempt(cancelled, "cancelled");
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -57,11 +57,9 @@
 loss_scope
 exchange<Dialect>::ScopeOfStandstill(const attempt& aAttempt) const
 {
-  if (aAttempt.hasReceivedEvent) {
-    return loss_scope::head;
-  }
   const dispatch::upstream_stats* stats = mContext.upstreams.Stats().Find(aAttempt.upstream);
-  const bool workedAfterwards = stats != nullptr && stats->lastByteAt > aAttempt.startedAt;
+  const bool workedAfterwards =
+    aAttempt.hasReceivedEvent || (stats != nullptr && stats->lastByteAt > aAttempt.startedAt);
   return workedAfterwards ? loss_scope::group : loss_scope::stalled_group;
 }
 
@@ -111,7 +109,14 @@
       mContext.onUpstreamStalled(current->upstream);
     }
   }
-  SendBesideStalledAttempt();
+  if (Attributes().retryable) {
+    if (attempt* lost = FindAttemptAtBrokenGroup()) {
+      ReportLoss(*lost, ScopeOfStandstill(*lost));
+      OnAttemptLost(*lost, "group_lost", false);
+      return;
+    }
+    SendBesideStalledAttempt();
+  }
   const duration elapsed = now - Attributes().arrivedAt;
   const duration hedgeDelay = Attributes().latencyTarget * exchange_limits::kHedgeDelayTargets;
   if (Attributes().kind == routes::call_kind::idempotent && mAttempts.size() == 1 &&
@@ -135,30 +140,46 @@
 }
 
 template<gateway_dialect Dialect>
-void
-exchange<Dialect>::OnGroupBroken(const instance_id& aHead, fault_evidence aEvidence)
+std::optional<fleet::fault_evidence>
+exchange<Dialect>::EvidenceAgainst(const attempt& aAttempt) const
+{
+  if (!aAttempt.group) {
+    return std::nullopt;
+  }
+  const fleet::instance* head = mContext.upstreams.Fleet().Find(aAttempt.upstream);
+  const bool hasMovedOn =
+    head != nullptr && (head->incarnationId > aAttempt.incarnationId ||
+                        (head->membership && head->membership->epoch > aAttempt.group->epoch));
+  if (hasMovedOn) {
+    return fleet::fault_evidence::proof;
+  }
+  return mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch);
+}
+
+template<gateway_dialect Dialect>
+attempt*
+exchange<Dialect>::FindAttemptAtBrokenGroup()
 {
   const time_point now = mContext.Now();
   for (const attempt_ptr& current : mAttempts) {
     const duration silence = now - current->lastReceivedAt;
-    const bool isSilent =
-      mPausedCall != current->call && silence > exchange_limits::kAttemptActivityWindow;
-    if (current->upstream != aHead || !isSilent || !Attributes().retryable) {
+    if (mPausedCall == current->call || silence <= exchange_limits::kAttemptActivityWindow) {
       continue;
     }
-    if (aEvidence == fault_evidence::proof) {
-      ReportLoss(*current, ScopeOfStandstill(*current));
-      OnAttemptLost(*current, "group_lost", false);
-      return;
+    const auto evidence = EvidenceAgainst(*current);
+    if (evidence == fleet::fault_evidence::proof) {
+      return current.get();
     }
-    current->isStalled = true;
-    WriteLog(kAttemptStalled,
-             { { "request", Attributes().id.value },
-               { "upstream", aHead.value },
-               { "silent_ms", std::to_string(silence.ms) },
-               { "attempts", std::to_string(mAttempts.size()) } });
+    if (evidence && !current->isStalled) {
+      WriteLog(kAttemptStalled,
+               { { "request", Attributes().id.value },
+                 { "upstream", current->upstream.value },
+                 { "silent_ms", std::to_string(silence.ms) },
+                 { "attempts", std::to_string(mAttempts.size()) } });
+    }
+    current->isStalled = evidence.has_value();
   }
-  SendBesideStalledAttempt();
+  return nullptr;
 }
 
 template<gateway_dialect Dialect>
@@ -168,8 +189,7 @@
   if (mEnded || mAttempts.size() != 1 || !mAttempts.front()->isStalled) {
     return;
   }
-  if (QuarantineLeft()) {
-    mAttempts.front()->isStalled = false;
+  if (mContext.crashes.Check(mFingerprint).verdict == poison::poison_verdict::quarantined) {
     return;
   }
   if (const auto second = mStateMachine.TryConcurrentAttempt(mContext.Now())) {
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -194,6 +194,11 @@
     OnAttemptLost(aAttempt, "ended_within_event", true);
     return;
   }
+  if (!aAttempt.hasReceivedEvent && mAttempts.size() > 1) {
+    // The other attempt may have more of the stream.
+    OnAttemptLost(aAttempt, "ended_without_event", false);
+    return;
+  }
   mContext.upstreams.Stats().RecordOutcome(aAttempt.upstream, true, mContext.Now());
   mContext.metrics.Observe(kEventGap, static_cast<double>(aAttempt.longestEventGap.ms) / 1000);
   mResponder->FinishStream();
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -131,7 +131,9 @@
   const bool recentlyReceived = stats != nullptr && now - stats->lastByteAt < kHeadActivityWindow;
   if (!recentlyReceived && !mUpstreams.IsBroken(group->id, group->epoch)) {
     const std::string cause = "reported by gateway " + aPresence.observer.value;
-    OnGroupBroken(*group, { fault_evidence::silence, cause }, false);
+    const fleet::engine_group reported = *group;
+    OnGroupBroken(reported, { fleet::fault_evidence::silence, cause }, false);
+    mProber.ProbeReportedGroup(reported);
   }
 }
 
@@ -142,19 +144,19 @@
                                         bool aPublish)
 {
   const fleet::engine_group group = aGroup;
-  mUpstreams.MarkBroken(group.id, group.epoch);
+  mUpstreams.MarkBroken(group.id, group.epoch, aFault.evidence);
   WriteLog(kGroupBroken,
            { { "group", group.id.value },
              { "epoch", std::to_string(group.epoch.value) },
              { "head", group.Head().value },
-             { "evidence", FaultEvidenceName(aFault.evidence) },
+             { "evidence", fleet::FaultEvidenceName(aFault.evidence) },
              { "cause", aFault.cause } });
   if (aPublish) {
     mMesh.Publish(peers::presence_message{ group.id, group.epoch, mSettings.id, {}, false, 0, 0 });
     mAssembly.SuspectGroup(group.id, group.epoch);
   }
   for (const auto& exchange : mExchanges.Snapshot()) {
-    exchange->OnGroupBroken(group.Head(), aFault.evidence);
+    exchange->CheckProgress();
   }
 }
 
--- a/src/gateway/internal/memberfault.cpp
+++ b/src/gateway/internal/memberfault.cpp
@@ -9,15 +9,15 @@
 {
   switch (aFailure) {
     case fleet::report_failure::refused:
-      return { fault_evidence::proof, "instance " + aMember.value + " refuses connections" };
+      return { fleet::fault_evidence::proof, "instance " + aMember.value + " refuses connections" };
     case fleet::report_failure::misdirected:
-      return { fault_evidence::proof,
+      return { fleet::fault_evidence::proof,
                "another instance answers at the address of " + aMember.value };
     case fleet::report_failure::no_answer:
     case fleet::report_failure::invalid:
       break;
   }
-  return { fault_evidence::silence, "no report from instance " + aMember.value };
+  return { fleet::fault_evidence::silence, "no report from instance " + aMember.value };
 }
 
 } // namespace
@@ -33,14 +33,15 @@
   }
   const fleet::engine_report& report = *aResult.report;
   if (report.incarnationId > aIncarnation) {
-    return member_fault{ fault_evidence::proof, "instance " + aMember.value + " restarted" };
+    return member_fault{ fleet::fault_evidence::proof, "instance " + aMember.value + " restarted" };
   }
   const auto& membership = report.membership;
   if (!membership || membership->group != aGroup.id || membership->epoch != aGroup.epoch) {
-    return member_fault{ fault_evidence::proof, "instance " + aMember.value + " left the group" };
+    return member_fault{ fleet::fault_evidence::proof,
+                         "instance " + aMember.value + " left the group" };
   }
   if (membership->phase == fleet::member_phase::broken) {
-    return member_fault{ fault_evidence::proof,
+    return member_fault{ fleet::fault_evidence::proof,
                          "instance " + aMember.value + " reports the group broken" };
   }
   return std::nullopt;
--- a/src/gateway/memberfault.h
+++ b/src/gateway/memberfault.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet/enginegroup.h"
+#include "fleet/faultevidence.h"
 #include "fleet/reportresult.h"
-#include "gateway/faultevidence.h"
 
 #include <optional>
 #include <string>
@@ -12,7 +12,7 @@
 /// Why a group may not work because of one of its members.
 struct member_fault
 {
-  fault_evidence evidence = fault_evidence::silence;
+  fleet::fault_evidence evidence = fleet::fault_evidence::silence;
   /// Description for logs.
   std::string cause;
 };
--- a/src/gateway/tests/memberfaulttests.cpp
+++ b/src/gateway/tests/memberfaulttests.cpp
@@ -28,7 +28,7 @@
   bool HasProvedFault()
   {
     const auto fault = Find({ report, {} });
-    return fault && fault->evidence == fault_evidence::proof;
+    return fault && fault->evidence == fleet::fault_evidence::proof;
   }
 };
 // clang-format on
@@ -62,9 +62,9 @@
 {
   using fleet::report_failure;
   for (const auto failure : { report_failure::no_answer, report_failure::invalid }) {
-    CHECK(Find({ std::nullopt, failure })->evidence == fault_evidence::silence);
+    CHECK(Find({ std::nullopt, failure })->evidence == fleet::fault_evidence::silence);
   }
   for (const auto failure : { report_failure::refused, report_failure::misdirected }) {
-    CHECK(Find({ std::nullopt, failure })->evidence == fault_evidence::proof);
+    CHECK(Find({ std::nullopt, failure })->evidence == fleet::fault_evidence::proof);
   }
 }
