--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "fleet/enginereport.h"
+#include "fleet/reportresult.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,12 @@
   time_point lastReportAt{ INT64_MIN / 2 };
   /// Consecutive probes without an answer.
   std::uint32_t missedReports = 0;
+  /// Time of the first of them; meaningless when there are none.
+  time_point silentSince{ INT64_MIN / 2 };
+  /// Number of the latest of them in a row that prove that the instance has ended.
+  std::uint32_t provedLosses = 0;
+  /// Latest time at which the group that it heads was at work, as far as its callers have told.
+  time_point lastActivityAt{ INT64_MIN / 2 };
   /// True while a probe is in flight.
   bool probePending = false;
   time_point nextProbeAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -77,8 +77,8 @@
     return true;
   }
   const instance_state& state = found->second;
-  return state.missedReports >=
-         (state.stallSuspected ? mOptions.missesUntilLostIfSuspected : mOptions.missesUntilLost);
+  return state.missedReports >= (state.stallSuspected ? mOptions.missesUntilUnresponsiveIfSuspected
+                                                      : mOptions.missesUntilUnresponsive);
 }
 
 std::vector<assembly_action>
@@ -156,7 +156,7 @@
 
 void
 group_controller::HandleReport(const instance_id& aInstance,
-                               const std::optional<fleet::engine_report>& aReport,
+                               const fleet::report_result& aResult,
                                time_point aNow)
 {
   const auto found = mInstanceStates.find(aInstance);
@@ -165,24 +165,37 @@
   }
   instance_state& state = found->second;
   state.probePending = false;
-  if (!aReport) {
+  const auto& report = aResult.report;
+  if (!report) {
+    state.silentSince = state.missedReports == 0 ? aNow : state.silentSince;
     ++state.missedReports;
+    state.provedLosses = fleet::ProvesLoss(aResult.failure) ? state.provedLosses + 1 : 0;
     state.nextProbeAt = aNow + mOptions.probeRetryDelay;
     return;
   }
-  if (aReport->incarnationId > state.incarnationId) {
+  if (report->incarnationId > state.incarnationId) {
     const endpoint address = state.address;
     state = {};
-    state.incarnationId = aReport->incarnationId;
+    state.incarnationId = report->incarnationId;
     state.address = address;
   }
-  state.report = aReport;
+  state.report = report;
   state.lastReportAt = aNow;
   state.missedReports = 0;
+  state.provedLosses = 0;
   state.stallSuspected = false;
   state.nextProbeAt = aNow + ProbeInterval(aInstance);
-  if (aReport->membership) {
-    mHighestEpoch = std::max(mHighestEpoch, aReport->membership->epoch.value);
+  if (report->membership) {
+    mHighestEpoch = std::max(mHighestEpoch, report->membership->epoch.value);
+  }
+}
+
+void
+group_controller::RecordActivity(const instance_id& aHead, time_point aAt)
+{
+  const auto found = mInstanceStates.find(aHead);
+  if (found != mInstanceStates.end()) {
+    found->second.lastActivityAt = std::max(found->second.lastActivityAt, aAt);
   }
 }
 
@@ -283,8 +296,13 @@
       adoptedGroup.currentStage = managed_group::stage::releasing;
       break;
   }
+  adoptedGroup.isAdopted = true;
   if (!aGroup.complete) {
-    adoptedGroup.currentStage = managed_group::stage::releasing;
+    // An entry that has lapsed proves no loss. A head that serves finishes what it runs, or reports
+    // the group broken.
+    adoptedGroup.currentStage = aGroup.headPhase == fleet::member_phase::open && reportsCurrent
+                                  ? managed_group::stage::closing
+                                  : managed_group::stage::releasing;
   }
   RecordDecision(record_decision::decision_kind::adopted,
                  adoptedGroup,
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -1,6 +1,7 @@
 #include "assembly/groupcontroller.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace persimmon::assembly {
 namespace {
@@ -73,10 +74,50 @@
   return membership && membership->group == aGroup && membership->epoch == aEpoch;
 }
 
+duration
+group_controller::Silence(const managed_group& aGroup,
+                          const instance_state& aState,
+                          time_point aNow) const
+{
+  if (aState.missedReports < mOptions.missesUntilUnresponsive) {
+    return {};
+  }
+  const auto head = mInstanceStates.find(aGroup.Head().instance);
+  const time_point activeAt =
+    head == mInstanceStates.end() ? aState.silentSince : head->second.lastActivityAt;
+  return aNow - std::max(aState.silentSince, activeAt);
+}
+
+std::string
+group_controller::SilenceCause(const managed_group& aGroup,
+                               const instance_id& aMember,
+                               const fleet::fleet_view& aFleet,
+                               time_point aNow) const
+{
+  const instance_state& state = mInstanceStates.at(aMember);
+  // An instance that leaves as planned stops listening before its group has finished.
+  const fleet::instance* entry = aFleet.Find(aMember);
+  const bool isLeaving = entry == nullptr || entry->draining;
+  if (!isLeaving && state.provedLosses >= mOptions.provedLossesUntilLost) {
+    return "instance " + aMember.value + " no longer runs at its address";
+  }
+  const bool runsNothing =
+    aGroup.currentStage == managed_group::stage::forming && !aGroup.isAdopted;
+  if (runsNothing && IsUnresponsive(aMember)) {
+    return "instance " + aMember.value + " does not answer";
+  }
+  const duration silence = Silence(aGroup, state, aNow);
+  if (silence >= mOptions.silenceUntilLost) {
+    return fmt::format("instance {} has not answered for {} ms", aMember.value, silence.ms);
+  }
+  return {};
+}
+
 std::string
 group_controller::LossCause(const managed_group& aGroup,
                             const managed_member& aMember,
-                            const fleet::fleet_view& aFleet) const
+                            const fleet::fleet_view& aFleet,
+                            time_point aNow) const
 {
   const auto found = mInstanceStates.find(aMember.instance);
   if (found == mInstanceStates.end()) {
@@ -86,8 +127,9 @@
   if (state.incarnationId > aMember.incarnationId) {
     return "instance " + aMember.instance.value + " restarted";
   }
-  if (IsUnresponsive(aMember.instance)) {
-    return "instance " + aMember.instance.value + " does not answer";
+  std::string silenceCause = SilenceCause(aGroup, aMember.instance, aFleet, aNow);
+  if (!silenceCause.empty()) {
+    return silenceCause;
   }
   const bool joinSettled = aMember.joinAccepted && aMember.joinSentAt &&
                            state.lastReportAt > *aMember.joinSentAt + kOrderSettleTime;
@@ -108,7 +150,7 @@
     return;
   }
   for (const managed_member& member : aGroup.members) {
-    const std::string cause = LossCause(aGroup, member, aFleet);
+    const std::string cause = LossCause(aGroup, member, aFleet, aNow);
     if (cause.empty()) {
       continue;
     }
--- a/src/assembly/tests/groupcontrollertests.cpp
+++ b/src/assembly/tests/groupcontrollertests.cpp
@@ -92,6 +92,96 @@
   UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::leave));
 }
 
+// Guards against sound instances that are silent for up to three seconds and then go on: releasing
+// their group for that cuts off whatever it runs, at every router.
+TEST(group_controller, SilenceOfASoundInstanceReleasesNoGroup)
+{
+  Start(2, 10);
+  fixture.sentOrders.clear();
+  for (const duration silence : { 600_ms, 1000_ms, 1600_ms, 3000_ms }) {
+    for (const bool isHead : { true, false }) {
+      engine_simulator::engine* silent = fixture.FindMember(isHead);
+      const fleet::group_membership group = *silent->entry.membership;
+      silent->reachable = false;
+      fixture.RunFor(300_ms);
+      fixture.controller.SuspectGroup(group.group, group.epoch, fixture.now);
+      fixture.RunFor(silence - 300_ms);
+      silent->reachable = true;
+      fixture.RunFor(1_s);
+    }
+  }
+  UNSIGNED_LONGS_EQUAL(0, fixture.sentOrders.size());
+}
+
+// Guards against a member that is lost without any proof, and whose group is never replaced.
+TEST(group_controller, SilenceWithoutEndReleasesTheGroup)
+{
+  Start(2, 10);
+  fixture.FindMember(false)->reachable = false;
+  fixture.sentOrders.clear();
+  fixture.RunFor(5_s);
+  CHECK(CountOrders(order_kind::leave) > 0);
+  CHECK(fixture.simulator.violations.empty());
+}
+
+// Guards against a wait for a member that is proved to have ended.
+TEST(group_controller, RefusedConnectionsReleaseTheGroupAtOnce)
+{
+  Start(2, 10);
+  fixture.FindMember(false)->alive = false;
+  fixture.sentOrders.clear();
+  fixture.RunFor(1_s);
+  CHECK(CountOrders(order_kind::leave) > 0);
+}
+
+// Guards against a member that drains as planned and stops listening, and whose group is cut off
+// before its head has finished.
+TEST(group_controller, DrainingMemberThatStopsListeningIsNotLost)
+{
+  Start(2, 10);
+  engine_simulator::engine* member = fixture.FindMember(false);
+  fixture.holdOrders = true;
+  member->entry.draining = true;
+  fixture.RunFor(100_ms);
+  member->alive = false;
+  fixture.sentOrders.clear();
+  fixture.RunFor(2_s);
+  UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::leave));
+  CHECK(CountOrders(order_kind::close) > 0);
+}
+
+// Guards against a group that is cut off although it is at work, since this process alone does not
+// hear one of its members.
+TEST(group_controller, GroupAtWorkIsNotReleasedForSilence)
+{
+  Start(2, 10);
+  engine_simulator::engine* member = fixture.FindMember(false);
+  const instance_id head = member->members.front();
+  member->reachable = false;
+  fixture.sentOrders.clear();
+  for (int i = 0; i < 12; ++i) {
+    fixture.controller.RecordActivity(head, fixture.now);
+    fixture.RunFor(500_ms);
+  }
+  UNSIGNED_LONGS_EQUAL(0, fixture.sentOrders.size());
+  fixture.RunFor(5_s);
+  CHECK(CountOrders(order_kind::leave) > 0);
+}
+
+// Guards against a working group that a new leader cuts off since the entry of a member has lapsed.
+TEST(group_controller, AdoptedGroupWithALapsedEntryFinishesItsRequests)
+{
+  Start(2, 10);
+  const engine_simulator::engine lapsed = *fixture.FindMember(false);
+  fixture.simulator.engines.erase(lapsed.entry.id);
+  fixture.sentOrders.clear();
+  fixture.holdOrders = true;
+  fixture.controller.StartLeading({ 2 }, fixture.now);
+  fixture.RunFor(3_s);
+  UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::leave));
+  CHECK(CountOrders(order_kind::close) > 0);
+}
+
 TEST(group_controller, SurvivorsOfUnreachableHeadLeaveBeforeJoining)
 {
   Start(1, 10);
@@ -114,7 +204,8 @@
   }
   fixture.holdOrders = true;
   fixture.sentOrders.clear();
-  fixture.RunFor(3_s);
+  fixture.RunFor(6_s);
+  CHECK(CountOrders(order_kind::leave) > 0);
   UNSIGNED_LONGS_EQUAL(0, CountOrders(order_kind::join));
 }
 
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -9,7 +9,8 @@
 constexpr duration kMaxEventSilence = 230_ms;
 /// Wait for the first event after which the group is probed.
 constexpr duration kMaxFirstEventWait = 700_ms;
-/// An attempt that received data within this time is not ended when its group is reported broken.
+/// An attempt that received data within this time is not affected when its group is reported
+/// broken.
 constexpr duration kAttemptActivityWindow = 150_ms;
 /// Delay of the hedged attempt of an idempotent call, as a multiple of its latency target.
 constexpr std::int64_t kHedgeDelayTargets = 1;
@@ -56,11 +57,9 @@
 loss_scope
 exchange<Dialect>::ScopeOfStandstill(const attempt& aAttempt) const
 {
-  if (aAttempt.hasReceivedEvent) {
-    return loss_scope::head;
-  }
   const dispatch::upstream_stats* stats = mContext.upstreams.Stats().Find(aAttempt.upstream);
-  const bool workedAfterwards = stats != nullptr && stats->lastByteAt > aAttempt.startedAt;
+  const bool workedAfterwards =
+    aAttempt.hasReceivedEvent || (stats != nullptr && stats->lastByteAt > aAttempt.startedAt);
   return workedAfterwards ? loss_scope::group : loss_scope::stalled_group;
 }
 
@@ -110,11 +109,19 @@
       mContext.onUpstreamStalled(current->upstream);
     }
   }
+  if (Attributes().retryable) {
+    if (attempt* lost = FindAttemptAtBrokenGroup()) {
+      ReportLoss(*lost, ScopeOfStandstill(*lost));
+      OnAttemptLost(*lost, "group_lost", false);
+      return;
+    }
+    SendBesideStalledAttempt();
+  }
   const duration elapsed = now - Attributes().arrivedAt;
   const duration hedgeDelay = Attributes().latencyTarget * exchange_limits::kHedgeDelayTargets;
   if (Attributes().kind == routes::call_kind::idempotent && mAttempts.size() == 1 &&
       elapsed > hedgeDelay && !mAttempts.front()->responseInfo) {
-    const auto hedge = QuarantineLeft() ? std::nullopt : mStateMachine.TryHedge(now);
+    const auto hedge = QuarantineLeft() ? std::nullopt : mStateMachine.TryConcurrentAttempt(now);
     if (hedge) {
       Execute(*hedge);
     }
@@ -133,18 +140,73 @@
 }
 
 template<gateway_dialect Dialect>
-void
-exchange<Dialect>::OnGroupBroken(const instance_id& aHead)
+std::optional<fleet::fault_evidence>
+exchange<Dialect>::EvidenceAgainst(const attempt& aAttempt) const
+{
+  if (!aAttempt.group) {
+    return std::nullopt;
+  }
+  const fleet::instance* head = mContext.upstreams.Fleet().Find(aAttempt.upstream);
+  const bool hasMovedOn =
+    head != nullptr && (head->incarnationId > aAttempt.incarnationId ||
+                        (head->membership && head->membership->epoch > aAttempt.group->epoch));
+  if (hasMovedOn) {
+    return fleet::fault_evidence::proof;
+  }
+  return mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch);
+}
+
+template<gateway_dialect Dialect>
+attempt*
+exchange<Dialect>::FindAttemptAtBrokenGroup()
 {
   const time_point now = mContext.Now();
   for (const attempt_ptr& current : mAttempts) {
-    const bool silent = mPausedCall != current->call &&
-                        now - current->lastReceivedAt > exchange_limits::kAttemptActivityWindow;
-    if (current->upstream == aHead && silent && Attributes().retryable) {
-      ReportLoss(*current, ScopeOfStandstill(*current));
-      OnAttemptLost(*current, "group_lost", false);
-      return;
+    const duration silence = now - current->lastReceivedAt;
+    if (mPausedCall == current->call || silence <= exchange_limits::kAttemptActivityWindow) {
+      continue;
+    }
+    const auto evidence = EvidenceAgainst(*current);
+    if (evidence == fleet::fault_evidence::proof) {
+      return current.get();
+    }
+    if (evidence && !current->isStalled) {
+      WriteLog(kAttemptStalled,
+               { { "request", Attributes().id.value },
+                 { "upstream", current->upstream.value },
+                 { "silent_ms", std::to_string(silence.ms) },
+                 { "attempts", std::to_string(mAttempts.size()) } });
+    }
+    current->isStalled = evidence.has_value();
+  }
+  return nullptr;
+}
+
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::SendBesideStalledAttempt()
+{
+  if (mEnded || mAttempts.size() != 1 || !mAttempts.front()->isStalled) {
+    return;
+  }
+  if (mContext.crashes.Check(mFingerprint).verdict == poison::poison_verdict::quarantined) {
+    return;
+  }
+  if (const auto second = mStateMachine.TryConcurrentAttempt(mContext.Now())) {
+    Execute(*second);
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::EndOtherAttempts(const attempt& aAnswered)
+{
+  while (mAttempts.size() > 1) {
+    attempt& other = mAttempts.front().get() == &aAnswered ? *mAttempts.back() : *mAttempts.front();
+    if (other.isStalled) {
+      ReportLoss(other, ScopeOfStandstill(other));
     }
+    mStateMachine.OnSuperseded(EndAttempt(other, "superseded"));
   }
 }
 
