--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -56,6 +56,9 @@
 /// An IP address and port, `ip:port`.
 using endpoint = text_id<struct endpoint_tag>;
 
+/// Identifies a part of a prompt that several requests may share, such as a system prompt.
+using prompt_part_id = number_id<struct prompt_part_id_tag>;
+
 /// The platform's counter of accepted writes; a later write has a higher value.
 using revision = number_id<struct revision_tag>;
 /// Distinguishes the runs of an instance; changes whenever the instance restarts.
