--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -5,6 +5,8 @@
 #include "gateway/crashinvestigator.h"
 #include "metrics/metrics.h"
 #include "poison/poisontracker.h"
+#include "poison/promptparttracker.h"
+#include "poison/requestidentities.h"
 #include "upstream/upstreamloop.h"
 
 #include <functional>
@@ -37,8 +39,8 @@
   stalled_group
 };
 
-/// Tracks the calls in flight and the crashes of upstreams, to recognise requests that crash the
-/// upstreams that run them. For use on the event loop's thread only.
+/// Tracks the calls in flight and the crashes of upstreams, to recognise requests, and parts of
+/// prompts, that crash the upstreams that run them. For use on the event loop's thread only.
 class crash_monitor
 {
 public:
@@ -51,10 +53,15 @@
   std::function<void(const poison::suspicion_changes&, bool aObservedHere)> onChange;
 
   /// Returns how a request may be sent.
-  [[nodiscard]] poison::poison_check Check(std::uint64_t aFingerprint) const;
+  [[nodiscard]] poison::poison_check Check(const poison::request_identities& aRequest) const;
   /// Records that a request is sent to an upstream.
-  monitored_attempt Started(std::uint64_t aFingerprint, const instance_id& aUpstream);
-  /// Records the first part of a response.
+  monitored_attempt Started(const poison::request_identities& aRequest,
+                            const instance_id& aUpstream);
+  /// Records the head of a response that only an upstream that runs the request sends.
+  void ResponseBegins(const monitored_attempt& aAttempt);
+  /// Records a part of a response behind its head; of a stream, complete events.
+  void ResponseGoesOn(const monitored_attempt& aAttempt);
+  /// Records the first part of a stream.
   void FirstResponse(const monitored_attempt& aAttempt);
   /// Records a complete response that shows that the upstream ran the request to its end, which an
   /// error of the upstream does not.
@@ -68,6 +75,8 @@
   void Apply(const poison::suspicion_changes& aMessages);
   /// Looks for restarted instances; call after each change of the instances.
   void OnInstancesChanged();
+  /// Judges what has waited for a while; call several times a second.
+  void OnFastTick();
   /// Drops what has expired and updates the metrics; call about once a second with the number of
   /// live gateways.
   void OnSlowTick(std::size_t aGatewayCount);
@@ -100,6 +109,7 @@
   dispatch::upstream_selector& mUpstreams;
   metrics_registry& mMetrics;
   poison::poison_tracker mTracker;
+  poison::prompt_part_tracker mPartTracker;
   crash_investigator mInvestigator;
   std::unordered_map<attempt_id, lost_call> mLostCalls;
   dispatch::permit_bucket mUnansweredCalls;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "gateway/httpstatus.h"
 #include "poison/poisonevents.h"
+#include "poison/promptpartfingerprint.h"
 #include "poison/requestfingerprint.h"
 #include "poison/suspicionlog.h"
 
@@ -43,9 +44,8 @@
     , mResponder(std::move(aResponder))
     , mCall(std::move(aCall))
     , mCustomer(std::move(aCustomer))
-    , mFingerprint(poison::RequestFingerprint(
-        { {}, mCustomer.value, mRequest.method, mRequest.target, mRequest.body }))
     , mStateMachine(std::move(aAttributes), aContext.upstreams, aBudget, aContext.random.Next())
+    , mIdentities(MakeIdentities())
   {
   }
 
@@ -59,6 +59,7 @@
 private:
   using attempt_ptr = std::unique_ptr<attempt>;
 
+  [[nodiscard]] poison::request_identities MakeIdentities() const;
   /// Returns the time for which the request must not be sent, and logs it; nothing when it may be.
   [[nodiscard]] std::optional<duration> QuarantineLeft() const;
   /// Executes an action of the state machine; does nothing once the exchange has ended.
@@ -126,9 +127,9 @@
   std::shared_ptr<entry::responder> mResponder;
   incoming_call mCall;
   customer_name mCustomer;
-  /// Identifies the request when the caller sends it again.
-  std::uint64_t mFingerprint;
   dispatch::call_state_machine mStateMachine;
+  /// Identifies the request and the shared parts of its prompt.
+  poison::request_identities mIdentities;
   std::vector<attempt_ptr> mAttempts;
   std::uint64_t mLastAttemptNumber = 0;
   upstream::timer_id mDeadlineTimer;
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -43,6 +43,16 @@
   "persimmon_gateway_quarantined",
   "Requests that are refused since upstreams crashed under them"
 };
+constexpr metric_spec kSuspectParts{ "persimmon_gateway_suspect_prompt_parts",
+                                     "Parts of prompts that crashes of upstreams count against" };
+constexpr metric_spec kQuarantinedParts{
+  "persimmon_gateway_quarantined_prompt_parts",
+  "Parts of prompts whose requests are refused since upstreams crashed under them"
+};
+constexpr metric_spec kPromptPartRefusals{
+  "persimmon_gateway_prompt_part_refusals_total",
+  "Times that a request was held back for a part of its prompt"
+};
 constexpr metric_spec kLimitedUpstreams{ "persimmon_gateway_limited_upstreams",
                                          "Upstreams that state a limit of requests" };
 constexpr metric_spec kLimitShare{
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/gatewayevents.h"
 #include "gateway/gatewaymetrics.h"
+#include "poison/promptpartfingerprint.h"
 #include "poison/suspicionlog.h"
 
 #include <algorithm>
@@ -55,18 +56,22 @@
 }
 
 poison::poison_check
-crash_monitor::Check(std::uint64_t aFingerprint) const
+crash_monitor::Check(const poison::request_identities& aRequest) const
 {
-  return mTracker.Check(aFingerprint, steady_clock().Now());
+  const time_point now = steady_clock().Now();
+  const poison::poison_check check = mTracker.Check(aRequest.request, now);
+  return check.verdict == poison::poison_verdict::quarantined
+           ? check
+           : mPartTracker.Check(aRequest.promptParts, now);
 }
 
 monitored_attempt
-crash_monitor::Started(std::uint64_t aFingerprint, const instance_id& aUpstream)
+crash_monitor::Started(const poison::request_identities& aRequest, const instance_id& aUpstream)
 {
   const fleet::engine_group* group = mUpstreams.FindGroupByHead(aUpstream);
   monitored_attempt started;
   started.id = { std::to_string(++mLastAttempt) };
-  started.fingerprint = aFingerprint;
+  started.fingerprint = aRequest.request;
   for (const instance_id& member :
        group != nullptr ? group->members : std::vector<instance_id>{ aUpstream }) {
     if (const fleet::instance* instance = mUpstreams.Fleet().Find(member)) {
@@ -77,10 +82,24 @@
   const std::uint64_t epoch = group != nullptr ? group->epoch.value : 0;
   const std::uint64_t run = started.members.empty() ? 0 : started.members[0].incarnationId.value;
   started.upstream = { fmt::format("{}/{}/{}", aUpstream.value, run, epoch) };
-  mTracker.RecordDispatch({ started.id, aFingerprint, started.upstream }, steady_clock().Now());
+  mTracker.RecordDispatch({ started.id, started.fingerprint, started.upstream },
+                          steady_clock().Now());
+  mPartTracker.RecordDispatch(started.id, started.upstream, aRequest.promptParts);
   return started;
 }
 
+void
+crash_monitor::ResponseBegins(const monitored_attempt& aAttempt)
+{
+  mPartTracker.RecordHead(aAttempt.id, steady_clock().Now());
+}
+
+void
+crash_monitor::ResponseGoesOn(const monitored_attempt& aAttempt)
+{
+  Announce(mPartTracker.RecordData(aAttempt.id, steady_clock().Now()), true);
+}
+
 void
 crash_monitor::FirstResponse(const monitored_attempt& aAttempt)
 {
@@ -90,13 +109,16 @@
 void
 crash_monitor::Completed(const monitored_attempt& aAttempt)
 {
-  Announce(mTracker.RecordCompletion(aAttempt.id, steady_clock().Now()), true);
+  const time_point now = steady_clock().Now();
+  Announce(mTracker.RecordCompletion(aAttempt.id, now), true);
+  Announce(mPartTracker.RecordCompletion(aAttempt.id, now), true);
 }
 
 void
 crash_monitor::Ended(const monitored_attempt& aAttempt)
 {
   mTracker.RecordEnd(aAttempt.id);
+  mPartTracker.RecordEnd(aAttempt.id);
 }
 
 std::vector<crash_candidate>
@@ -118,6 +140,7 @@
 void
 crash_monitor::CountLoss(const monitored_attempt& aAttempt, loss_scope aScope, time_point aNow)
 {
+  Announce(mPartTracker.RecordLoss(aAttempt.id, KindOf(aScope), aNow), true);
   if (aScope == loss_scope::silent_head) {
     if (!mUnansweredCalls.HasPermit(aNow)) {
       return;
@@ -183,6 +206,7 @@
   if (!aFinding.crashed) {
     for (const attempt_id& attempt : aFinding.attempts) {
       mTracker.RecordEnd(attempt);
+      mPartTracker.RecordEnd(attempt);
     }
     return;
   }
@@ -191,7 +215,9 @@
              { "evidence", aFinding.evidence },
              { "calls", std::to_string(aFinding.attempts.size()) } });
   mMetrics.Count(kUpstreamCrashes, {});
-  Announce(mTracker.RecordCrash(aFinding.upstream, steady_clock().Now()), true);
+  const time_point now = steady_clock().Now();
+  Announce(mTracker.RecordCrash(aFinding.upstream, now), true);
+  Announce(mPartTracker.RecordCrash(aFinding.upstream, now), true);
 }
 
 void
@@ -224,7 +250,24 @@
 void
 crash_monitor::Apply(const poison::suspicion_changes& aMessages)
 {
-  Announce(mTracker.Apply(aMessages, steady_clock().Now()), false);
+  poison::suspicion_changes ofRequests;
+  poison::suspicion_changes ofParts;
+  for (const peers::crash_message& crash : aMessages.crashes) {
+    (poison::IsPromptPart(crash.fingerprint) ? ofParts : ofRequests).crashes.push_back(crash);
+  }
+  for (const peers::quarantine_message& quarantine : aMessages.quarantines) {
+    (poison::IsPromptPart(quarantine.fingerprint) ? ofParts : ofRequests)
+      .quarantines.push_back(quarantine);
+  }
+  const time_point now = steady_clock().Now();
+  Announce(mTracker.Apply(ofRequests, now), false);
+  Announce(mPartTracker.Apply(ofParts, now), false);
+}
+
+void
+crash_monitor::OnFastTick()
+{
+  Announce(mPartTracker.Settle(steady_clock().Now()), true);
 }
 
 void
@@ -247,15 +290,23 @@
     Conclude(finding);
   }
   mTracker.Prune(now);
+  mPartTracker.Prune(now);
+  mPartTracker.SetProcessCount(aGatewayCount);
   const poison::suspicion_counts counts = mTracker.Count(now);
   mMetrics.Set(kSuspects, static_cast<double>(counts.suspects));
   mMetrics.Set(kQuarantined, static_cast<double>(counts.quarantined));
+  const poison::suspicion_counts parts = mPartTracker.Count(now);
+  mMetrics.Set(kSuspectParts, static_cast<double>(parts.suspects));
+  mMetrics.Set(kQuarantinedParts, static_cast<double>(parts.quarantined));
 }
 
 poison::suspicion_changes
 crash_monitor::LastingEntries() const
 {
-  return mTracker.LastingEntries(steady_clock().Now());
+  const time_point now = steady_clock().Now();
+  poison::suspicion_changes entries = mTracker.LastingEntries(now);
+  entries.Append(mPartTracker.LastingEntries(now));
+  return entries;
 }
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -39,17 +39,31 @@
   Execute(mStateMachine.OnArrival(mContext.Now()));
 }
 
+template<gateway_dialect Dialect>
+poison::request_identities
+exchange<Dialect>::MakeIdentities() const
+{
+  return { poison::RequestFingerprint(
+             { {}, mCustomer.value, mRequest.method, mRequest.target, mRequest.body }),
+           poison::PromptPartFingerprints(
+             Attributes().service, Attributes().model.value, mCall.sharedPromptParts) };
+}
+
 template<gateway_dialect Dialect>
 std::optional<duration>
 exchange<Dialect>::QuarantineLeft() const
 {
-  const poison::poison_check check = mContext.crashes.Check(mFingerprint);
+  const poison::poison_check check = mContext.crashes.Check(mIdentities);
   if (check.verdict != poison::poison_verdict::quarantined) {
     return std::nullopt;
   }
+  if (poison::IsPromptPart(check.fingerprint)) {
+    mContext.metrics.Count(kPromptPartRefusals);
+  }
   WriteLog(poison::kQuarantinedRefused,
            { { "request", Attributes().id.value },
-             { "fingerprint", poison::FingerprintText(mFingerprint) },
+             { "subject", poison::SubjectName(check.fingerprint) },
+             { "fingerprint", poison::FingerprintText(check.fingerprint) },
              { "service", Attributes().service.value },
              { "customer", mCustomer.value },
              { "retry_after_ms", std::to_string(check.remaining.ms) } });
@@ -138,7 +152,7 @@
       { "attempt", std::to_string(mStateMachine.SendCount()) },
       { "resume_after", aAction.resumeAfter ? std::to_string(*aAction.resumeAfter) : "none" },
       { "rank", dispatch::QueuePriorityName(aAction.priority) },
-      { "fingerprint", poison::FingerprintText(mFingerprint) },
+      { "fingerprint", poison::FingerprintText(mIdentities.request) },
       { "without_permit", std::to_string(withoutPermit) },
       { "paused", std::to_string(paused) },
       { "left_ms", std::to_string(aTarget.remainingTime.ms) } });
@@ -155,7 +169,7 @@
   added->lastReceivedAt = aNow;
   added->pendingPromptTokens = Attributes().promptTokens;
   added->framer.StartAfter(aTarget.resumeAfter);
-  added->monitored = mContext.crashes.Started(mFingerprint, added->upstream);
+  added->monitored = mContext.crashes.Started(mIdentities, added->upstream);
   mContext.upstreams.OnCallStarted(added->upstream, added->pendingPromptTokens, aNow);
   mAttempts.push_back(std::move(added));
   return *mAttempts.back();
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -31,6 +31,9 @@
   mContext.upstreams.Stats().OnBytesReceived(aAttempt.upstream, now);
   mContext.statements.OnResponse(aAttempt);
   mContext.unknownHeaders.Record(info.unknownHeaders, aAttempt.upstream);
+  if (info.status == kStatusOk && info.isSigned && info.matchesAttempt) {
+    mContext.crashes.ResponseBegins(aAttempt.monitored);
+  }
   if (!info.matchesAttempt) {
     OnAttemptLost(aAttempt, "answer_of_another_call", true);
   } else if (info.notExecuted) {
@@ -91,6 +94,7 @@
     return;
   }
   aAttempt.responseBody.append(aData);
+  mContext.crashes.ResponseGoesOn(aAttempt.monitored);
 }
 
 template<gateway_dialect Dialect>
@@ -146,6 +150,7 @@
       mContext.crashes.FirstResponse(aAttempt.monitored);
       aAttempt.pendingPromptTokens = 0;
     }
+    mContext.crashes.ResponseGoesOn(aAttempt.monitored);
     aAttempt.hasReceivedEvent = true;
     aAttempt.lastReceivedAt = now;
     RecordDelivery();
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -230,6 +230,7 @@
 void
 gateway_process<Dialect>::OnFastTick()
 {
+  mCrashes.OnFastTick();
   if (mInstances.TakeChangedFlag()) {
     OnInstancesChanged();
   }
--- /dev/null
+++ b/src/poison/internal/promptparttracker.cpp
@@ -0,0 +1,252 @@
+#include "poison/promptparttracker.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace persimmon::poison {
+
+poison_check
+prompt_part_tracker::Check(const std::vector<std::uint64_t>& aParts, time_point aNow) const
+{
+  poison_check worst;
+  for (const std::uint64_t part : aParts) {
+    const poison_check check = mTable.Check(part, aNow);
+    if (check.verdict == poison_verdict::quarantined && check.remaining > worst.remaining) {
+      worst = check;
+    }
+  }
+  return worst;
+}
+
+void
+prompt_part_tracker::RecordDispatch(const attempt_id& aAttempt,
+                                    const upstream_id& aUpstream,
+                                    const std::vector<std::uint64_t>& aParts)
+{
+  if (!aParts.empty()) {
+    running_attempt started;
+    started.upstream = aUpstream;
+    started.parts = aParts;
+    mRunning[aAttempt] = std::move(started);
+  }
+}
+
+void
+prompt_part_tracker::RecordHead(const attempt_id& aAttempt, time_point aNow)
+{
+  const auto found = mRunning.find(aAttempt);
+  if (found != mRunning.end() && !found->second.headAt) {
+    found->second.headAt = aNow;
+  }
+}
+
+suspicion_changes
+prompt_part_tracker::RecordData(const attempt_id& aAttempt, time_point aNow)
+{
+  const auto found = mRunning.find(aAttempt);
+  if (found == mRunning.end() || found->second.sound || !found->second.headAt) {
+    return {};
+  }
+  running_attempt& running = found->second;
+  running.dataAt = running.dataAt.value_or(aNow);
+  const bool goesOn = aNow - *running.dataAt >= kSoundResponseTime;
+  return goesOn ? RecordSound(running, aNow) : suspicion_changes{};
+}
+
+suspicion_changes
+prompt_part_tracker::RecordCompletion(const attempt_id& aAttempt, time_point aNow)
+{
+  const auto found = mRunning.find(aAttempt);
+  if (found == mRunning.end()) {
+    return {};
+  }
+  suspicion_changes changes;
+  if (found->second.headAt && !found->second.sound) {
+    changes = RecordSound(found->second, aNow);
+  }
+  RecordEnd(aAttempt);
+  return changes;
+}
+
+suspicion_changes
+prompt_part_tracker::RecordSound(running_attempt& aAttempt, time_point aNow)
+{
+  aAttempt.sound = true;
+  suspicion_changes changes;
+  for (const std::uint64_t part : aAttempt.parts) {
+    changes.Append(mTable.RecordSound(part, *aAttempt.headAt, aNow));
+  }
+  return changes;
+}
+
+std::uint32_t
+prompt_part_tracker::CrashWeight(const running_attempt& aAttempt, time_point aNow)
+{
+  if (aAttempt.sound) {
+    return 0;
+  }
+  if (!aAttempt.headAt) {
+    return kLateCrashWeight;
+  }
+  const bool early = !aAttempt.dataAt || aNow - *aAttempt.dataAt <= kHarmfulResponseTime;
+  return early ? kEarlyCrashWeight : 0;
+}
+
+void
+prompt_part_tracker::SetLost(running_attempt& aAttempt, loss_kind aKind, time_point aNow)
+{
+  const bool certain = aKind != loss_kind::perhaps_stalled_before;
+  const std::uint32_t weight = CrashWeight(aAttempt, aNow);
+  aAttempt.lossWeight = certain ? weight : std::min(weight, kLateCrashWeight);
+  aAttempt.lostAt = aNow;
+}
+
+suspicion_changes
+prompt_part_tracker::RecordLoss(const attempt_id& aAttempt, loss_kind aKind, time_point aNow)
+{
+  const auto found = mRunning.find(aAttempt);
+  if (found == mRunning.end()) {
+    return {};
+  }
+  SetLost(found->second, aKind, aNow);
+  return aKind == loss_kind::broken_off ? CountCrash(found->second, aNow) : suspicion_changes{};
+}
+
+suspicion_changes
+prompt_part_tracker::RecordCrash(const upstream_id& aUpstream, time_point aNow)
+{
+  // Crashes are rare: a search of all attempts costs less than an index updated at each dispatch.
+  suspicion_changes changes;
+  for (auto current = mRunning.begin(); current != mRunning.end();) {
+    running_attempt& running = current->second;
+    const bool lost = running.upstream == aUpstream;
+    if (lost && !running.lostAt) {
+      SetLost(running, loss_kind::broken_off, aNow);
+    }
+    if (lost) {
+      changes.Append(CountCrash(running, aNow));
+    }
+    current = lost ? mRunning.erase(current) : std::next(current);
+  }
+  return changes;
+}
+
+suspicion_changes
+prompt_part_tracker::CountCrash(running_attempt& aAttempt, time_point aNow)
+{
+  suspicion_changes changes;
+  if (aAttempt.counted || aAttempt.lossWeight == 0) {
+    return changes;
+  }
+  aAttempt.counted = true;
+  peers::crash_message crash;
+  crash.crash = HashText(aAttempt.upstream.value);
+  crash.weight = aAttempt.lossWeight;
+  crash.age = aNow - *aAttempt.lostAt;
+  // Parts in quarantine come first: they explain the crash, so that it doesn't count against
+  // others.
+  std::vector<std::uint64_t> parts = aAttempt.parts;
+  std::stable_partition(parts.begin(), parts.end(), [this, aNow](std::uint64_t aPart) {
+    return mTable.Check(aPart, aNow).verdict == poison_verdict::quarantined;
+  });
+  for (const std::uint64_t part : parts) {
+    crash.fingerprint = part;
+    changes.Append(CountCrash(crash, aNow));
+  }
+  return changes;
+}
+
+suspicion_changes
+prompt_part_tracker::CountCrash(const peers::crash_message& aCrash, time_point aNow)
+{
+  const std::uint64_t part = aCrash.fingerprint;
+  const time_point at = aNow - aCrash.age;
+  if (mTable.IsVoid(part, at, aNow)) {
+    return {};
+  }
+  if (mTable.Check(part, aNow).verdict == poison_verdict::quarantined) {
+    return AddCrash(aCrash, aNow);
+  }
+  if (mTable.IsExplained(aCrash.crash)) {
+    return {};
+  }
+  if (mTable.WasSound(part, aNow) && aNow < at + kSettlingTime) {
+    LetSettle({ aCrash, at, false });
+    return {};
+  }
+  return AddCrash(aCrash, aNow);
+}
+
+void
+prompt_part_tracker::LetSettle(const settling_crash& aCrash)
+{
+  mSettling.push_back(aCrash);
+  if (mSettling.size() > kMaxSettling) {
+    mSettling.pop_front();
+  }
+}
+
+suspicion_changes
+prompt_part_tracker::AddCrash(const peers::crash_message& aCrash, time_point aNow)
+{
+  suspicion_changes changes = mTable.AddCrash(aCrash, aNow);
+  if (!changes.crashes.empty() && !mNews.Take(aNow)) {
+    changes.crashes.clear();
+  }
+  return changes;
+}
+
+suspicion_changes
+prompt_part_tracker::Settle(time_point aNow)
+{
+  std::deque<settling_crash> due;
+  const auto isDue = [aNow](const settling_crash& aCrash) {
+    return aCrash.at + kSettlingTime <= aNow;
+  };
+  std::copy_if(mSettling.begin(), mSettling.end(), std::back_inserter(due), isDue);
+  std::erase_if(mSettling, isDue);
+  suspicion_changes changes;
+  for (settling_crash& settled : due) {
+    settled.message.age = aNow - settled.at;
+    changes.Append(settled.received ? mTable.Apply(settled.message, aNow)
+                                    : CountCrash(settled.message, aNow));
+  }
+  return changes;
+}
+
+suspicion_changes
+prompt_part_tracker::Apply(const peers::crash_message& aMessage, time_point aNow)
+{
+  const std::uint64_t part = aMessage.fingerprint;
+  const time_point at = aNow - aMessage.age;
+  const bool settles = !aMessage.withdrawn && !mTable.IsVoid(part, at, aNow) &&
+                       mTable.WasSound(part, aNow) && aNow < at + kSettlingTime;
+  if (settles) {
+    LetSettle({ aMessage, at, true });
+    return {};
+  }
+  return mTable.Apply(aMessage, aNow);
+}
+
+suspicion_changes
+prompt_part_tracker::Apply(const suspicion_changes& aMessages, time_point aNow)
+{
+  suspicion_changes changes;
+  for (const peers::quarantine_message& message : aMessages.quarantines) {
+    changes.Append(mTable.Apply(message, aNow));
+  }
+  for (const peers::crash_message& message : aMessages.crashes) {
+    changes.Append(Apply(message, aNow));
+  }
+  return changes;
+}
+
+void
+prompt_part_tracker::SetProcessCount(std::size_t aCount)
+{
+  mNews.SetRate(kMaxPartNewsPerSecond / static_cast<double>(std::max<std::size_t>(aCount, 1)));
+}
+
+} // namespace persimmon::poison
--- a/src/poison/internal/requestfingerprint.cpp
+++ b/src/poison/internal/requestfingerprint.cpp
@@ -1,6 +1,7 @@
 #include "poison/requestfingerprint.h"
 
 #include "base/hash.h"
+#include "poison/promptpartfingerprint.h"
 
 namespace persimmon::poison {
 
@@ -12,7 +13,7 @@
        { aIdentity.customer, aIdentity.method, aIdentity.target, aIdentity.body }) {
     hash = HashText(part, hash);
   }
-  return hash;
+  return WithoutPromptPartTag(hash);
 }
 
 } // namespace persimmon::poison
--- a/src/poison/internal/suspicionarchive.cpp
+++ b/src/poison/internal/suspicionarchive.cpp
@@ -1,11 +1,14 @@
 #include "poison/suspicionarchive.h"
 
+#include "poison/promptpartfingerprint.h"
+#include "poison/promptparttable.h"
 #include "poison/suspicionlog.h"
 #include "poison/suspiciontable.h"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <vector>
 
 namespace persimmon::poison {
 namespace {
@@ -40,7 +43,27 @@
   return changed;
 }
 
-/// Drops what has expired, then the oldest above the limit.
+/// Drops the oldest entries that aSelects returns true for, above a limit.
+template<typename Map, typename Select>
+void
+DropOldest(Map& aMap, std::size_t aLimit, const Select& aSelects)
+{
+  std::vector<typename Map::iterator> selected;
+  for (auto current = aMap.begin(); current != aMap.end(); ++current) {
+    if (aSelects(current->second.message)) {
+      selected.push_back(current);
+    }
+  }
+  std::sort(selected.begin(), selected.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft->second.at < aRight->second.at;
+  });
+  for (std::size_t i = 0; i + aLimit < selected.size(); ++i) {
+    aMap.erase(selected[i]);
+  }
+}
+
+/// Drops what has expired, then the oldest above the limits: parts of prompts have one of their
+/// own, so that they don't displace requests.
 template<typename Map>
 void
 TrimMap(Map& aMap, time_point aWallTime)
@@ -48,12 +71,11 @@
   std::erase_if(aMap, [aWallTime](const auto& aPair) {
     return aPair.second.at + LifetimeOf(aPair.second.message) <= aWallTime;
   });
-  while (aMap.size() > kMaxStored) {
-    aMap.erase(
-      std::min_element(aMap.begin(), aMap.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.at < aRight.second.at;
-      }));
-  }
+  DropOldest(aMap, kMaxLastingParts, [](const auto& aMessage) {
+    return IsPromptPart(aMessage.fingerprint);
+  });
+  DropOldest(
+    aMap, kMaxStored, [](const auto& aMessage) { return !IsPromptPart(aMessage.fingerprint); });
 }
 
 /// Returns the age of a time on the wall clock, which may have jumped.
--- a/src/poison/internal/suspiciontable.cpp
+++ b/src/poison/internal/suspiciontable.cpp
@@ -67,13 +67,13 @@
   }
   if (IsQuarantined(*found, aNow)) {
     const time_point end = found->quarantinedAt + QuarantineLifetime(found->quarantineCount);
-    return { poison_verdict::quarantined, end - aNow };
+    return { poison_verdict::quarantined, end - aNow, aFingerprint };
   }
   const bool isolate =
     std::any_of(found->crashes.begin(), found->crashes.end(), [aNow](const crash& aCrash) {
       return aCrash.isolates && Counts(aCrash, aNow);
     });
-  return { isolate ? poison_verdict::isolate : poison_verdict::clear, {} };
+  return { isolate ? poison_verdict::isolate : poison_verdict::clear, {}, 0 };
 }
 
 std::uint32_t
--- a/src/poison/poisoncheck.h
+++ b/src/poison/poisoncheck.h
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 
+#include <cstdint>
+
 namespace persimmon::poison {
 
 /// How a request may be dispatched.
@@ -22,6 +24,8 @@
   poison_verdict verdict = poison_verdict::clear;
   /// For `quarantined`: time until the quarantine ends.
   duration remaining{};
+  /// For `quarantined`: fingerprint of the request, or of the part of its prompt, that is refused.
+  std::uint64_t fingerprint = 0;
 };
 
 } // namespace persimmon::poison
--- a/src/poison/poisontracker.h
+++ b/src/poison/poisontracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "poison/losskind.h"
 #include "poison/suspiciontable.h"
 
 #include <cstdint>
@@ -21,23 +22,6 @@
 /// quarantined only by its total weight.
 constexpr std::size_t kCommonCauseCrashes = 2;
 
-/// How an attempt ended without a complete response.
-enum class loss_kind
-{
-  /// The upstream ended the connection, or sent what is no valid response. Counts at once: not
-  /// every crash can be proved.
-  broken_off,
-  /// The caller's time ended, or the caller left, without a response. Counts at once, and more once
-  /// a crash is proved.
-  unanswered,
-  /// The upstream stands still, and worked after the attempt was sent. Counts once a crash is
-  /// proved.
-  stalled,
-  /// The upstream stands still, perhaps since before the attempt was sent. Counts once a crash is
-  /// proved, and less.
-  perhaps_stalled_before
-};
-
 /// A request that is sent to an upstream.
 struct dispatched_request
 {
--- /dev/null
+++ b/src/poison/promptparttable.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "poison/poisoncheck.h"
+#include "poison/soundparts.h"
+#include "poison/suspicionchanges.h"
+#include "poison/suspiciontable.h"
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace persimmon::poison {
+
+/// Time after the begin of a sound response for which crashes don't count against its parts:
+/// several times what a response needs to prove sound. A part that turns harmful is noticed so much
+/// later.
+constexpr duration kSoundMargin = 600_ms;
+/// Most parts with a crash or a quarantine that are remembered; requests have a table of their own.
+constexpr std::size_t kMaxSuspectParts = 1024;
+/// Most crashes that are kept of one part: they explain those of other parts.
+constexpr std::size_t kMaxCrashesPerPart = 64;
+/// Most quarantines of parts that outlast all processes.
+constexpr std::size_t kMaxLastingParts = 64;
+
+/// What is known of the parts of prompts that may crash upstreams. Each part is judged by the
+/// crashes that no other part with more of them explains: a part that stands in all requests, or in
+/// the others that a crash ended, has few of its own. Tables that have received the same messages
+/// and have seen the same sound responses agree. Does no I/O; the caller serialises calls.
+class prompt_part_table
+{
+public:
+  /// Returns how a request with a part may be dispatched.
+  [[nodiscard]] poison_check Check(std::uint64_t aPart, time_point aNow) const;
+  /// Returns whether a sound response with the part shows that a crash at aAt had another cause.
+  [[nodiscard]] bool IsVoid(std::uint64_t aPart, time_point aAt, time_point aNow) const;
+  /// Returns whether sound responses with the part are remembered.
+  [[nodiscard]] bool WasSound(std::uint64_t aPart, time_point aNow) const;
+  /// Returns whether a part in quarantine explains a crash.
+  [[nodiscard]] bool IsExplained(std::uint64_t aCrash) const { return mExplained.contains(aCrash); }
+
+  /// Records a crash of the aCrash.age before aNow. Returns the changes for other processes.
+  suspicion_changes AddCrash(const peers::crash_message& aCrash, time_point aNow);
+  /// Records a sound response that began at aBegunAt: crashes until kSoundMargin later don't count,
+  /// and a quarantine since then ends.
+  suspicion_changes RecordSound(std::uint64_t aPart, time_point aBegunAt, time_point aNow);
+  /// Applies a message of another process or from the store. Returns what follows from it.
+  suspicion_changes Apply(const peers::crash_message& aMessage, time_point aNow);
+  suspicion_changes Apply(const peers::quarantine_message& aMessage, time_point aNow);
+
+  /// Returns the newest kMaxLastingParts quarantines, which must outlast all processes.
+  [[nodiscard]] suspicion_changes LastingEntries(time_point aNow) const;
+  [[nodiscard]] suspicion_counts Count(time_point aNow) const;
+  /// Drops what has expired; call about once a second.
+  void Prune(time_point aNow);
+
+private:
+  struct crash
+  {
+    std::uint64_t id = 0;
+    std::uint32_t weight = 0;
+    bool withdrawn = false;
+    time_point at;
+  };
+  struct entry
+  {
+    std::vector<crash> crashes;
+    /// Number of quarantines; 0 for a mere suspect.
+    std::uint32_t quarantineCount = 0;
+    /// True when a sound response has ended the latest quarantine.
+    bool lifted = false;
+    /// True while parts with more crashes explain the quarantine, which then has no effect.
+    bool explained = false;
+    time_point quarantinedAt;
+    /// Position in mByAge.
+    std::list<std::uint64_t>::iterator agePosition;
+  };
+  /// A part with the weight of all crashes that count against it.
+  struct standing
+  {
+    std::uint64_t part = 0;
+    std::uint32_t weight = 0;
+  };
+
+  [[nodiscard]] static bool Counts(const crash& aCrash, time_point aNow);
+  [[nodiscard]] static bool InQuarantine(const entry& aEntry, time_point aNow);
+  [[nodiscard]] static bool RemembersQuarantine(const entry& aEntry, time_point aNow);
+  [[nodiscard]] static bool IsExpired(const entry& aEntry, time_point aNow);
+  /// Returns the weight of the crashes that count and that nothing explains.
+  [[nodiscard]] std::uint32_t OwnWeight(const entry& aEntry, time_point aNow) const;
+  /// Returns the parts that crashes count against, most weight first.
+  [[nodiscard]] std::vector<standing> Standings(time_point aNow) const;
+  /// Stores a crash. Returns whether the entry changed.
+  static bool Store(entry& aEntry, const crash& aCrash);
+  /// Judges all parts anew: quarantines those with enough crashes of their own.
+  suspicion_changes Judge(time_point aNow);
+  /// Judges one part. Returns whether it is in quarantine and explains its crashes.
+  bool JudgePart(const standing& aStanding, suspicion_changes& aChanges, time_point aNow);
+  void Quarantine(std::uint64_t aPart, suspicion_changes& aChanges, time_point aNow);
+  /// Returns the entry of a part, created if missing, as the newest.
+  entry& Touch(std::uint64_t aPart);
+  void Evict();
+  void Remove(std::uint64_t aPart);
+
+  sound_parts mSound;
+  std::unordered_map<std::uint64_t, entry> mEntries;
+  /// Parts by the time of their last change, oldest first.
+  std::list<std::uint64_t> mByAge;
+  /// Crashes that parts in quarantine explain.
+  std::unordered_set<std::uint64_t> mExplained;
+};
+
+} // namespace persimmon::poison
--- /dev/null
+++ b/src/poison/promptparttracker.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "base/ids.h"
+#include "poison/losskind.h"
+#include "poison/newsallowance.h"
+#include "poison/promptparttable.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmon::poison {
+
+/// Time from the first part of a response after which the next part proves it sound: a part of a
+/// prompt that crashes its upstream does so when the upstream begins to respond to it.
+constexpr duration kSoundResponseTime = 200_ms;
+/// Time from the first part of a response within which its loss counts fully against its parts.
+constexpr duration kHarmfulResponseTime = 150_ms;
+/// Time for which crashes wait before they count against a part that was sound a short time ago:
+/// sound responses that began after them become known meanwhile.
+constexpr duration kSettlingTime = 800_ms;
+/// Most crashes that wait; above it, the oldest are dropped.
+constexpr std::size_t kMaxSettling = 1024;
+/// Crashes against parts that all processes together tell in a second on average, and that one
+/// tells at once: their news must not fill the mesh.
+constexpr double kMaxPartNewsPerSecond = 60;
+constexpr double kMaxPartNewsAtOnce = 20;
+
+/// Detects parts of prompts that crash the upstreams that begin to respond to them, in requests
+/// that are otherwise all different. A crash counts against the shared parts of each request that
+/// it ended, once for each part and run of an upstream, and only if the response had just begun or
+/// not begun: a response that goes on proves its parts sound. Does no I/O; the caller serialises
+/// calls.
+class prompt_part_tracker
+{
+public:
+  /// Returns how a request with these parts may be dispatched.
+  [[nodiscard]] poison_check Check(const std::vector<std::uint64_t>& aParts, time_point aNow) const;
+
+  /// Records the dispatch of an attempt. Nothing is recorded of one without shared parts.
+  void RecordDispatch(const attempt_id& aAttempt,
+                      const upstream_id& aUpstream,
+                      const std::vector<std::uint64_t>& aParts);
+  /// Records the head of a response that only an upstream that runs the request sends.
+  void RecordHead(const attempt_id& aAttempt, time_point aNow);
+  /// Records a part of the response behind its head. Returns the changes for other processes.
+  suspicion_changes RecordData(const attempt_id& aAttempt, time_point aNow);
+  /// Records that the response broke off or did not come. The attempt stays in flight until it is
+  /// known whether its upstream has crashed. Returns the changes for other processes.
+  suspicion_changes RecordLoss(const attempt_id& aAttempt, loss_kind aKind, time_point aNow);
+  /// Records a complete response. Returns the changes for other processes.
+  suspicion_changes RecordCompletion(const attempt_id& aAttempt, time_point aNow);
+  /// Records that an attempt ended without a complete response while its upstream stayed alive.
+  void RecordEnd(const attempt_id& aAttempt) { mRunning.erase(aAttempt); }
+  /// Records the proved crash of an upstream. Returns the changes for other processes.
+  suspicion_changes RecordCrash(const upstream_id& aUpstream, time_point aNow);
+  /// Applies messages of another process or from the store. Returns what follows from them.
+  suspicion_changes Apply(const suspicion_changes& aMessages, time_point aNow);
+  /// Counts crashes that have waited for kSettlingTime. Call at least a few times a second.
+  suspicion_changes Settle(time_point aNow);
+
+  /// Sets the number of live processes, which share kMaxPartNewsPerSecond.
+  void SetProcessCount(std::size_t aCount);
+  /// Returns what must outlast all processes.
+  [[nodiscard]] suspicion_changes LastingEntries(time_point aNow) const
+  {
+    return mTable.LastingEntries(aNow);
+  }
+  [[nodiscard]] suspicion_counts Count(time_point aNow) const { return mTable.Count(aNow); }
+  /// Drops expired entries; call about once a second.
+  void Prune(time_point aNow) { mTable.Prune(aNow); }
+
+private:
+  struct running_attempt
+  {
+    upstream_id upstream;
+    std::vector<std::uint64_t> parts;
+    /// Time of the response's head; nothing before it.
+    std::optional<time_point> headAt;
+    /// Time of the first part behind the head; nothing before it.
+    std::optional<time_point> dataAt;
+    bool sound = false;
+    /// Time at which the response was lost; nothing while it was not.
+    std::optional<time_point> lostAt;
+    /// Weight of the crash in which the response was lost.
+    std::uint32_t lossWeight = 0;
+    /// The loss counts already.
+    bool counted = false;
+  };
+  /// A crash that does not count yet.
+  struct settling_crash
+  {
+    peers::crash_message message;
+    time_point at;
+    /// Another process told it.
+    bool received = false;
+  };
+
+  /// Returns how strongly a crash now speaks against the parts of a request; 0 for not at all.
+  [[nodiscard]] static std::uint32_t CrashWeight(const running_attempt& aAttempt, time_point aNow);
+  /// Records that a response goes on or has ended well.
+  suspicion_changes RecordSound(running_attempt& aAttempt, time_point aNow);
+  static void SetLost(running_attempt& aAttempt, loss_kind aKind, time_point aNow);
+  /// Counts the crash of a lost attempt's upstream against the attempt's parts, once.
+  suspicion_changes CountCrash(running_attempt& aAttempt, time_point aNow);
+  /// Counts a crash against one part, at once or after kSettlingTime.
+  suspicion_changes CountCrash(const peers::crash_message& aCrash, time_point aNow);
+  void LetSettle(const settling_crash& aCrash);
+  /// Adds a crash and drops the news of it if there are too many.
+  suspicion_changes AddCrash(const peers::crash_message& aCrash, time_point aNow);
+  suspicion_changes Apply(const peers::crash_message& aMessage, time_point aNow);
+
+  prompt_part_table mTable;
+  std::unordered_map<attempt_id, running_attempt> mRunning;
+  std::deque<settling_crash> mSettling;
+  news_allowance mNews{ kMaxPartNewsAtOnce };
+};
+
+} // namespace persimmon::poison
--- a/src/poison/suspicionarchive.h
+++ b/src/poison/suspicionarchive.h
@@ -14,7 +14,8 @@
 constexpr duration kMaxStoreDelay = 2_s;
 /// Pause after a failed write.
 constexpr duration kStoreRetryDelay = 1_s;
-/// Most crashes and most quarantines that are stored; above it, the oldest are dropped.
+/// Most crashes and most quarantines of requests that are stored; above it, the oldest are dropped.
+/// Of parts of prompts, it is kMaxLastingParts.
 constexpr std::size_t kMaxStored = 256;
 
 /// A write of the stored object.
--- a/src/poison/suspicionlog.h
+++ b/src/poison/suspicionlog.h
@@ -10,6 +10,10 @@
 std::string
 FingerprintText(std::uint64_t aFingerprint);
 
+/// Returns what a fingerprint identifies, as logs have it: `request` or `prompt_part`.
+const char*
+SubjectName(std::uint64_t aFingerprint);
+
 /// Writes a log line for each change.
 void
 LogChanges(const suspicion_changes& aChanges);
--- /dev/null
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -0,0 +1,293 @@
+#include "poison/tests/mocks/promptpartplay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmon::poison {
+namespace {
+
+constexpr duration kStep = 10_ms;
+constexpr double kStepsPerSecond = 100;
+/// Time from the arrival of a call to the begin of its response.
+constexpr std::uint64_t kShortestWait = 60;
+constexpr std::uint64_t kWaitSpread = 100;
+constexpr duration kEventGap = 50_ms;
+constexpr duration kResponseTime = 1750_ms;
+/// Time from the begin of a response to the crash.
+constexpr std::uint64_t kShortestRun = 30;
+constexpr std::uint64_t kRunSpread = 41;
+constexpr std::size_t kFifth = 4;
+constexpr duration kStableTime = 3_s;
+
+duration
+Milliseconds(std::uint64_t aNumber)
+{
+  return { static_cast<std::int64_t>(aNumber) };
+}
+
+} // namespace
+
+prompt_part_play::prompt_part_play(const part_play_setup& aSetup, std::uint64_t aSeed)
+  : mSetup(aSetup)
+  , mRandom(aSeed)
+  , mTrackers(aSetup.processes)
+  , mUpstreams(aSetup.upstreams)
+{
+  for (prompt_part_tracker& tracker : mTrackers) {
+    tracker.SetProcessCount(aSetup.processes);
+  }
+}
+
+part_play_result
+prompt_part_play::Run()
+{
+  for (; mNow < time_point{} + mSetup.end; mNow = mNow + kStep) {
+    DeliverNews();
+    for (std::size_t i = 0; i < mTrackers.size() && mNow.ms % 100 == 0; ++i) {
+      Publish(i, mTrackers[i].Settle(mNow));
+    }
+    KillOthers();
+    Progress();
+    for (request& repeated : std::exchange(mToRepeat, {})) {
+      Arrive(std::move(repeated));
+    }
+    BringRequests();
+    NoteVerdicts();
+  }
+  mResult.crashes = mCrashes.size();
+  const bool five = mCrashes.size() > kFifth;
+  const time_point last = mCrashes.empty() ? mNow : mCrashes.back();
+  const time_point counted = five ? mCrashes[kFifth] : last;
+  mResult.laterArrivals = static_cast<std::size_t>(
+    std::count_if(mHarmfulArrivals.begin(), mHarmfulArrivals.end(), [counted](time_point aAt) {
+      return aAt > counted + kStableTime;
+    }));
+  for (const auto& [at, sent] : mSound) {
+    const bool before = at < mSetup.poisonFrom;
+    const bool after = at > counted + kStableTime * 2;
+    mResult.soundRequestsBefore += before ? 1 : 0;
+    mResult.soundSentBefore += before && sent ? 1 : 0;
+    mResult.soundRequests += after ? 1 : 0;
+    mResult.soundSent += after && sent ? 1 : 0;
+  }
+  for (const auto& [second, count] : mNewsBySecond) {
+    mResult.news += count;
+    mResult.mostNewsInASecond = std::max(mResult.mostNewsInASecond, count);
+  }
+  return mResult;
+}
+
+void
+prompt_part_play::DeliverNews()
+{
+  while (!mNews.empty() && mNews.begin()->first <= mNow) {
+    news arrived = std::move(mNews.begin()->second);
+    mNews.erase(mNews.begin());
+    for (auto& crash : arrived.changes.crashes) {
+      crash.age = crash.age + (mNow - arrived.told);
+    }
+    for (auto& quarantine : arrived.changes.quarantines) {
+      quarantine.age = quarantine.age + (mNow - arrived.told);
+    }
+    for (std::size_t i = 0; i < mTrackers.size(); ++i) {
+      if (i != arrived.from) {
+        Publish(i, mTrackers[i].Apply(arrived.changes, mNow));
+      }
+    }
+  }
+}
+
+template<typename Message>
+bool
+prompt_part_play::IsNew(const Message& aMessage, std::uint64_t aCrash)
+{
+  return mKnownNews.insert({ aMessage.fingerprint, aCrash, aMessage.Version() }).second;
+}
+
+void
+prompt_part_play::Publish(std::size_t aFrom, suspicion_changes aChanges)
+{
+  std::erase_if(aChanges.crashes,
+                [this](const auto& aCrash) { return !IsNew(aCrash, aCrash.crash); });
+  std::erase_if(aChanges.quarantines,
+                [this](const auto& aQuarantine) { return !IsNew(aQuarantine, 0); });
+  if (aChanges.Empty()) {
+    return;
+  }
+  mNewsBySecond[mNow.ms / 1000] += aChanges.crashes.size() + aChanges.quarantines.size();
+  if (!mSetup.tellsCrashes) {
+    aChanges.crashes.clear();
+  }
+  const auto spread = static_cast<std::uint64_t>((mSetup.longestNews - mSetup.shortestNews).ms) + 1;
+  const duration delay = mSetup.newsAlwaysLate
+                           ? mSetup.longestNews
+                           : mSetup.shortestNews + Milliseconds(mRandom.Below(spread));
+  mNews.insert({ mNow + delay, { aFrom, mNow, std::move(aChanges) } });
+}
+
+void
+prompt_part_play::BringRequests()
+{
+  mDueRequests += mSetup.requestsPerSecond / kStepsPerSecond;
+  for (; mDueRequests >= 1; mDueRequests -= 1) {
+    request arrived;
+    arrived.process = mRandom.Below(mTrackers.size());
+    arrived.parts.push_back(kPopularPart);
+    if (mRandom.Chance(mSetup.rareShare)) {
+      arrived.parts.push_back(kFirstRarePart + mRandom.Below(mSetup.rareParts));
+    }
+    const bool harms = mNow >= mSetup.poisonFrom;
+    if (mRandom.Chance(mSetup.poisonShare) && (harms || mSetup.partsAreSoundBefore)) {
+      arrived.parts.push_back(kFirstPoisonPart + mRandom.Below(mSetup.poisonParts));
+      arrived.harmful = harms;
+    }
+    Arrive(std::move(arrived));
+  }
+}
+
+void
+prompt_part_play::Arrive(request aRequest)
+{
+  const bool refused =
+    mSetup.refuses &&
+    mTrackers[aRequest.process].Check(aRequest.parts, mNow).verdict == poison_verdict::quarantined;
+  const std::size_t target = refused ? mUpstreams.size() : PickUpstream();
+  const bool sent = target < mUpstreams.size();
+  if (!aRequest.harmful && !aRequest.repeated) {
+    mSound.emplace_back(mNow, sent);
+    mResult.soundRefused += refused ? 1 : 0;
+  }
+  if (sent) {
+    Send(aRequest, target);
+  }
+}
+
+std::size_t
+prompt_part_play::PickUpstream()
+{
+  for (std::size_t tried = 0; tried < mUpstreams.size(); ++tried) {
+    mNextUpstream = (mNextUpstream + 1) % mUpstreams.size();
+    const upstream& candidate = mUpstreams[mNextUpstream];
+    if (candidate.upFrom <= mNow && candidate.calls < mSetup.callsPerUpstream) {
+      return mNextUpstream;
+    }
+  }
+  return mUpstreams.size();
+}
+
+void
+prompt_part_play::Send(const request& aRequest, std::size_t aUpstream)
+{
+  call sent;
+  sent.origin = aRequest;
+  sent.attempt = { std::to_string(++mLastAttempt) };
+  sent.upstream = aUpstream;
+  sent.headAt = mNow + Milliseconds(kShortestWait + mRandom.Below(kWaitSpread));
+  sent.nextData = sent.headAt;
+  sent.end = aRequest.harmful ? sent.headAt + Milliseconds(kShortestRun + mRandom.Below(kRunSpread))
+                              : sent.headAt + kResponseTime;
+  upstream& target = mUpstreams[aUpstream];
+  ++target.calls;
+  const upstream_id life{ std::to_string(aUpstream) + "/" + std::to_string(target.life) };
+  mTrackers[aRequest.process].RecordDispatch(sent.attempt, life, aRequest.parts);
+  if (aRequest.harmful) {
+    mHarmfulArrivals.push_back(mNow);
+  }
+  mCalls.push_back(std::move(sent));
+}
+
+void
+prompt_part_play::Progress()
+{
+  std::set<std::size_t> crashed;
+  for (call& current : mCalls) {
+    ProgressOf(current);
+    if (current.origin.harmful && current.end <= mNow) {
+      crashed.insert(current.upstream);
+    }
+  }
+  for (const std::size_t upstream : crashed) {
+    mCrashes.push_back(mNow);
+    Crash(upstream);
+  }
+  for (const call& current : mCalls) {
+    if (current.end <= mNow) {
+      --mUpstreams[current.upstream].calls;
+      const std::size_t process = current.origin.process;
+      Publish(process, mTrackers[process].RecordCompletion(current.attempt, mNow));
+    }
+  }
+  std::erase_if(mCalls, [this](const call& aCall) { return aCall.end <= mNow; });
+}
+
+void
+prompt_part_play::ProgressOf(call& aCall)
+{
+  prompt_part_tracker& tracker = mTrackers[aCall.origin.process];
+  if (!aCall.hasHead && aCall.headAt <= mNow) {
+    aCall.hasHead = true;
+    tracker.RecordHead(aCall.attempt, mNow);
+  }
+  if (aCall.hasHead && aCall.nextData <= mNow) {
+    aCall.nextData = mNow + kEventGap;
+    Publish(aCall.origin.process, tracker.RecordData(aCall.attempt, mNow));
+  }
+}
+
+void
+prompt_part_play::KillOthers()
+{
+  if (mSetup.otherDeaths.ms > 0 && mNow.ms % mSetup.otherDeaths.ms == 0) {
+    const std::size_t victim = mRandom.Below(mUpstreams.size());
+    if (mUpstreams[victim].upFrom <= mNow) {
+      Crash(victim);
+    }
+  }
+}
+
+void
+prompt_part_play::Crash(std::size_t aUpstream)
+{
+  for (const call& lost : mCalls) {
+    if (lost.upstream != aUpstream) {
+      continue;
+    }
+    prompt_part_tracker& tracker = mTrackers[lost.origin.process];
+    Publish(lost.origin.process, tracker.RecordLoss(lost.attempt, loss_kind::broken_off, mNow));
+    tracker.RecordEnd(lost.attempt);
+    if (!lost.origin.repeated) {
+      mToRepeat.push_back(lost.origin);
+      mToRepeat.back().repeated = true;
+    }
+  }
+  std::erase_if(mCalls, [aUpstream](const call& aCall) { return aCall.upstream == aUpstream; });
+  upstream& crashed = mUpstreams[aUpstream];
+  ++crashed.life;
+  crashed.calls = 0;
+  crashed.upFrom = mNow + mSetup.restart;
+}
+
+void
+prompt_part_play::NoteVerdicts()
+{
+  if (mNow.ms % 100 != 0) {
+    return;
+  }
+  std::vector<std::uint64_t> sound{ kPopularPart };
+  for (std::size_t i = 0; i < mSetup.rareParts; ++i) {
+    sound.push_back(kFirstRarePart + i);
+  }
+  for (std::size_t process = 0; process < mTrackers.size(); ++process) {
+    for (const std::uint64_t part : sound) {
+      const auto key = std::make_pair(process, part);
+      if (mTrackers[process].Check({ part }, mNow).verdict != poison_verdict::quarantined) {
+        mWrongSince.erase(key);
+        continue;
+      }
+      const time_point since = mWrongSince.try_emplace(key, mNow).first->second;
+      mResult.longestWrongVerdict = std::max(mResult.longestWrongVerdict, mNow - since + 100_ms);
+    }
+  }
+}
+
+} // namespace persimmon::poison
--- /dev/null
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "base/random.h"
+#include "poison/promptparttracker.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+namespace persimmon::poison {
+
+/// The part that stands first in every request of a play.
+constexpr std::uint64_t kPopularPart = 1;
+/// The parts that crash upstreams are numbered from here.
+constexpr std::uint64_t kFirstPoisonPart = 1000;
+/// The sound parts that some requests have are numbered from here.
+constexpr std::uint64_t kFirstRarePart = 2000;
+
+/// What a play is about. Requests come at a constant rate, at any process. Each has the popular
+/// part, perhaps a rare sound one, and perhaps one that crashes the upstream 30 to 70 ms after the
+/// begin of the response; its lost calls are sent once more.
+struct part_play_setup
+{
+  std::size_t processes = 9;
+  double requestsPerSecond = 120;
+  /// Upstreams; each takes callsPerUpstream calls at once.
+  std::size_t upstreams = 24;
+  std::size_t callsPerUpstream = 17;
+  /// Share of the requests with a part that crashes upstreams, from poisonFrom on.
+  double poisonShare = 0.1;
+  std::size_t poisonParts = 1;
+  time_point poisonFrom{ 12000 };
+  /// Requests with the parts come before that too, and do no harm.
+  bool partsAreSoundBefore = false;
+  /// Part of the requests that have one of the rare parts, and the number of these.
+  double rareShare = 0.5;
+  std::size_t rareParts = 10;
+  /// A restarted upstream takes calls again after this time.
+  duration restart = 4_s;
+  /// Time between deaths of upstreams for other causes; none when zero.
+  duration otherDeaths{};
+  /// News reach the other processes after a time between these, and all after the longest with
+  /// newsAlwaysLate.
+  duration shortestNews = 50_ms;
+  duration longestNews = 1500_ms;
+  bool newsAlwaysLate = true;
+  /// False when only quarantines reach the others, as by the store.
+  bool tellsCrashes = true;
+  duration end = 40_s;
+  /// False to show what happens without the trackers.
+  bool refuses = true;
+};
+
+/// What a play showed.
+struct part_play_result
+{
+  std::size_t crashes = 0;
+  /// Arrivals of harmful requests later than 3 s after the fifth crash.
+  std::size_t laterArrivals = 0;
+  /// Sound requests from 6 s after the fifth crash on, or after the last when there are fewer, and
+  /// those of them that were sent at once.
+  std::size_t soundRequests = 0;
+  std::size_t soundSent = 0;
+  /// The same before poisonFrom.
+  std::size_t soundRequestsBefore = 0;
+  std::size_t soundSentBefore = 0;
+  /// Sound requests that were refused over the whole play.
+  std::size_t soundRefused = 0;
+  /// Longest time for which one process refused a sound part.
+  duration longestWrongVerdict;
+  /// News that the processes told, without repetitions.
+  std::size_t news = 0;
+  /// Most news in one second.
+  std::size_t mostNewsInASecond = 0;
+
+  /// Part of the sound requests that were sent at once, compared to before.
+  [[nodiscard]] double SoundShare() const
+  {
+    const double now = static_cast<double>(soundSent) / static_cast<double>(soundRequests);
+    const double before =
+      static_cast<double>(soundSentBefore) / static_cast<double>(soundRequestsBefore);
+    return now / before;
+  }
+};
+
+/// Plays callers and upstreams against the trackers of all processes, in steps of 10 ms.
+class prompt_part_play
+{
+public:
+  prompt_part_play(const part_play_setup& aSetup, std::uint64_t aSeed);
+  part_play_result Run();
+
+private:
+  struct request
+  {
+    std::size_t process = 0;
+    std::vector<std::uint64_t> parts;
+    bool harmful = false;
+    bool repeated = false;
+  };
+  struct call
+  {
+    request origin;
+    attempt_id attempt;
+    std::size_t upstream = 0;
+    time_point headAt;
+    time_point nextData;
+    time_point end;
+    bool hasHead = false;
+  };
+  struct upstream
+  {
+    std::size_t life = 0;
+    time_point upFrom;
+    std::size_t calls = 0;
+  };
+  struct news
+  {
+    std::size_t from = 0;
+    time_point told;
+    suspicion_changes changes;
+  };
+
+  void DeliverNews();
+  void Publish(std::size_t aFrom, suspicion_changes aChanges);
+  /// Returns whether other processes have not heard of it.
+  template<typename Message>
+  bool IsNew(const Message& aMessage, std::uint64_t aCrash);
+  void BringRequests();
+  void Arrive(request aRequest);
+  void Send(const request& aRequest, std::size_t aUpstream);
+  /// Returns an upstream with room; the number of upstreams when there is none.
+  std::size_t PickUpstream();
+  void Progress();
+  void ProgressOf(call& aCall);
+  void KillOthers();
+  void Crash(std::size_t aUpstream);
+  void NoteVerdicts();
+
+  part_play_setup mSetup;
+  random_source mRandom;
+  std::vector<prompt_part_tracker> mTrackers;
+  std::vector<upstream> mUpstreams;
+  std::vector<call> mCalls;
+  std::vector<request> mToRepeat;
+  std::multimap<time_point, news> mNews;
+  std::set<std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>> mKnownNews;
+  std::map<std::int64_t, std::size_t> mNewsBySecond;
+  /// Since when a process refuses a sound part.
+  std::map<std::pair<std::size_t, std::uint64_t>, time_point> mWrongSince;
+  std::vector<time_point> mCrashes;
+  std::vector<time_point> mHarmfulArrivals;
+  /// Time of each sound request, and whether it was sent at once.
+  std::vector<std::pair<time_point, bool>> mSound;
+  part_play_result mResult;
+  double mDueRequests = 0;
+  std::uint64_t mLastAttempt = 0;
+  std::size_t mNextUpstream = 0;
+  time_point mNow;
+};
+
+} // namespace persimmon::poison
--- /dev/null
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -0,0 +1,148 @@
+#include "poison/tests/mocks/promptpartplay.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+using namespace persimmon;
+using namespace persimmon::poison;
+
+namespace {
+
+/// The users' rule: at most so many arrivals later than 3 s after the fifth crash.
+constexpr std::size_t kMaxLaterArrivals = 3;
+/// Part of the sound requests that must be sent as before.
+constexpr double kMinSoundShare = 0.9;
+/// Plays of each kind.
+constexpr std::uint64_t kSeeds = 5;
+/// Longest time for which a process may refuse a sound part: until its news reach a process with a
+/// sound response, and the answer comes back, at 1.5 s each.
+constexpr duration kMaxWrongVerdict = 3300_ms;
+
+std::string
+Describe(const part_play_setup& aSetup, const part_play_result& aResult)
+{
+  return fmt::format("{} processes, {}/s, poison in {} (parts {}): {} crashes, {} later arrivals, "
+                     "sound {:.3f} of before, {} sound refused, longest wrong verdict {} ms, {} "
+                     "news, at most {} a second",
+                     aSetup.processes,
+                     aSetup.requestsPerSecond,
+                     aSetup.poisonShare,
+                     aSetup.poisonParts,
+                     aResult.crashes,
+                     aResult.laterArrivals,
+                     aResult.SoundShare(),
+                     aResult.soundRefused,
+                     aResult.longestWrongVerdict.ms,
+                     aResult.news,
+                     aResult.mostNewsInASecond);
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(prompt_part_play)
+{
+  part_play_setup setup;
+  duration maxWrongVerdict = kMaxWrongVerdict;
+
+  void Check(std::uint64_t aSeed) const
+  {
+    const part_play_result result = prompt_part_play(setup, aSeed).Run();
+    const bool good = result.crashes >= 3 && result.laterArrivals <= kMaxLaterArrivals &&
+                      result.SoundShare() >= kMinSoundShare &&
+                      result.longestWrongVerdict <= maxWrongVerdict;
+    if (!good) {
+      FAIL(fmt::format("seed {}: {}", aSeed, Describe(setup, result)).c_str());
+    }
+  }
+  void CheckShares()
+  {
+    for (const double share : { 0.03, 0.1, 0.3 }) {
+      setup.poisonShare = share;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        Check(seed);
+      }
+    }
+  }
+};
+// clang-format on
+
+// Guards against requests that all differ, but have a part in common that crashes each upstream
+// which begins to respond to it: nothing known of requests holds them back.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeAndPopularOnesAreNot)
+{
+  CheckShares();
+}
+
+// The same with a single process, which hears from none.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeAtOneProcess)
+{
+  setup.processes = 1;
+  maxWrongVerdict = {};
+  CheckShares();
+}
+
+// The same where each process sees few of the crashes and few of the sound responses.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeAtManyProcesses)
+{
+  for (const std::size_t processes : { 68, 300 }) {
+    setup.processes = processes;
+    CheckShares();
+  }
+}
+
+// The same with traffic that grows with the number of processes.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeAtManyProcessesWithMuchTraffic)
+{
+  setup.processes = 68;
+  setup.requestsPerSecond = 900;
+  setup.upstreams = 180;
+  setup.end = 24_s;
+  CheckShares();
+}
+
+TEST(prompt_part_play, TwoPoisonPartsAtOnceAreRefusedInTime)
+{
+  setup.poisonParts = 2;
+  CheckShares();
+}
+
+// Guards against processes that each need crashes of their own: the store carries verdicts alone.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeWithTheStoreAlone)
+{
+  setup.tellsCrashes = false;
+  CheckShares();
+}
+
+// Guards against sound parts that are taken for harmful ones while upstreams die for other causes.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeWhileUpstreamsDieForOtherCauses)
+{
+  setup.otherDeaths = 3_s;
+  setup.upstreams = 30;
+  CheckShares();
+}
+
+// Guards against sound parts that are refused since upstreams die, whichever parts, numbers of
+// processes, traffic and delays of news there are.
+TEST(prompt_part_play, DeathsForOtherCausesGetNoSoundPartRefusedForLong)
+{
+  const bool passed = rc::check([] {
+    part_play_setup setup;
+    setup.poisonShare = 0;
+    setup.processes = *rc::gen::element<std::size_t>(1, 2, 9, 30, 68);
+    setup.requestsPerSecond = *rc::gen::inRange(20, 200);
+    setup.upstreams = static_cast<std::size_t>(*rc::gen::inRange(12, 60));
+    setup.rareParts = static_cast<std::size_t>(*rc::gen::inRange(1, 100));
+    setup.rareShare = *rc::gen::inRange(0, 101) / 100.0;
+    setup.otherDeaths = duration{ 10 * *rc::gen::inRange(30, 300) };
+    setup.restart = duration{ *rc::gen::inRange(500, 8000) };
+    setup.newsAlwaysLate = *rc::gen::arbitrary<bool>();
+    setup.end = 60_s;
+    const part_play_result result =
+      prompt_part_play(setup, *rc::gen::arbitrary<std::uint64_t>()).Run();
+    RC_LOG() << Describe(setup, result);
+    RC_ASSERT(result.longestWrongVerdict <= kMaxWrongVerdict);
+  });
+  CHECK(passed);
+}
--- /dev/null
+++ b/src/poison/tests/promptparttrackertests.cpp
@@ -0,0 +1,215 @@
+#include "poison/promptparttracker.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace persimmon;
+using namespace persimmon::poison;
+
+namespace {
+
+constexpr time_point kNow{ 1000000 };
+constexpr std::uint64_t kPoison = 666;
+constexpr std::uint64_t kSound = 7;
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(prompt_part_tracker)
+{
+  prompt_part_tracker tracker;
+  int attemptCount = 0;
+
+  attempt_id Send(const std::vector<std::uint64_t>& aParts, int aUpstream)
+  {
+    attempt_id attempt{ fmt::format("a{}", attemptCount++) };
+    tracker.RecordDispatch(attempt, { fmt::format("u{}", aUpstream) }, aParts);
+    return attempt;
+  }
+  attempt_id Begin(const std::vector<std::uint64_t>& aParts, int aUpstream, time_point aNow)
+  {
+    const attempt_id attempt = Send(aParts, aUpstream);
+    tracker.RecordHead(attempt, aNow);
+    return attempt;
+  }
+  suspicion_changes Lose(const attempt_id& aAttempt, time_point aNow, loss_kind aKind = loss_kind::broken_off)
+  {
+    return tracker.RecordLoss(aAttempt, aKind, aNow);
+  }
+  void RunWell(const std::vector<std::uint64_t>& aParts, time_point aBegin)
+  {
+    const attempt_id attempt = Begin(aParts, 999, aBegin);
+    tracker.RecordData(attempt, aBegin);
+    tracker.RecordData(attempt, aBegin + kSoundResponseTime);
+    tracker.RecordEnd(attempt);
+  }
+  bool Refused(std::uint64_t aPart, time_point aNow) const
+  {
+    return tracker.Check({ 1, aPart }, aNow).verdict == poison_verdict::quarantined;
+  }
+};
+// clang-format on
+
+TEST(prompt_part_tracker, ThirdResponseThatBreaksOffAtItsBeginQuarantines)
+{
+  for (int upstream = 0; upstream < 2; ++upstream) {
+    Lose(Begin({ kPoison }, upstream, kNow), kNow + 50_ms);
+  }
+  CHECK_FALSE(Refused(kPoison, kNow + 50_ms));
+  const auto changes = Lose(Begin({ kPoison }, 2, kNow), kNow + 50_ms);
+  CHECK_EQUAL(1, changes.crashes.size());
+  CHECK_EQUAL(1, changes.quarantines.size());
+  CHECK(Refused(kPoison, kNow + 50_ms));
+}
+
+TEST(prompt_part_tracker, CallsOfOneCrashCountOnce)
+{
+  for (int call = 0; call < 17; ++call) {
+    Lose(Begin({ kPoison }, 1, kNow), kNow + 50_ms);
+  }
+  CHECK_FALSE(Refused(kPoison, kNow + 50_ms));
+}
+
+// Guards against sound parts that are blamed for the crashes of others: a harmful part ends its
+// upstream when the response begins.
+TEST(prompt_part_tracker, ResponsesThatWentOnDoNotCount)
+{
+  for (int upstream = 0; upstream < 9; ++upstream) {
+    const attempt_id attempt = Begin({ kSound }, upstream, kNow);
+    tracker.RecordData(attempt, kNow + 10_ms);
+    CHECK(Lose(attempt, kNow + 10_ms + kSoundResponseTime + 1_ms).Empty());
+  }
+  CHECK_FALSE(Refused(kSound, kNow + 1_s));
+}
+
+TEST(prompt_part_tracker, ResponsesThatHadNotBegunCountLess)
+{
+  for (int upstream = 0; upstream < 5; ++upstream) {
+    Lose(Send({ kPoison }, upstream), kNow);
+  }
+  CHECK_FALSE(Refused(kPoison, kNow));
+  Lose(Send({ kPoison }, 5), kNow);
+  CHECK(Refused(kPoison, kNow));
+}
+
+TEST(prompt_part_tracker, SoundResponsesKeepAPopularPartFromBeingRefused)
+{
+  time_point now = kNow;
+  for (int upstream = 0; upstream < 20; ++upstream) {
+    RunWell({ kSound }, now);
+    now = now + kSoundResponseTime;
+    CHECK(Lose(Begin({ kSound }, upstream, now), now + 50_ms).Empty());
+    CHECK(tracker.Settle(now).Empty());
+  }
+  CHECK_FALSE(Refused(kSound, now));
+}
+
+// Guards against a popular part that is refused since crashes follow each other faster than its
+// sound responses become known.
+TEST(prompt_part_tracker, CrashesOfAPartThatWasSoundWaitForSoundResponses)
+{
+  RunWell({ kSound }, kNow);
+  const time_point crash = kNow + kSoundMargin + 1_ms;
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    CHECK(Lose(Begin({ kSound }, upstream, crash), crash).Empty());
+  }
+  CHECK(tracker.Settle(crash + kSettlingTime - 1_ms).Empty());
+  CHECK_FALSE(Refused(kSound, crash));
+  RunWell({ kSound }, crash);
+  CHECK(tracker.Settle(crash + kSettlingTime).Empty());
+  CHECK_FALSE(Refused(kSound, crash + kSettlingTime));
+}
+
+// Guards against a part that was sound, turned harmful, and is never refused.
+TEST(prompt_part_tracker, PartThatTurnsHarmfulIsRefusedAfterTheSettlingTime)
+{
+  RunWell({ kPoison }, kNow);
+  const time_point crash = kNow + kSoundMargin + 1_ms;
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    Lose(Begin({ kPoison }, upstream, crash), crash);
+  }
+  const auto changes = tracker.Settle(crash + kSettlingTime);
+  CHECK_EQUAL(3, changes.crashes.size());
+  CHECK(changes.crashes[0].age == kSettlingTime);
+  CHECK(Refused(kPoison, crash + kSettlingTime));
+}
+
+TEST(prompt_part_tracker, NewsOfAPartThatWasSoundWaitToo)
+{
+  RunWell({ kSound }, kNow);
+  const time_point now = kNow + kSoundMargin + 1_ms;
+  const auto crash = [](std::uint64_t aCrash) {
+    return peers::crash_message{ kSound, aCrash, kEarlyCrashWeight, false, false, {} };
+  };
+  CHECK(tracker.Apply({ { crash(1), crash(2), crash(3) }, {} }, now).Empty());
+  CHECK_FALSE(Refused(kSound, now));
+  tracker.Settle(now + kSettlingTime);
+  CHECK(Refused(kSound, now + kSettlingTime));
+}
+
+// Guards against a complete answer that did not run the prompt, such as a refusal of the request,
+// but acquits its parts.
+TEST(prompt_part_tracker, AnswerWithoutTheHeadOfAResponseAcquitsNothing)
+{
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    Lose(Begin({ kPoison }, upstream, kNow), kNow);
+  }
+  CHECK(tracker.RecordCompletion(Send({ kPoison }, 4), kNow + 1_s).Empty());
+  CHECK(Refused(kPoison, kNow + 1_s));
+  CHECK_FALSE(tracker.RecordCompletion(Begin({ kPoison }, 5, kNow), kNow + 1_s).Empty());
+  CHECK_FALSE(Refused(kPoison, kNow + 1_s));
+}
+
+// Guards against a response that stands still and counts only once its upstream's crash is proved,
+// long after it was lost.
+TEST(prompt_part_tracker, ProvedCrashCountsAsOfTheLoss)
+{
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    const attempt_id attempt = Begin({ kPoison }, upstream, kNow);
+    CHECK(Lose(attempt, kNow + 50_ms, loss_kind::stalled).Empty());
+  }
+  RunWell({ kPoison }, kNow - kSoundMargin);
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    const auto changes = tracker.RecordCrash({ fmt::format("u{}", upstream) }, kNow + 10_s);
+    CHECK(changes.crashes.at(0).age == 10_s - 50_ms);
+  }
+  CHECK(Refused(kPoison, kNow + 10_s));
+}
+
+TEST(prompt_part_tracker, ProofOfACountedLossAddsNothing)
+{
+  Lose(Begin({ kPoison }, 1, kNow), kNow);
+  CHECK(tracker.RecordCrash({ "u1" }, kNow + 1_s).Empty());
+}
+
+// Guards against sound parts of requests that are sent to the same upstreams as harmful ones, whose
+// news would fill the mesh.
+TEST(prompt_part_tracker, CrashThatAPartInQuarantineExplainsIsNotToldOfOthers)
+{
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    Lose(Begin({ kPoison }, upstream, kNow), kNow);
+  }
+  const attempt_id harmful = Begin({ kSound, kPoison }, 9, kNow);
+  const attempt_id other = Begin({ kSound + 1 }, 9, kNow);
+  const auto changes = Lose(harmful, kNow);
+  CHECK_EQUAL(1, changes.crashes.size());
+  CHECK(changes.crashes[0].fingerprint == kPoison);
+  CHECK(Lose(other, kNow).Empty());
+}
+
+// Guards against made-up parts whose news fill the mesh, or keep a process from refusing a part.
+TEST(prompt_part_tracker, NewsAreLimitedButTheOwnVerdictIsNot)
+{
+  tracker.SetProcessCount(60);
+  std::size_t told = 0;
+  for (int upstream = 0; upstream < 200; ++upstream) {
+    const auto part = static_cast<std::uint64_t>(10000 + upstream);
+    told += Lose(Begin({ part }, upstream, kNow), kNow).crashes.size();
+  }
+  CHECK_EQUAL(static_cast<std::size_t>(kMaxPartNewsAtOnce), told);
+  for (int upstream = 300; upstream < 303; ++upstream) {
+    told += Lose(Begin({ kPoison }, upstream, kNow + 2_s), kNow + 2_s).crashes.size();
+  }
+  CHECK_EQUAL(static_cast<std::size_t>(kMaxPartNewsAtOnce) + 2, told);
+  CHECK(Refused(kPoison, kNow + 2_s));
+}
--- a/src/poison/tests/suspicionarchivetests.cpp
+++ b/src/poison/tests/suspicionarchivetests.cpp
@@ -1,5 +1,7 @@
 #include "poison/suspicionarchive.h"
 
+#include "poison/promptpartfingerprint.h"
+#include "poison/promptparttable.h"
 #include "poison/suspiciontable.h"
 
 #include <CppUTest/TestHarness.h>
@@ -188,3 +190,30 @@
   suspicion_archive other{ 0 };
   CHECK(other.OnRead(write->text, { { 1 } }, kWall - 30_s).quarantines.at(0).age == duration{});
 }
+
+// Guards against made-up parts of prompts that push the quarantines of requests out of the store.
+TEST(suspicion_archive, PartsOfPromptsDisplaceNoRequests)
+{
+  archive.OnRead("", std::nullopt, kWall);
+  suspicion_changes entries;
+  for (std::uint64_t number = 1; number <= kMaxStored; ++number) {
+    entries.Append(Quarantined(number));
+    entries.quarantines.back().age = 100_s;
+  }
+  std::vector<prompt_part_id> parts;
+  for (std::uint64_t number = 0; number < 1000; ++number) {
+    parts.push_back({ number });
+  }
+  for (const std::uint64_t fingerprint : PromptPartFingerprints({ "s" }, "m", parts)) {
+    entries.Append(Quarantined(fingerprint));
+  }
+  const auto write = Next(entries);
+  suspicion_archive other{ 0 };
+  std::size_t storedParts = 0;
+  const auto stored = other.OnRead(write->text, { { 1 } }, kWall).quarantines;
+  for (const auto& quarantine : stored) {
+    storedParts += IsPromptPart(quarantine.fingerprint) ? 1 : 0;
+  }
+  CHECK_EQUAL(kMaxLastingParts, storedParts);
+  CHECK_EQUAL(kMaxStored + kMaxLastingParts, stored.size());
+}
