Parts of prompts: news of parts with one crash leave room for the others

Requests may have many parts that no other has at the same time, such as the former turns of a conversation. Each crash counted against up to 32 of them, and their news, and the withdrawals of crashes that were never told, took the room of those of the harmful part.

A process tells the first crash of a part only while 12 of its 16 news at once are left, keeps to itself the withdrawal of what it has not told, and looks at the parts of a request in the order of the prompt, in which those that many share come first. Only parts that may be refused are judged anew at each crash.

--- a/src/poison/internal/promptpartfingerprint.cpp
+++ b/src/poison/internal/promptpartfingerprint.cpp
@@ -37,10 +37,11 @@
   std::vector<std::uint64_t> fingerprints;
   fingerprints.reserve(aParts.size());
   for (const prompt_part_id& part : aParts) {
-    fingerprints.push_back((HashNumber(part.value, seed) & ~kTagMask) | kPartTag);
+    const std::uint64_t fingerprint = (HashNumber(part.value, seed) & ~kTagMask) | kPartTag;
+    if (std::find(fingerprints.begin(), fingerprints.end(), fingerprint) == fingerprints.end()) {
+      fingerprints.push_back(fingerprint);
+    }
   }
-  std::sort(fingerprints.begin(), fingerprints.end());
-  fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
   return fingerprints;
 }
 
--- a/src/poison/internal/promptparttable.cpp
+++ b/src/poison/internal/promptparttable.cpp
@@ -59,6 +59,23 @@
   return mSound.LatestBegin(aPart, aNow).has_value();
 }
 
+std::uint32_t
+prompt_part_table::Weight(const entry& aEntry, time_point aNow)
+{
+  std::uint32_t weight = 0;
+  for (const crash& counted : aEntry.crashes) {
+    weight += Counts(counted, aNow) ? counted.weight : 0;
+  }
+  return weight;
+}
+
+bool
+prompt_part_table::IsSuspect(std::uint64_t aPart, time_point aNow) const
+{
+  const auto found = mEntries.find(aPart);
+  return found != mEntries.end() && Weight(found->second, aNow) > 0;
+}
+
 std::uint32_t
 prompt_part_table::OwnWeight(const entry& aEntry, time_point aNow) const
 {
@@ -75,11 +92,8 @@
 {
   std::vector<standing> standings;
   for (const auto& [part, present] : mEntries) {
-    std::uint32_t weight = 0;
-    for (const crash& counted : present.crashes) {
-      weight += Counts(counted, aNow) ? counted.weight : 0;
-    }
-    if (weight > 0) {
+    const std::uint32_t weight = Weight(present, aNow);
+    if (weight >= kQuarantineWeight || (weight > 0 && present.quarantineCount > 0)) {
       standings.push_back({ part, weight });
     }
   }
@@ -100,6 +114,7 @@
     const crash before = *known;
     known->withdrawn = known->withdrawn || aCrash.withdrawn;
     known->weight = std::max(known->weight, aCrash.weight);
+    known->told = known->told || aCrash.told;
     return known->withdrawn != before.withdrawn || known->weight != before.weight;
   }
   if (aEntry.crashes.size() >= kMaxCrashesPerPart) {
@@ -176,6 +191,14 @@
   return changes;
 }
 
+void
+prompt_part_table::KeepToItself(const peers::crash_message& aCrash)
+{
+  for (crash& known : Touch(aCrash.fingerprint).crashes) {
+    known.told = known.told && known.id != aCrash.crash;
+  }
+}
+
 suspicion_changes
 prompt_part_table::RecordSound(std::uint64_t aPart, time_point aBegunAt, time_point aNow)
 {
@@ -186,12 +209,16 @@
   }
   entry& sound = found->second;
   const time_point until = aBegunAt + kSoundMargin;
+  bool anyWithdrawn = false;
   suspicion_changes changes;
   for (crash& counted : sound.crashes) {
     if (Counts(counted, aNow) && counted.at <= until) {
       counted.withdrawn = true;
-      changes.crashes.push_back(
-        { aPart, counted.id, counted.weight, false, true, aNow - counted.at });
+      anyWithdrawn = true;
+      if (counted.told) {
+        changes.crashes.push_back(
+          { aPart, counted.id, counted.weight, false, true, aNow - counted.at });
+      }
     }
   }
   if (InQuarantine(sound, aNow) && sound.quarantinedAt <= until) {
@@ -199,7 +226,7 @@
     changes.quarantines.push_back(
       { aPart, sound.quarantineCount, true, aNow - sound.quarantinedAt });
   }
-  if (!changes.Empty()) {
+  if (anyWithdrawn || !changes.Empty()) {
     changes.Append(Judge(aNow));
   }
   return changes;
@@ -284,8 +311,8 @@
 prompt_part_table::Count(time_point aNow) const
 {
   suspicion_counts counts;
-  counts.suspects = Standings(aNow).size();
   for (const auto& [part, present] : mEntries) {
+    counts.suspects += Weight(present, aNow) > 0 ? 1 : 0;
     counts.quarantined += Check(part, aNow).verdict == poison_verdict::quarantined ? 1 : 0;
   }
   return counts;
--- a/src/poison/internal/promptparttracker.cpp
+++ b/src/poison/internal/promptparttracker.cpp
@@ -191,8 +191,10 @@
 suspicion_changes
 prompt_part_tracker::AddCrash(const peers::crash_message& aCrash, time_point aNow)
 {
+  const double reserve = mTable.IsSuspect(aCrash.fingerprint, aNow) ? 0 : kPartNewsReserve;
   suspicion_changes changes = mTable.AddCrash(aCrash, aNow);
-  if (!changes.crashes.empty() && !mNews.Take(aNow)) {
+  if (!changes.crashes.empty() && !mNews.Take(reserve, aNow)) {
+    mTable.KeepToItself(aCrash);
     changes.crashes.clear();
   }
   return changes;
--- a/src/poison/newsallowance.h
+++ b/src/poison/newsallowance.h
@@ -18,14 +18,14 @@
 
   /// Sets how many news a second may be told on average.
   void SetRate(double aPerSecond) { mPerSecond = aPerSecond; }
-  /// Takes one; returns whether it may be told.
-  bool Take(time_point aNow)
+  /// Takes one unless that leaves less than aReserve. Returns whether it may be told.
+  bool Take(double aReserve, time_point aNow)
   {
     constexpr double kMillisecondsPerSecond = 1000;
     const double passed = static_cast<double>((aNow - mUpdatedAt).ms) / kMillisecondsPerSecond;
     mLeft = std::min(mMost, mLeft + std::max(passed, 0.0) * mPerSecond);
     mUpdatedAt = aNow;
-    const bool allowed = mLeft >= 1;
+    const bool allowed = mLeft >= 1 + aReserve;
     mLeft -= allowed ? 1 : 0;
     return allowed;
   }
--- a/src/poison/promptpartfingerprint.h
+++ b/src/poison/promptpartfingerprint.h
@@ -8,8 +8,8 @@
 
 namespace persimmon::poison {
 
-/// Returns the fingerprints of parts of a prompt, sorted and without repetitions. They depend on
-/// the service and the model: what crashes one model need not crash another.
+/// Returns the fingerprints of parts of a prompt, in their order and without repetitions. They
+/// depend on the service and the model: what crashes one model need not crash another.
 std::vector<std::uint64_t>
 PromptPartFingerprints(const service_name& aService,
                        std::string_view aModel,
--- a/src/poison/promptparttable.h
+++ b/src/poison/promptparttable.h
@@ -37,11 +37,15 @@
   [[nodiscard]] bool IsVoid(std::uint64_t aPart, time_point aAt, time_point aNow) const;
   /// Returns whether sound responses with the part are remembered.
   [[nodiscard]] bool WasSound(std::uint64_t aPart, time_point aNow) const;
+  /// Returns whether a crash counts against a part.
+  [[nodiscard]] bool IsSuspect(std::uint64_t aPart, time_point aNow) const;
   /// Returns whether a part in quarantine explains a crash.
   [[nodiscard]] bool IsExplained(std::uint64_t aCrash) const { return mExplained.contains(aCrash); }
 
   /// Records a crash of the aCrash.age before aNow. Returns the changes for other processes.
   suspicion_changes AddCrash(const peers::crash_message& aCrash, time_point aNow);
+  /// Notes that a crash was not told to other processes: neither is its withdrawal.
+  void KeepToItself(const peers::crash_message& aCrash);
   /// Records a sound response that began at aBegunAt: crashes until kSoundMargin later don't count,
   /// and a quarantine since then ends.
   suspicion_changes RecordSound(std::uint64_t aPart, time_point aBegunAt, time_point aNow);
@@ -62,6 +66,8 @@
     std::uint32_t weight = 0;
     bool withdrawn = false;
     time_point at;
+    /// False when no other process knows of it.
+    bool told = true;
   };
   struct entry
   {
@@ -87,9 +93,12 @@
   [[nodiscard]] static bool InQuarantine(const entry& aEntry, time_point aNow);
   [[nodiscard]] static bool RemembersQuarantine(const entry& aEntry, time_point aNow);
   [[nodiscard]] static bool IsExpired(const entry& aEntry, time_point aNow);
+  /// Returns the weight of the crashes that count.
+  [[nodiscard]] static std::uint32_t Weight(const entry& aEntry, time_point aNow);
   /// Returns the weight of the crashes that count and that nothing explains.
   [[nodiscard]] std::uint32_t OwnWeight(const entry& aEntry, time_point aNow) const;
-  /// Returns the parts that crashes count against, most weight first.
+  /// Returns the parts that crashes count against and that may be in quarantine now or then, most
+  /// weight first.
   [[nodiscard]] std::vector<standing> Standings(time_point aNow) const;
   /// Stores a crash. Returns whether the entry changed.
   static bool Store(entry& aEntry, const crash& aCrash);
--- a/src/poison/promptparttracker.h
+++ b/src/poison/promptparttracker.h
@@ -26,7 +26,10 @@
 /// Crashes against parts that all processes together tell in a second on average, and that one
 /// tells at once: their news must not fill the mesh.
 constexpr double kMaxPartNewsPerSecond = 60;
-constexpr double kMaxPartNewsAtOnce = 20;
+constexpr double kMaxPartNewsAtOnce = 16;
+/// Of these, as many are kept for further crashes of parts that crashes count against already: most
+/// parts, such as the former turns of a conversation, are of one crash and no other.
+constexpr double kPartNewsReserve = 12;
 
 /// Detects parts of prompts that crash the upstreams that begin to respond to them, in requests
 /// that are otherwise all different. A crash counts against the shared parts of each request that
--- a/src/poison/tests/mocks/promptpartplay.cpp
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -141,6 +141,9 @@
       arrived.parts.push_back(kFirstPoisonPart + mRandom.Below(mSetup.poisonParts));
       arrived.harmful = harms;
     }
+    for (std::size_t i = 0; i < mSetup.madeUpParts; ++i) {
+      arrived.parts.push_back(mNextMadeUpPart++);
+    }
     Arrive(std::move(arrived));
   }
 }
--- a/src/poison/tests/mocks/promptpartplay.h
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -15,6 +15,8 @@
 constexpr std::uint64_t kPopularPart = 1;
 /// The parts that crash upstreams are numbered from here.
 constexpr std::uint64_t kFirstPoisonPart = 1000;
+/// The parts that only one request has are numbered from here.
+constexpr std::uint64_t kFirstMadeUpPart = 1000000;
 /// The sound parts that some requests have are numbered from here.
 constexpr std::uint64_t kFirstRarePart = 2000;
 
@@ -37,6 +39,8 @@
   /// Part of the requests that have one of the rare parts, and the number of these.
   double rareShare = 0.5;
   std::size_t rareParts = 10;
+  /// Number of parts of each request that no other request of the play has.
+  std::size_t madeUpParts = 0;
   /// A restarted upstream takes calls again after this time.
   duration restart = 4_s;
   /// Time between deaths of upstreams for other causes; none when zero.
@@ -157,6 +161,7 @@
   part_play_result mResult;
   double mDueRequests = 0;
   std::uint64_t mLastAttempt = 0;
+  std::uint64_t mNextMadeUpPart = kFirstMadeUpPart;
   std::size_t mNextUpstream = 0;
   time_point mNow;
 };
