Parts of prompts: a part that was sound is tried while it is refused

What callers would see: in an outage in which each request ends its upstream, such as a broken release or a cut that closes all connections, the part that all requests share had three crashes and no sound response. It was refused, and since then no request could prove it sound: all of that model's requests got 503 for ten minutes, long after the upstreams were back.

One sound response ends the quarantine everywhere. A part that never had one, such as one that comes with the fault, is not tried, so that the bound of three arrivals isn't touched.

Also: the verdict on one part of a request hid the third crash of another part that always comes with it, as already explained; now only crashes after a quarantine count as explained at once. Guarded by prompt_part_tracker.PartsThatAlwaysComeTogetherAreAllRefused, which failed before.

--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -52,8 +52,9 @@
   /// messages of others.
   std::function<void(const poison::suspicion_changes&, bool aObservedHere)> onChange;
 
-  /// Returns how a request may be sent.
-  [[nodiscard]] poison::poison_check Check(const poison::request_identities& aRequest) const;
+  /// Returns how a request may be sent. Now and then, one with a quarantined part in its prompt may
+  /// be sent as a trial.
+  [[nodiscard]] poison::poison_check Check(const poison::request_identities& aRequest);
   /// Records that a request is sent to an upstream.
   monitored_attempt Started(const poison::request_identities& aRequest,
                             const instance_id& aUpstream);
@@ -77,9 +78,9 @@
   void OnInstancesChanged();
   /// Judges what has waited for a while; call several times a second.
   void OnFastTick();
-  /// Drops what has expired and updates the metrics; call about once a second with the number of
-  /// live gateways.
-  void OnSlowTick(std::size_t aGatewayCount);
+  /// Drops what has expired and updates the metrics; call about once a second with the live
+  /// gateways, this one included.
+  void OnSlowTick(const router_id& aSelf, const std::vector<router_id>& aLive);
   /// Returns what must outlast all processes.
   [[nodiscard]] poison::suspicion_changes LastingEntries() const;
 
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -56,13 +56,13 @@
 }
 
 poison::poison_check
-crash_monitor::Check(const poison::request_identities& aRequest) const
+crash_monitor::Check(const poison::request_identities& aRequest)
 {
   const time_point now = steady_clock().Now();
   const poison::poison_check check = mTracker.Check(aRequest.request, now);
   return check.verdict == poison::poison_verdict::quarantined
            ? check
-           : mPartTracker.Check(aRequest.promptParts, now);
+           : mPartTracker.CheckOrTry(aRequest, now);
 }
 
 monitored_attempt
@@ -82,9 +82,9 @@
   const std::uint64_t epoch = group != nullptr ? group->epoch.value : 0;
   const std::uint64_t run = started.members.empty() ? 0 : started.members[0].incarnationId.value;
   started.upstream = { fmt::format("{}/{}/{}", aUpstream.value, run, epoch) };
-  mTracker.RecordDispatch({ started.id, started.fingerprint, started.upstream },
-                          steady_clock().Now());
-  mPartTracker.RecordDispatch(started.id, started.upstream, aRequest.promptParts);
+  const time_point now = steady_clock().Now();
+  mTracker.RecordDispatch({ started.id, started.fingerprint, started.upstream }, now);
+  mPartTracker.RecordDispatch(started.id, started.upstream, aRequest, now);
   return started;
 }
 
@@ -279,11 +279,11 @@
 }
 
 void
-crash_monitor::OnSlowTick(std::size_t aGatewayCount)
+crash_monitor::OnSlowTick(const router_id& aSelf, const std::vector<router_id>& aLive)
 {
   const time_point now = steady_clock().Now();
   const double share =
-    kMaxUnansweredPerSecond / static_cast<double>(std::max<std::size_t>(aGatewayCount, 1));
+    kMaxUnansweredPerSecond / static_cast<double>(std::max<std::size_t>(aLive.size(), 1));
   mUnansweredCalls.SetShare(
     { std::min(share, kMaxOwnUnansweredPerSecond), kMaxOwnUnansweredPerSecond }, now);
   for (const crash_finding& finding : mInvestigator.TakeExpired(now)) {
@@ -291,7 +291,7 @@
   }
   mTracker.Prune(now);
   mPartTracker.Prune(now);
-  mPartTracker.SetProcessCount(aGatewayCount);
+  mPartTracker.SetProcesses(aSelf, aLive);
   const poison::suspicion_counts counts = mTracker.Count(now);
   mMetrics.Set(kSuspects, static_cast<double>(counts.suspects));
   mMetrics.Set(kQuarantined, static_cast<double>(counts.quarantined));
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -262,7 +262,7 @@
   // The gateway that forms the groups needs changes of the instances soonest.
   const duration batchDelay = BatchDelay(liveGateways.size(), mSettings.leaveNotice);
   mInstances.SetBatchDelay(mLease.IsHolder() ? kMinBatchDelay : batchDelay);
-  mCrashes.OnSlowTick(liveGateways.size());
+  mCrashes.OnSlowTick(mSettings.id, liveGateways);
   mSuspicions.Update(false);
   const duration age = now - mInstances.LastResponseAt();
   mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
--- a/src/poison/internal/promptparttable.cpp
+++ b/src/poison/internal/promptparttable.cpp
@@ -129,6 +129,7 @@
 {
   suspicion_changes changes;
   mExplained.clear();
+  mExpected.clear();
   const std::vector<standing> standings = Standings(aNow);
   for (auto first = standings.begin(); first != standings.end();) {
     // Parts with the same crashes can't be told apart: none of them explains the others.
@@ -138,8 +139,12 @@
     std::vector<std::uint64_t> explained;
     for (; first != last; ++first) {
       if (JudgePart(*first, changes, aNow)) {
-        for (const crash& counted : mEntries.at(first->part).crashes) {
+        const entry& cause = mEntries.at(first->part);
+        for (const crash& counted : cause.crashes) {
           explained.push_back(counted.id);
+          if (counted.at > cause.quarantinedAt) {
+            mExpected.insert(counted.id);
+          }
         }
       }
     }
--- a/src/poison/internal/promptparttracker.cpp
+++ b/src/poison/internal/promptparttracker.cpp
@@ -1,6 +1,7 @@
 #include "poison/promptparttracker.h"
 
 #include "base/hash.h"
+#include "poison/suspicionlog.h"
 
 #include <algorithm>
 #include <iterator>
@@ -20,16 +21,70 @@
   return worst;
 }
 
+std::vector<std::uint64_t>
+prompt_part_tracker::Refused(const std::vector<std::uint64_t>& aParts, time_point aNow) const
+{
+  std::vector<std::uint64_t> refused;
+  std::copy_if(aParts.begin(), aParts.end(), std::back_inserter(refused), [&](std::uint64_t aPart) {
+    return mTable.Check(aPart, aNow).verdict == poison_verdict::quarantined;
+  });
+  return refused;
+}
+
+bool
+prompt_part_tracker::IsResponsible(std::uint64_t aPart) const
+{
+  const std::string key = FingerprintText(aPart);
+  const std::uint64_t own = RendezvousWeight(key, mSelf.value);
+  return std::none_of(mLive.begin(), mLive.end(), [&](const router_id& aOther) {
+    return RendezvousWeight(key, aOther.value) > own;
+  });
+}
+
+poison_check
+prompt_part_tracker::CheckOrTry(const request_identities& aRequest, time_point aNow)
+{
+  const std::vector<std::uint64_t> refused = Refused(aRequest.promptParts, aNow);
+  if (refused.empty()) {
+    return {};
+  }
+  const bool allWereSound =
+    std::all_of(refused.begin(), refused.end(), [this, aNow](std::uint64_t aPart) {
+      return mTable.HasSoundHistory(aPart, aNow);
+    });
+  const std::uint64_t first = refused.front();
+  const bool tried =
+    allWereSound && IsResponsible(first) && mTrials.Admits(first, aRequest.request, aNow);
+  return tried ? poison_check{} : Check(aRequest.promptParts, aNow);
+}
+
 void
 prompt_part_tracker::RecordDispatch(const attempt_id& aAttempt,
                                     const upstream_id& aUpstream,
-                                    const std::vector<std::uint64_t>& aParts)
+                                    const request_identities& aRequest,
+                                    time_point aNow)
+{
+  if (aRequest.promptParts.empty()) {
+    return;
+  }
+  running_attempt started;
+  started.upstream = aUpstream;
+  started.request = aRequest;
+  const std::vector<std::uint64_t> refused = Refused(aRequest.promptParts, aNow);
+  if (!refused.empty()) {
+    started.triedPart = refused.front();
+    mTrials.OnDispatch(started.triedPart, aRequest.request, aNow);
+  }
+  mRunning[aAttempt] = std::move(started);
+}
+
+void
+prompt_part_tracker::RecordEnd(const attempt_id& aAttempt)
 {
-  if (!aParts.empty()) {
-    running_attempt started;
-    started.upstream = aUpstream;
-    started.parts = aParts;
-    mRunning[aAttempt] = std::move(started);
+  const auto found = mRunning.find(aAttempt);
+  if (found != mRunning.end()) {
+    mTrials.OnEnd(found->second.triedPart, found->second.request.request);
+    mRunning.erase(found);
   }
 }
 
@@ -75,8 +130,9 @@
 {
   aAttempt.sound = true;
   suspicion_changes changes;
-  for (const std::uint64_t part : aAttempt.parts) {
+  for (const std::uint64_t part : aAttempt.request.promptParts) {
     changes.Append(mTable.RecordSound(part, *aAttempt.headAt, aNow));
+    mTrials.OnSound(part);
   }
   return changes;
 }
@@ -111,6 +167,7 @@
     return {};
   }
   SetLost(found->second, aKind, aNow);
+  mTrials.OnEnd(found->second.triedPart, found->second.request.request);
   return aKind == loss_kind::broken_off ? CountCrash(found->second, aNow) : suspicion_changes{};
 }
 
@@ -147,7 +204,7 @@
   crash.age = aNow - *aAttempt.lostAt;
   // Parts in quarantine come first: they explain the crash, so that it doesn't count against
   // others.
-  std::vector<std::uint64_t> parts = aAttempt.parts;
+  std::vector<std::uint64_t> parts = aAttempt.request.promptParts;
   std::stable_partition(parts.begin(), parts.end(), [this, aNow](std::uint64_t aPart) {
     return mTable.Check(aPart, aNow).verdict == poison_verdict::quarantined;
   });
@@ -169,13 +226,17 @@
   if (mTable.Check(part, aNow).verdict == poison_verdict::quarantined) {
     return AddCrash(aCrash, aNow);
   }
-  if (mTable.IsExplained(aCrash.crash)) {
+  if (mTable.WasExpected(aCrash.crash)) {
     return {};
   }
   if (mTable.WasSound(part, aNow) && aNow < at + kSettlingTime) {
     LetSettle({ aCrash, at, false });
     return {};
   }
+  const bool settled = aNow >= at + kSettlingTime;
+  if (settled && mTable.IsExplained(aCrash.crash)) {
+    return {};
+  }
   return AddCrash(aCrash, aNow);
 }
 
@@ -246,9 +307,19 @@
 }
 
 void
-prompt_part_tracker::SetProcessCount(std::size_t aCount)
+prompt_part_tracker::SetProcesses(const router_id& aSelf, const std::vector<router_id>& aLive)
+{
+  mSelf = aSelf;
+  mLive = aLive;
+  mNews.SetRate(kMaxPartNewsPerSecond /
+                static_cast<double>(std::max<std::size_t>(aLive.size(), 1)));
+}
+
+void
+prompt_part_tracker::Prune(time_point aNow)
 {
-  mNews.SetRate(kMaxPartNewsPerSecond / static_cast<double>(std::max<std::size_t>(aCount, 1)));
+  mTable.Prune(aNow);
+  mTrials.Prune(aNow);
 }
 
 } // namespace persimmon::poison
--- a/src/poison/internal/soundparts.cpp
+++ b/src/poison/internal/soundparts.cpp
@@ -30,12 +30,19 @@
   return found->second.begunAt;
 }
 
+bool
+sound_parts::HasHistory(std::uint64_t aPart, time_point aNow) const
+{
+  const auto found = mParts.find(aPart);
+  return found != mParts.end() && aNow < found->second.begunAt + kSoundHistory;
+}
+
 void
 sound_parts::Prune(time_point aNow)
 {
   while (!mByAge.empty()) {
     const auto oldest = mParts.find(mByAge.front());
-    if (aNow < oldest->second.begunAt + kSoundRunMemory) {
+    if (aNow < oldest->second.begunAt + kSoundHistory) {
       return;
     }
     mParts.erase(oldest);
--- a/src/poison/promptparttable.h
+++ b/src/poison/promptparttable.h
@@ -37,10 +37,17 @@
   [[nodiscard]] bool IsVoid(std::uint64_t aPart, time_point aAt, time_point aNow) const;
   /// Returns whether sound responses with the part are remembered.
   [[nodiscard]] bool WasSound(std::uint64_t aPart, time_point aNow) const;
+  /// Returns whether a sound response with the part is known of the last kSoundHistory.
+  [[nodiscard]] bool HasSoundHistory(std::uint64_t aPart, time_point aNow) const
+  {
+    return mSound.HasHistory(aPart, aNow);
+  }
   /// Returns whether a crash counts against a part.
   [[nodiscard]] bool IsSuspect(std::uint64_t aPart, time_point aNow) const;
   /// Returns whether a part in quarantine explains a crash.
   [[nodiscard]] bool IsExplained(std::uint64_t aCrash) const { return mExplained.contains(aCrash); }
+  /// Returns whether a part that was in quarantine before a crash explains it.
+  [[nodiscard]] bool WasExpected(std::uint64_t aCrash) const { return mExpected.contains(aCrash); }
 
   /// Records a crash of the aCrash.age before aNow. Returns the changes for other processes.
   suspicion_changes AddCrash(const peers::crash_message& aCrash, time_point aNow);
@@ -118,6 +125,8 @@
   std::list<std::uint64_t> mByAge;
   /// Crashes that parts in quarantine explain.
   std::unordered_set<std::uint64_t> mExplained;
+  /// Those of them that came later than the quarantine, from calls that were in flight then.
+  std::unordered_set<std::uint64_t> mExpected;
 };
 
 } // namespace persimmon::poison
--- a/src/poison/promptparttracker.h
+++ b/src/poison/promptparttracker.h
@@ -3,7 +3,9 @@
 #include "base/ids.h"
 #include "poison/losskind.h"
 #include "poison/newsallowance.h"
+#include "poison/parttrials.h"
 #include "poison/promptparttable.h"
+#include "poison/requestidentities.h"
 
 #include <cstdint>
 #include <deque>
@@ -41,11 +43,15 @@
 public:
   /// Returns how a request with these parts may be dispatched.
   [[nodiscard]] poison_check Check(const std::vector<std::uint64_t>& aParts, time_point aNow) const;
+  /// Returns how a request may be dispatched. Now and then, one whose parts in quarantine were all
+  /// sound before is let through at the process that is responsible for the first of them.
+  [[nodiscard]] poison_check CheckOrTry(const request_identities& aRequest, time_point aNow);
 
   /// Records the dispatch of an attempt. Nothing is recorded of one without shared parts.
   void RecordDispatch(const attempt_id& aAttempt,
                       const upstream_id& aUpstream,
-                      const std::vector<std::uint64_t>& aParts);
+                      const request_identities& aRequest,
+                      time_point aNow);
   /// Records the head of a response that only an upstream that runs the request sends.
   void RecordHead(const attempt_id& aAttempt, time_point aNow);
   /// Records a part of the response behind its head. Returns the changes for other processes.
@@ -56,7 +62,7 @@
   /// Records a complete response. Returns the changes for other processes.
   suspicion_changes RecordCompletion(const attempt_id& aAttempt, time_point aNow);
   /// Records that an attempt ended without a complete response while its upstream stayed alive.
-  void RecordEnd(const attempt_id& aAttempt) { mRunning.erase(aAttempt); }
+  void RecordEnd(const attempt_id& aAttempt);
   /// Records the proved crash of an upstream. Returns the changes for other processes.
   suspicion_changes RecordCrash(const upstream_id& aUpstream, time_point aNow);
   /// Applies messages of another process or from the store. Returns what follows from them.
@@ -64,8 +70,8 @@
   /// Counts crashes that have waited for kSettlingTime. Call at least a few times a second.
   suspicion_changes Settle(time_point aNow);
 
-  /// Sets the number of live processes, which share kMaxPartNewsPerSecond.
-  void SetProcessCount(std::size_t aCount);
+  /// Sets the live processes, which share kMaxPartNewsPerSecond and the trials of parts.
+  void SetProcesses(const router_id& aSelf, const std::vector<router_id>& aLive);
   /// Returns what must outlast all processes.
   [[nodiscard]] suspicion_changes LastingEntries(time_point aNow) const
   {
@@ -73,13 +79,15 @@
   }
   [[nodiscard]] suspicion_counts Count(time_point aNow) const { return mTable.Count(aNow); }
   /// Drops expired entries; call about once a second.
-  void Prune(time_point aNow) { mTable.Prune(aNow); }
+  void Prune(time_point aNow);
 
 private:
   struct running_attempt
   {
     upstream_id upstream;
-    std::vector<std::uint64_t> parts;
+    request_identities request;
+    /// The first part in quarantine at the dispatch, which was a trial then; 0 when there was none.
+    std::uint64_t triedPart = 0;
     /// Time of the response's head; nothing before it.
     std::optional<time_point> headAt;
     /// Time of the first part behind the head; nothing before it.
@@ -115,7 +123,16 @@
   suspicion_changes AddCrash(const peers::crash_message& aCrash, time_point aNow);
   suspicion_changes Apply(const peers::crash_message& aMessage, time_point aNow);
 
+  /// Returns the parts in quarantine, in their order.
+  [[nodiscard]] std::vector<std::uint64_t> Refused(const std::vector<std::uint64_t>& aParts,
+                                                   time_point aNow) const;
+  /// Returns whether this process tries requests with a part.
+  [[nodiscard]] bool IsResponsible(std::uint64_t aPart) const;
+
   prompt_part_table mTable;
+  part_trials mTrials;
+  router_id mSelf;
+  std::vector<router_id> mLive;
   std::unordered_map<attempt_id, running_attempt> mRunning;
   std::deque<settling_crash> mSettling;
   news_allowance mNews{ kMaxPartNewsAtOnce };
--- a/src/poison/soundparts.h
+++ b/src/poison/soundparts.h
@@ -13,8 +13,10 @@
 /// Most parts of prompts whose latest sound run is remembered. Above it, those go first whose
 /// latest run was noted first; a part that many requests have is noted again and again.
 constexpr std::size_t kMaxSoundParts = 4096;
-/// Time for which a sound run is remembered.
+/// Time for which the begin of a sound response matters.
 constexpr duration kSoundRunMemory = 10_s;
+/// Time for which it is remembered that a part was sound: as long as a first quarantine.
+constexpr duration kSoundHistory = 600_s;
 
 /// Remembers when a response that later proved sound last began for each part of a prompt. Does no
 /// I/O and reads no clock.
@@ -23,8 +25,11 @@
 public:
   /// Records a sound response that began at aBegunAt.
   void Record(std::uint64_t aPart, time_point aBegunAt);
-  /// Returns when the latest sound response with a part began; nothing when none is remembered.
+  /// Returns when the latest sound response with a part began; nothing when none did within
+  /// kSoundRunMemory.
   [[nodiscard]] std::optional<time_point> LatestBegin(std::uint64_t aPart, time_point aNow) const;
+  /// Returns whether a sound response with a part began within kSoundHistory.
+  [[nodiscard]] bool HasHistory(std::uint64_t aPart, time_point aNow) const;
   void Prune(time_point aNow);
   [[nodiscard]] std::size_t Size() const { return mParts.size(); }
 
--- a/src/poison/tests/mocks/promptpartplay.cpp
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -33,8 +33,12 @@
   , mTrackers(aSetup.processes)
   , mUpstreams(aSetup.upstreams)
 {
-  for (prompt_part_tracker& tracker : mTrackers) {
-    tracker.SetProcessCount(aSetup.processes);
+  std::vector<router_id> all;
+  for (std::size_t i = 0; i < mTrackers.size(); ++i) {
+    all.push_back({ std::to_string(i) });
+  }
+  for (std::size_t i = 0; i < mTrackers.size(); ++i) {
+    mTrackers[i].SetProcesses(all[i], all);
   }
 }
 
@@ -64,7 +68,7 @@
     }));
   for (const auto& [at, sent] : mSound) {
     const bool before = at < mSetup.poisonFrom;
-    const bool after = at > counted + kStableTime * 2;
+    const bool after = at > std::max(counted + kStableTime * 2, mSetup.soundFrom);
     mResult.soundRequestsBefore += before ? 1 : 0;
     mResult.soundSentBefore += before && sent ? 1 : 0;
     mResult.soundRequests += after ? 1 : 0;
@@ -131,6 +135,7 @@
   mDueRequests += mSetup.requestsPerSecond / kStepsPerSecond;
   for (; mDueRequests >= 1; mDueRequests -= 1) {
     request arrived;
+    arrived.number = ++mLastRequest;
     arrived.process = mRandom.Below(mTrackers.size());
     arrived.parts.push_back(kPopularPart);
     if (mRandom.Chance(mSetup.rareShare)) {
@@ -153,7 +158,8 @@
 {
   const bool refused =
     mSetup.refuses &&
-    mTrackers[aRequest.process].Check(aRequest.parts, mNow).verdict == poison_verdict::quarantined;
+    mTrackers[aRequest.process].CheckOrTry({ aRequest.number, aRequest.parts }, mNow).verdict ==
+      poison_verdict::quarantined;
   const std::size_t target = refused ? mUpstreams.size() : PickUpstream();
   const bool sent = target < mUpstreams.size();
   if (!aRequest.harmful && !aRequest.repeated) {
@@ -165,6 +171,12 @@
   }
 }
 
+bool
+prompt_part_play::InOutage() const
+{
+  return mSetup.outageFrom <= mNow && mNow < mSetup.outageFrom + mSetup.outageTime;
+}
+
 std::size_t
 prompt_part_play::PickUpstream()
 {
@@ -187,12 +199,15 @@
   sent.upstream = aUpstream;
   sent.headAt = mNow + Milliseconds(kShortestWait + mRandom.Below(kWaitSpread));
   sent.nextData = sent.headAt;
-  sent.end = aRequest.harmful ? sent.headAt + Milliseconds(kShortestRun + mRandom.Below(kRunSpread))
-                              : sent.headAt + kResponseTime;
+  sent.endsUpstream = aRequest.harmful || InOutage();
+  sent.end = sent.endsUpstream
+               ? sent.headAt + Milliseconds(kShortestRun + mRandom.Below(kRunSpread))
+               : sent.headAt + kResponseTime;
   upstream& target = mUpstreams[aUpstream];
   ++target.calls;
   const upstream_id life{ std::to_string(aUpstream) + "/" + std::to_string(target.life) };
-  mTrackers[aRequest.process].RecordDispatch(sent.attempt, life, aRequest.parts);
+  mTrackers[aRequest.process].RecordDispatch(
+    sent.attempt, life, { aRequest.number, aRequest.parts }, mNow);
   if (aRequest.harmful) {
     mHarmfulArrivals.push_back(mNow);
   }
@@ -205,7 +220,7 @@
   std::set<std::size_t> crashed;
   for (call& current : mCalls) {
     ProgressOf(current);
-    if (current.origin.harmful && current.end <= mNow) {
+    if (current.endsUpstream && current.end <= mNow) {
       crashed.insert(current.upstream);
     }
   }
--- a/src/poison/tests/mocks/promptpartplay.h
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -45,6 +45,12 @@
   duration restart = 4_s;
   /// Time between deaths of upstreams for other causes; none when zero.
   duration otherDeaths{};
+  /// Time in which each response ends its upstream, whichever parts its request has; none when
+  /// zero.
+  time_point outageFrom{ 12000 };
+  duration outageTime{};
+  /// Sound requests count from here on, or later.
+  time_point soundFrom{};
   /// News reach the other processes after a time between these, and all after the longest with
   /// newsAlwaysLate.
   duration shortestNews = 50_ms;
@@ -99,6 +105,7 @@
 private:
   struct request
   {
+    std::uint64_t number = 0;
     std::size_t process = 0;
     std::vector<std::uint64_t> parts;
     bool harmful = false;
@@ -113,6 +120,7 @@
     time_point nextData;
     time_point end;
     bool hasHead = false;
+    bool endsUpstream = false;
   };
   struct upstream
   {
@@ -135,6 +143,7 @@
   void BringRequests();
   void Arrive(request aRequest);
   void Send(const request& aRequest, std::size_t aUpstream);
+  [[nodiscard]] bool InOutage() const;
   /// Returns an upstream with room; the number of upstreams when there is none.
   std::size_t PickUpstream();
   void Progress();
@@ -161,6 +170,7 @@
   part_play_result mResult;
   double mDueRequests = 0;
   std::uint64_t mLastAttempt = 0;
+  std::uint64_t mLastRequest = 0;
   std::uint64_t mNextMadeUpPart = kFirstMadeUpPart;
   std::size_t mNextUpstream = 0;
   time_point mNow;
--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -137,6 +137,25 @@
   CheckShares();
 }
 
+// Guards against sound parts that stay refused after an outage in which each request crashed its
+// upstream, whatever it was: once all with a part are refused, none can prove it sound.
+TEST(prompt_part_play, SoundPartsAreServedAgainAfterAnOutage)
+{
+  setup.poisonShare = 0;
+  setup.outageTime = 4_s;
+  setup.outageFrom = time_point{ 60000 };
+  setup.soundFrom = time_point{ 110000 };
+  setup.end = 150_s;
+  for (const std::size_t processes : { 1, 9, 68 }) {
+    setup.processes = processes;
+    // Of many processes, the one that tries requests with a rare part sees few of them.
+    maxWrongVerdict = processes < 68 ? 30_s : setup.end;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Check(seed);
+    }
+  }
+}
+
 // Guards against sound parts that are refused since upstreams die, whichever parts, numbers of
 // processes, traffic and delays of news there are.
 TEST(prompt_part_play, DeathsForOtherCausesGetNoSoundPartRefusedForLong)
--- a/src/poison/tests/promptparttrackertests.cpp
+++ b/src/poison/tests/promptparttrackertests.cpp
@@ -11,6 +11,7 @@
 constexpr time_point kNow{ 1000000 };
 constexpr std::uint64_t kPoison = 666;
 constexpr std::uint64_t kSound = 7;
+constexpr std::uint64_t kRequest = 42;
 
 } // namespace
 
@@ -23,7 +24,7 @@
   attempt_id Send(const std::vector<std::uint64_t>& aParts, int aUpstream)
   {
     attempt_id attempt{ fmt::format("a{}", attemptCount++) };
-    tracker.RecordDispatch(attempt, { fmt::format("u{}", aUpstream) }, aParts);
+    tracker.RecordDispatch(attempt, { fmt::format("u{}", aUpstream) }, { kRequest, aParts }, kNow);
     return attempt;
   }
   attempt_id Begin(const std::vector<std::uint64_t>& aParts, int aUpstream, time_point aNow)
@@ -182,6 +183,16 @@
   CHECK(tracker.RecordCrash({ "u1" }, kNow + 1_s).Empty());
 }
 
+// Guards against the first of two parts that always come together, whose verdict hides the other.
+TEST(prompt_part_tracker, PartsThatAlwaysComeTogetherAreAllRefused)
+{
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    Lose(Begin({ kPoison, kPoison + 1 }, upstream, kNow), kNow);
+  }
+  CHECK(Refused(kPoison, kNow));
+  CHECK(Refused(kPoison + 1, kNow));
+}
+
 // Guards against sound parts of requests that are sent to the same upstreams as harmful ones, whose
 // news would fill the mesh.
 TEST(prompt_part_tracker, CrashThatAPartInQuarantineExplainsIsNotToldOfOthers)
@@ -191,16 +202,16 @@
   }
   const attempt_id harmful = Begin({ kSound, kPoison }, 9, kNow);
   const attempt_id other = Begin({ kSound + 1 }, 9, kNow);
-  const auto changes = Lose(harmful, kNow);
+  const auto changes = Lose(harmful, kNow + 1_ms);
   CHECK_EQUAL(1, changes.crashes.size());
   CHECK(changes.crashes[0].fingerprint == kPoison);
-  CHECK(Lose(other, kNow).Empty());
+  CHECK(Lose(other, kNow + 1_ms).Empty());
 }
 
 // Guards against made-up parts whose news fill the mesh, or keep a process from refusing a part.
 TEST(prompt_part_tracker, NewsAreLimitedButTheOwnVerdictIsNot)
 {
-  tracker.SetProcessCount(60);
+  tracker.SetProcesses({ "self" }, std::vector<router_id>(60, { "other" }));
   std::size_t told = 0;
   for (int upstream = 0; upstream < 200; ++upstream) {
     const auto part = static_cast<std::uint64_t>(10000 + upstream);
@@ -226,3 +237,53 @@
   CHECK_EQUAL(told, changes.crashes.size());
   CHECK_EQUAL(0, tracker.Count(kNow + 100_ms).suspects);
 }
+
+// Guards against a sound part that stays refused, since no request with it can prove it sound.
+TEST(prompt_part_tracker, PartThatWasSoundIsTriedWhileItIsRefused)
+{
+  RunWell({ kSound }, kNow - kSoundRunMemory);
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    Lose(Begin({ kSound }, upstream, kNow), kNow + 50_ms);
+  }
+  const time_point later = kNow + 1_s;
+  const auto check = [this](std::uint64_t aRequest, time_point aNow) {
+    return tracker.CheckOrTry({ aRequest, { kSound } }, aNow).verdict;
+  };
+  CHECK(check(1, later) == poison_verdict::quarantined);
+  CHECK(check(2, later + kFirstTrialDelay) == poison_verdict::clear);
+  CHECK(check(3, later + kFirstTrialDelay) == poison_verdict::quarantined);
+  tracker.RecordDispatch({ "trial" }, { "u9" }, { 2, { kSound } }, later + kFirstTrialDelay);
+  Lose({ "trial" }, later + kFirstTrialDelay);
+  CHECK(check(2, later + kFirstTrialDelay) == poison_verdict::quarantined);
+  const time_point second = later + kFirstTrialDelay + kFirstTrialDelay * kTrialDelayGrowth;
+  CHECK(check(4, second) == poison_verdict::clear);
+  tracker.RecordDispatch({ "trial2" }, { "u9" }, { 4, { kSound } }, second);
+  tracker.RecordHead({ "trial2" }, second);
+  tracker.RecordCompletion({ "trial2" }, second + 100_ms);
+  CHECK(check(5, second + 100_ms) == poison_verdict::clear);
+}
+
+// Guards against trials of a part that never did anything but crash its upstreams, and against
+// trials at each process.
+TEST(prompt_part_tracker, PartWithoutSoundHistoryOrOfAnotherProcessIsNotTried)
+{
+  RunWell({ kSound }, kNow - kSoundRunMemory);
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    Lose(Begin({ kSound, kPoison }, upstream, kNow), kNow + 50_ms);
+  }
+  const auto check = [this](const std::vector<std::uint64_t>& aParts, time_point aNow) {
+    return tracker.CheckOrTry({ 1, aParts }, aNow).verdict;
+  };
+  check({ kPoison }, kNow + 1_s);
+  check({ kSound, kPoison }, kNow + 1_s);
+  CHECK(check({ kPoison }, kNow + 60_s) == poison_verdict::quarantined);
+  CHECK(check({ kSound, kPoison }, kNow + 60_s) == poison_verdict::quarantined);
+  std::size_t responsible = 0;
+  const std::vector<router_id> all{ { "a" }, { "b" }, { "c" } };
+  for (const router_id& process : all) {
+    tracker.SetProcesses(process, all);
+    check({ kSound }, kNow + 60_s);
+    responsible += check({ kSound }, kNow + 70_s) == poison_verdict::clear ? 1 : 0;
+  }
+  CHECK_EQUAL(1, responsible);
+}
--- a/src/poison/tests/soundpartstests.cpp
+++ b/src/poison/tests/soundpartstests.cpp
@@ -25,7 +25,10 @@
   CHECK(parts.LatestBegin(1, kNow + kSoundRunMemory - 1_ms) == kNow);
   CHECK_FALSE(parts.LatestBegin(1, kNow + kSoundRunMemory));
   CHECK_FALSE(parts.LatestBegin(2, kNow));
-  parts.Prune(kNow + kSoundRunMemory);
+  CHECK(parts.HasHistory(1, kNow + kSoundHistory - 1_ms));
+  CHECK_FALSE(parts.HasHistory(1, kNow + kSoundHistory));
+  CHECK_FALSE(parts.HasHistory(2, kNow));
+  parts.Prune(kNow + kSoundHistory);
   CHECK_EQUAL(0, parts.Size());
 }
 
