--- a/src/poison/tests/mocks/promptpartplay.cpp
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -52,8 +52,8 @@
     }
     KillOthers();
     Progress();
-    for (request& repeated : std::exchange(mToRepeat, {})) {
-      Arrive(std::move(repeated));
+    for (const request& repeated : std::exchange(mToRepeat, {})) {
+      Arrive(repeated);
     }
     BringRequests();
     NoteVerdicts();
@@ -149,12 +149,12 @@
     for (std::size_t i = 0; i < mSetup.madeUpParts; ++i) {
       arrived.parts.push_back(mNextMadeUpPart++);
     }
-    Arrive(std::move(arrived));
+    Arrive(arrived);
   }
 }
 
 void
-prompt_part_play::Arrive(request aRequest)
+prompt_part_play::Arrive(const request& aRequest)
 {
   const bool refused =
     mSetup.refuses &&
--- a/src/poison/tests/mocks/promptpartplay.h
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -141,7 +141,7 @@
   template<typename Message>
   bool IsNew(const Message& aMessage, std::uint64_t aCrash);
   void BringRequests();
-  void Arrive(request aRequest);
+  void Arrive(const request& aRequest);
   void Send(const request& aRequest, std::size_t aUpstream);
   [[nodiscard]] bool InOutage() const;
   /// Returns an upstream with room; the number of upstreams when there is none.
--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -168,7 +168,7 @@
     setup.upstreams = static_cast<std::size_t>(*rc::gen::inRange(12, 60));
     setup.rareParts = static_cast<std::size_t>(*rc::gen::inRange(1, 100));
     setup.rareShare = *rc::gen::inRange(0, 101) / 100.0;
-    setup.otherDeaths = duration{ 10 * *rc::gen::inRange(30, 300) };
+    setup.otherDeaths = 10_ms * *rc::gen::inRange(30, 300);
     setup.restart = duration{ *rc::gen::inRange(500, 8000) };
     setup.newsAlwaysLate = *rc::gen::arbitrary<bool>();
     setup.end = 60_s;
--- a/src/poison/tests/promptparttrackertests.cpp
+++ b/src/poison/tests/promptparttrackertests.cpp
@@ -29,7 +29,7 @@
   }
   attempt_id Begin(const std::vector<std::uint64_t>& aParts, int aUpstream, time_point aNow)
   {
-    const attempt_id attempt = Send(aParts, aUpstream);
+    attempt_id attempt = Send(aParts, aUpstream);
     tracker.RecordHead(attempt, aNow);
     return attempt;
   }
@@ -213,9 +213,9 @@
 {
   tracker.SetProcesses({ "self" }, std::vector<router_id>(60, { "other" }));
   std::size_t told = 0;
+  std::uint64_t part = 10000;
   for (int upstream = 0; upstream < 200; ++upstream) {
-    const auto part = static_cast<std::uint64_t>(10000 + upstream);
-    told += Lose(Begin({ part }, upstream, kNow), kNow).crashes.size();
+    told += Lose(Begin({ ++part }, upstream, kNow), kNow).crashes.size();
   }
   CHECK_EQUAL(static_cast<std::size_t>(kMaxPartNewsAtOnce - kPartNewsReserve), told);
   for (int upstream = 300; upstream < 303; ++upstream) {
