What stands behind the last request of a connection is not run

What callers would see: a request behind one with "Connection: close", or behind one of HTTP/1.0 without keep-alive, was run and never answered, since the connection closed behind the response to the one before (RFC 9112, 9.6: such requests must not be processed). The same could happen behind a request that is rejected for its framing while an earlier one is being handled: RESTinio queues the 400 and, once the earlier response is out, reads on before it sends the 400.

Cause: RESTinio reads up to two requests ahead of the responses, which the server needs to notice callers who leave, and looks at the end of the connection only when it writes the response.

Change: the listener of the connections remembers that the last request has come; later ones are dropped without a response, and go with the connection.

Evidence: callers.RequestBehindTheLastOneOfAConnectionIsNotRun and callers.RequestBehindTheLastOneOfAConnectionIsNotRunLater fail on the old code (one arrival of the request behind) and pass now. The case of the rejected request did not show on the old code: the call was cancelled before its bytes were sent; it is in the second test all the same. callers.RequestForAnotherProtocolIsRunOnce, new, passed before as well: a request for another protocol is run once and its connection closed.

--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -32,10 +32,18 @@
 public:
   using weak_responder = std::weak_ptr<responder::implementation>;
 
-  void Track(restinio::connection_id_t aConnection, const weak_responder& aResponder)
+  /// Records a request of a connection; aIsLast for one with which its client ends the connection,
+  /// or that is rejected. Returns false when an earlier request was the last one, so that this one
+  /// must not be run (RFC 9112, 9.6): RESTinio reads on while a request is handled.
+  bool Track(restinio::connection_id_t aConnection, const weak_responder& aResponder, bool aIsLast)
   {
     const std::lock_guard lock(mMutex);
-    mResponders[aConnection] = aResponder;
+    tracked_connection& tracked = mConnections[aConnection];
+    if (tracked.isEnding) {
+      return false;
+    }
+    tracked = { aResponder, aIsLast };
+    return true;
   }
 
   /// Connection state callback; RESTinio prescribes its name and signature.
@@ -48,17 +56,25 @@
   }
 
 private:
+  /// An open connection.
+  struct tracked_connection
+  {
+    weak_responder latest;
+    /// True once its last request has been received.
+    bool isEnding = false;
+  };
+
   void NotifyClosed(restinio::connection_id_t aConnection)
   {
     weak_responder closed;
     {
       const std::lock_guard lock(mMutex);
-      const auto found = mResponders.find(aConnection);
-      if (found == mResponders.end()) {
+      const auto found = mConnections.find(aConnection);
+      if (found == mConnections.end()) {
         return;
       }
-      closed = found->second;
-      mResponders.erase(found);
+      closed = found->second.latest;
+      mConnections.erase(found);
     }
     if (const auto alive = closed.lock()) {
       alive->ConnectionClosed();
@@ -66,7 +82,7 @@
   }
 
   std::mutex mMutex;
-  std::unordered_map<restinio::connection_id_t, weak_responder> mResponders;
+  std::unordered_map<restinio::connection_id_t, tracked_connection> mConnections;
 };
 
 struct server_traits : public restinio::default_single_thread_traits_t
@@ -92,9 +108,7 @@
   return converted;
 }
 
-/// Answers a request whose framing is in doubt and closes its connection. For use in RESTinio's
-/// request handler: the connection is marked as closed before RESTinio parses any bytes behind the
-/// request.
+/// Answers a request whose framing is in doubt and closes its connection.
 void
 Reject(const server_request& aRequest,
        std::string_view aFault,
@@ -142,12 +156,16 @@
     server_request request = ConvertRequest(*aRequest);
     request.loop = aLoop;
     const auto connection = aRequest->connection_id();
+    const std::string_view fault = FindFramingFault(request.headers);
+    const bool isLast = !aRequest->header().should_keep_alive() || !fault.empty();
     auto response = std::make_shared<responder::implementation>(std::move(aRequest));
-    if (const std::string_view fault = FindFramingFault(request.headers); !fault.empty()) {
+    if (!listener->Track(connection, response, isLast)) {
+      return restinio::request_accepted();
+    }
+    if (!fault.empty()) {
       Reject(request, fault, *response);
       return restinio::request_accepted();
     }
-    listener->Track(connection, response);
     (*handler)(std::move(request), std::make_shared<responder>(std::move(response)));
     return restinio::request_accepted();
   };
