Bytes in place of a line end break a connection off instead of hiding a request

What callers would see: a request behind bytes that end a line or a chunk for the server alone was run: a carriage return and any other byte in place of the empty line, any two bytes behind a chunk, anything between the size of a chunk and its line end. For other software these bytes, and the request in them, belong to the request before (RFC 9112, 2.2 and 7.1).

Cause: without its strict mode, the HTTP parser doesn't look at the byte behind a carriage return at the end of the head and of a chunk's size, nor at the two bytes behind a chunk, and skips all between a chunk's size and the next carriage return. It reports none of that, so that no check of the parsed request can see it.

Change: entry::request_scanner follows the framing of a connection's bytes, and entry::scanned_socket, which RESTinio takes as its type of stream, passes it all that is read. A fault looks like an error of the connection: RESTinio closes it without a response, as it does with all that its parser rejects. Lines of the head may still end with a line feed alone, and empty lines may come before a request. A request line without the version 1.0 or 1.1, which the parser takes for HTTP/0.9, and a folded Content-Length or Transfer-Encoding are faults too. A line is kept to 128 KB.

Ruled out: the parser's strict mode (a compile-time switch of the packaged library) and its callbacks, which don't get these bytes.

--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "entry/entryevents.h"
 #include "entry/internal/requestframing.h"
 #include "entry/internal/responderimplementation.h"
+#include "entry/internal/scannedsocket.h"
 #include "loop/internal/eventloopimplementation.h"
 
 #include <algorithm>
@@ -88,6 +89,7 @@
 struct server_traits : public restinio::default_single_thread_traits_t
 {
   using connection_state_listener_t = connection_listener;
+  using stream_socket_t = scanned_socket;
 };
 
 using listening_server = restinio::http_server_t<server_traits>;
