--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -378,6 +378,73 @@
   CHECK(mesh.RunUntil(2_s, noneStarts).has_value());
 }
 
+// Guards against processes that start a little after others and wait for a summary that these send
+// only a second after the end of their own start: the first one ends it after half a second.
+TEST(mesh_core, RoutersThatStartAfterOneAnotherEndTheirStartWithTheFirst)
+{
+  constexpr duration kStep = 40_ms;
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Kill(i);
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Restart(i);
+    mesh.Run(kStep);
+  }
+  const auto noneStarts = [this] {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (mesh.Core(i).IsStarting()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mesh.RunUntil(500_ms, noneStarts).has_value());
+}
+
+// Guards against calls that come too late to all processes when all start together, such as after
+// the power of all machines was away, though a store that never lost anything tells all there is.
+TEST(mesh_core, RoutersThatStartTogetherBesideAStoreThatNeverCameBackServeAtOnce)
+{
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Kill(i);
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Restart(i);
+    mesh.Feed(i, store_age_known{ true });
+  }
+  const auto noneStarts = [this] {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (mesh.Core(i).IsStarting()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mesh.RunUntil(150_ms, noneStarts).has_value());
+}
+
+// Guards against processes that start together and serve before a seed that went on running, and
+// may know more, has answered them.
+TEST(mesh_core, RoutersThatStartTogetherWaitForASeedThatHasNotAnswered)
+{
+  constexpr std::size_t kRunning = 2;
+  const auto forEachStarted = [](const auto& aFunction) {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (i != kRunning) {
+        aFunction(i);
+      }
+    }
+  };
+  forEachStarted([this](std::size_t aRouter) { mesh.Kill(aRouter); });
+  mesh.Cut([](std::size_t aFrom, std::size_t aTo) { return aFrom == kRunning || aTo == kRunning; });
+  forEachStarted([this](std::size_t aRouter) {
+    mesh.Restart(aRouter);
+    mesh.Feed(aRouter, store_age_known{ true });
+  });
+  mesh.Run(300_ms);
+  forEachStarted([this](std::size_t aRouter) { CHECK(mesh.Core(aRouter).IsStarting()); });
+}
+
 // Guards against a process that waits for ever for peers that it cannot reach.
 TEST(mesh_core, StartEndsWithoutReachablePeers)
 {
