Parts of prompts: trials are kept for requests without another suspect part

A part that was sound for long and turns harmful is hidden for a moment by its earlier responses, while all upstreams fail; the part that all requests share was refused then, and its verdict hid that on the harmful one. Its trials had the harmful part in them as often as its requests, failed, and the next came 20 and 80 s later.

For 5 s from when a trial is due, only a request is let through none of whose other parts has crashes enough for a quarantine, explained or not; then any, since all requests may have several.

--- a/src/poison/internal/parttrials.cpp
+++ b/src/poison/internal/parttrials.cpp
@@ -3,7 +3,7 @@
 namespace persimmon::poison {
 
 bool
-part_trials::Admits(std::uint64_t aPart, std::uint64_t aRequest, time_point aNow)
+part_trials::Admits(std::uint64_t aPart, std::uint64_t aRequest, bool aAlone, time_point aNow)
 {
   auto found = mTrials.find(aPart);
   if (found == mTrials.end()) {
@@ -16,7 +16,8 @@
   if (current.running || aNow < current.grantedUntil) {
     return current.request == aRequest;
   }
-  if (aNow < current.nextAt) {
+  const time_point due = aAlone ? current.nextAt : current.nextAt + kAloneTime;
+  if (aNow < due) {
     return false;
   }
   current.request = aRequest;
--- a/src/poison/internal/promptparttable.cpp
+++ b/src/poison/internal/promptparttable.cpp
@@ -69,11 +69,11 @@
   return weight;
 }
 
-bool
-prompt_part_table::IsSuspect(std::uint64_t aPart, time_point aNow) const
+std::uint32_t
+prompt_part_table::WeightOf(std::uint64_t aPart, time_point aNow) const
 {
   const auto found = mEntries.find(aPart);
-  return found != mEntries.end() && Weight(found->second, aNow) > 0;
+  return found != mEntries.end() ? Weight(found->second, aNow) : 0;
 }
 
 std::uint32_t
--- a/src/poison/internal/promptparttracker.cpp
+++ b/src/poison/internal/promptparttracker.cpp
@@ -53,8 +53,13 @@
       return mTable.HasSoundHistory(aPart, aNow);
     });
   const std::uint64_t first = refused.front();
+  // The verdict on the part may be wrong and hide that on another one.
+  const bool alone = std::none_of(
+    aRequest.promptParts.begin(), aRequest.promptParts.end(), [&](std::uint64_t aPart) {
+      return aPart != first && mTable.WeightOf(aPart, aNow) >= kQuarantineWeight;
+    });
   const bool tried =
-    allWereSound && IsResponsible(first) && mTrials.Admits(first, aRequest.request, aNow);
+    allWereSound && IsResponsible(first) && mTrials.Admits(first, aRequest.request, alone, aNow);
   return tried ? poison_check{} : Check(aRequest.promptParts, aNow);
 }
 
@@ -252,7 +257,7 @@
 suspicion_changes
 prompt_part_tracker::AddCrash(const peers::crash_message& aCrash, time_point aNow)
 {
-  const double reserve = mTable.IsSuspect(aCrash.fingerprint, aNow) ? 0 : kPartNewsReserve;
+  const double reserve = mTable.WeightOf(aCrash.fingerprint, aNow) > 0 ? 0 : kPartNewsReserve;
   suspicion_changes changes = mTable.AddCrash(aCrash, aNow);
   if (!changes.crashes.empty() && !mNews.Take(reserve, aNow)) {
     mTable.KeepToItself(aCrash);
--- a/src/poison/parttrials.h
+++ b/src/poison/parttrials.h
@@ -13,6 +13,9 @@
 constexpr duration kFirstTrialDelay = 5_s;
 /// Factor by which each further pause between trials is longer than the one before.
 constexpr std::int64_t kTrialDelayGrowth = 4;
+/// Time from when a trial is due for which it is kept for a request without another part that may
+/// be the harmful one. Not longer: all requests may have several.
+constexpr duration kAloneTime = 5_s;
 /// Time for which a request that may be tried keeps others from it until it is sent.
 constexpr duration kTrialGrant = 1_s;
 /// Time after the last trial for which a part's trials are remembered, longer than the first
@@ -28,8 +31,8 @@
 {
 public:
   /// Returns whether a request with a part in quarantine may be sent. At most one request at a time
-  /// may, and it may until it ends.
-  bool Admits(std::uint64_t aPart, std::uint64_t aRequest, time_point aNow);
+  /// may, and it may until it ends. aAlone is false for a request with other suspect parts.
+  bool Admits(std::uint64_t aPart, std::uint64_t aRequest, bool aAlone, time_point aNow);
   /// Records that a request was sent.
   void OnDispatch(std::uint64_t aPart, std::uint64_t aRequest, time_point aNow);
   /// Records that a request that was sent was lost or ended otherwise: it may not be sent again.
--- a/src/poison/promptparttable.h
+++ b/src/poison/promptparttable.h
@@ -42,8 +42,8 @@
   {
     return mSound.HasHistory(aPart, aNow);
   }
-  /// Returns whether a crash counts against a part.
-  [[nodiscard]] bool IsSuspect(std::uint64_t aPart, time_point aNow) const;
+  /// Returns the weight of the crashes that count against a part, explained ones included.
+  [[nodiscard]] std::uint32_t WeightOf(std::uint64_t aPart, time_point aNow) const;
   /// Returns whether a part in quarantine explains a crash.
   [[nodiscard]] bool IsExplained(std::uint64_t aCrash) const { return mExplained.contains(aCrash); }
   /// Returns whether a part that was in quarantine before a crash explains it.
--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
+#include <limits>
 #include <rapidcheck.h>
 
 using namespace persimmon;
@@ -47,11 +48,12 @@
 {
   part_play_setup setup;
   duration maxWrongVerdict = kMaxWrongVerdict;
+  std::size_t maxLaterArrivals = kMaxLaterArrivals;
 
   void Check(std::uint64_t aSeed) const
   {
     const part_play_result result = prompt_part_play(setup, aSeed).Run();
-    const bool good = result.crashes >= 3 && result.laterArrivals <= kMaxLaterArrivals &&
+    const bool good = result.crashes >= 3 && result.laterArrivals <= maxLaterArrivals &&
                       result.SoundShare() >= kMinSoundShare &&
                       result.longestWrongVerdict <= maxWrongVerdict &&
                       result.mostNewsInASecond <= kMaxNewsInASecond;
@@ -156,6 +158,18 @@
   }
 }
 
+// Guards against sound parts that stay refused after a part that did no harm for long has turned
+// harmful: its earlier responses hide it, and all upstreams fail before the verdict. The number of
+// its arrivals is not bounded here.
+TEST(prompt_part_play, SoundPartsAreServedAfterAnotherHasTurnedHarmful)
+{
+  setup.partsAreSoundBefore = true;
+  setup.end = 100_s;
+  maxLaterArrivals = std::numeric_limits<std::size_t>::max();
+  maxWrongVerdict = 30_s;
+  CheckShares();
+}
+
 // Guards against sound parts that are refused since upstreams die, whichever parts, numbers of
 // processes, traffic and delays of news there are.
 TEST(prompt_part_play, DeathsForOtherCausesGetNoSoundPartRefusedForLong)
--- a/src/poison/tests/promptparttrackertests.cpp
+++ b/src/poison/tests/promptparttrackertests.cpp
@@ -287,3 +287,23 @@
   }
   CHECK_EQUAL(1, responsible);
 }
+
+// Guards against a sound part whose trial fails, since the request also has the part that is
+// harmful and that the verdict hides.
+TEST(prompt_part_tracker, TrialIsKeptForARequestWithoutOtherSuspects)
+{
+  RunWell({ kSound, kPoison }, kNow - kSoundRunMemory);
+  for (int upstream = 0; upstream < 4; ++upstream) {
+    Lose(
+      Begin(upstream < 3 ? std::vector{ kSound, kPoison } : std::vector{ kSound }, upstream, kNow),
+      kNow + 50_ms);
+  }
+  CHECK(Refused(kSound, kNow + 1_s));
+  const auto check = [this](const std::vector<std::uint64_t>& aParts, time_point aNow) {
+    return tracker.CheckOrTry({ 1, aParts }, aNow).verdict;
+  };
+  check({ kSound }, kNow + 1_s);
+  const time_point due = kNow + 1_s + kFirstTrialDelay;
+  CHECK(check({ kSound, kPoison }, due) == poison_verdict::quarantined);
+  CHECK(check({ kSound, kPoison + 1 }, due) == poison_verdict::clear);
+}
