A stream with data without an id is broken off instead of run again

What callers would see of an instance that sends data without ids on a route with resumption, and is reset: its pieces, then all pieces of a second run, as one whole response (ORDER: pieces of two runs joined). By the users' page all events have ids; nothing held the gateway to what comes without.

Cause: a resumed call names the last id that the caller has; data without an id isn't named by it, so the second run brings it again. Change: event_framer notes data without an id, comments and other fields apart, and exchange breaks such a stream off when its upstream is lost, so that the connection closes without the last chunk.

The whole of test_dialect was not run again on this commit.

--- a/src/gateway/eventframer.h
+++ b/src/gateway/eventframer.h
@@ -35,6 +35,9 @@
   [[nodiscard]] bool HasPartial() const { return !mPartial.empty(); }
   /// Bytes of the incomplete event that are buffered.
   [[nodiscard]] std::size_t PartialBytes() const { return mPartial.size(); }
+  /// False once an event with data and without an id was returned: a stream that is resumed after
+  /// the last id would bring it again.
+  [[nodiscard]] bool IsResumable() const { return !mHasUnnumberedData; }
   /// True when at least one event id was skipped, so that the stream cannot be resumed without
   /// loss.
   [[nodiscard]] bool HasGap() const { return mHasGap; }
@@ -51,6 +54,7 @@
   std::optional<std::uint64_t> mLastEventId;
   std::uint64_t mEventCount = 0;
   bool mHasGap = false;
+  bool mHasUnnumberedData = false;
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/eventframer.cpp
+++ b/src/gateway/internal/eventframer.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data";
 
 /// Returns the id of an event; nothing when it has no numeric id.
 std::optional<std::uint64_t>
@@ -29,6 +30,13 @@
   return std::nullopt;
 }
 
+/// Returns whether an event has data, as a comment has not.
+bool
+HasData(std::string_view aEvent)
+{
+  return aEvent.starts_with(kDataField) || aEvent.find("\ndata") != std::string_view::npos;
+}
+
 /// Returns whether a line without its line feed is blank; lines end with a line feed, with or
 /// without a carriage return before it.
 bool
@@ -52,6 +60,8 @@
   }
   if (id) {
     mLastEventId = id;
+  } else if (HasData(aEvent)) {
+    mHasUnnumberedData = true;
   }
   ++mEventCount;
   mCompleted.append(aEvent);
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -226,7 +226,14 @@
   if (aCountsAsFailure && !aAttempt.lossReported) {
     ReportLoss(aAttempt, loss_scope::head);
   }
-  Execute(mStateMachine.OnUpstreamLost(EndAttempt(aAttempt, aResult), now));
+  const bool isResumable = aAttempt.framer.IsResumable();
+  const instance_id upstream = EndAttempt(aAttempt, aResult);
+  if (!isResumable) {
+    Execute(
+      dispatch::call_action{ dispatch::abort_action{ dispatch::failure_cause::upstream_lost } });
+    return;
+  }
+  Execute(mStateMachine.OnUpstreamLost(upstream, now));
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/tests/eventframertests.cpp
+++ b/src/gateway/tests/eventframertests.cpp
@@ -73,6 +73,15 @@
   }
 }
 
+// Guards against data that a caller gets twice, since a resumed stream begins behind the last id.
+TEST(event_framer, StreamWithDataWithoutAnIdIsNotResumable)
+{
+  Feed(": note\n\n" + Event(1) + "retry: 5\n\n");
+  CHECK(framer.IsResumable());
+  Feed("event: x\ndata: a\n\n");
+  CHECK_FALSE(framer.IsResumable());
+}
+
 TEST(event_framer, EventsUpToTheResumePointAreSkipped)
 {
   framer.StartAfter(4);
