--- a/src/gateway/incomingcallhandler.h
+++ b/src/gateway/incomingcallhandler.h
@@ -4,13 +4,14 @@
 #include "entry/serverrequest.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaycontext.h"
+#include "gateway/heldcalls.h"
 
 #include <memory>
 
 namespace persimmon::gateway {
 
 /// Handles callers' requests: checks each against the configuration in force, then starts an
-/// exchange for it or refuses it.
+/// exchange for it or refuses it. While the process starts, calls wait.
 template<gateway_dialect Dialect>
 class incoming_call_handler
 {
@@ -21,8 +22,12 @@
   {
   }
 
-  /// Handles one request; the response is sent through aResponder.
+  /// Handles one request; the response is sent through aResponder. A call that arrives while the
+  /// process starts is handled by HandleHeld(), or refused when too many wait.
   void Handle(entry::server_request aRequest, std::shared_ptr<entry::responder> aResponder);
+  /// Handles the calls that wait for the end of the start; to be called at that end, and when no
+  /// new calls are accepted any more.
+  void HandleHeld();
 
 private:
   /// Route and customer of an admitted request, or the status and cause of its refusal.
@@ -41,7 +46,10 @@
   [[nodiscard]] admission_result CheckAdmission(const entry::server_request& aRequest,
                                                 const incoming_call& aCall) const;
   [[nodiscard]] dispatch::call_attributes MakeCallAttributes(const incoming_call& aCall,
-                                                             const admission_result& aResult);
+                                                             const admission_result& aResult,
+                                                             time_point aArrivedAt);
+  /// Starts an exchange for a call or refuses it.
+  void Admit(held_call aCall);
   /// Logs and counts a refusal, and sends it to the caller.
   void SendRefusal(const incoming_call& aCall,
                    const admission_result& aResult,
@@ -49,6 +57,7 @@
 
   gateway_context& mContext;
   exchange_registry& mRegistry;
+  held_calls mHeld;
   /// Number of calls without an id of the caller; used to generate their ids.
   std::uint64_t mUnnamedCalls = 0;
 };
@@ -101,10 +110,10 @@
 template<gateway_dialect Dialect>
 dispatch::call_attributes
 incoming_call_handler<Dialect>::MakeCallAttributes(const incoming_call& aCall,
-                                                   const admission_result& aResult)
+                                                   const admission_result& aResult,
+                                                   time_point aArrivedAt)
 {
   const routes::route& route = *aResult.route;
-  const time_point now = mContext.Now();
   dispatch::call_attributes attributes;
   attributes.id =
     aCall.id.Empty() ? request_id{ fmt::format("unnamed-{}", ++mUnnamedCalls) } : aCall.id;
@@ -116,10 +125,10 @@
   attributes.promptTokens = aCall.promptTokens;
   attributes.maxOutputTokens = aCall.maxOutputTokens;
   attributes.resumeAfter = aCall.resumeAfter;
-  attributes.arrivedAt = now;
+  attributes.arrivedAt = aArrivedAt;
   const duration routeTimeout = route.timeout.ms > 0 ? route.timeout : kDefaultTimeout;
   const duration callerTimeout = std::min(aCall.timeout.value_or(routeTimeout), kMaxCallerTimeout);
-  attributes.deadline = now + std::min(callerTimeout, routeTimeout);
+  attributes.deadline = aArrivedAt + std::min(callerTimeout, routeTimeout);
   attributes.latencyTarget = route.latencyTarget;
   attributes.eventGapTarget = route.eventGapTarget;
   attributes.maxAttempts = std::max<std::uint32_t>(route.maxAttempts, 1);
@@ -155,13 +164,33 @@
 incoming_call_handler<Dialect>::Handle(entry::server_request aRequest,
                                        std::shared_ptr<entry::responder> aResponder)
 {
-  incoming_call call = Dialect::ParseCall(aRequest);
-  admission_result admission = CheckAdmission(aRequest, call);
+  held_call call{ std::move(aRequest), std::move(aResponder), mContext.Now() };
+  const bool waits = mContext.starting && !mContext.rejectsNewCalls && mHeld.TryAdd(call);
+  if (!waits) {
+    Admit(std::move(call));
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+incoming_call_handler<Dialect>::HandleHeld()
+{
+  for (held_call& call : mHeld.TakeAll()) {
+    Admit(std::move(call));
+  }
+}
+
+template<gateway_dialect Dialect>
+void
+incoming_call_handler<Dialect>::Admit(held_call aCall)
+{
+  incoming_call call = Dialect::ParseCall(aCall.request);
+  admission_result admission = CheckAdmission(aCall.request, call);
   if (admission.route == nullptr) {
-    SendRefusal(call, admission, *aResponder);
+    SendRefusal(call, admission, *aCall.responder);
     return;
   }
-  dispatch::call_attributes attributes = MakeCallAttributes(call, admission);
+  dispatch::call_attributes attributes = MakeCallAttributes(call, admission, aCall.arrivedAt);
   const routes::service_profile* service =
     mContext.upstreams.Routes()->FindService(attributes.service);
   if (service != nullptr && service->engine) {
@@ -177,8 +206,8 @@
   std::make_shared<exchange<Dialect>>(mContext,
                                       mRegistry,
                                       budget,
-                                      std::move(aRequest),
-                                      std::move(aResponder),
+                                      std::move(aCall.request),
+                                      std::move(aCall.responder),
                                       std::move(call),
                                       std::move(attributes),
                                       std::move(admission.customer))
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -223,6 +223,7 @@
     for (const auto& [name, change] : std::exchange(mUnpublished, {})) {
       mMesh.Publish(change);
     }
+    mCallHandler.HandleHeld();
   }
 }
 
@@ -282,7 +283,11 @@
   };
   sleep(std::min(process_limits::kStopNotice,
                  mSettings.gracePeriod / process_limits::kStopNoticeDivisor));
-  RunOnLoop([this] { return mContext.rejectsNewCalls = true; });
+  RunOnLoop([this] {
+    mContext.rejectsNewCalls = true;
+    mCallHandler.HandleHeld();
+    return 0;
+  });
   while (steady_clock().Now() < drainDeadline &&
          RunOnLoop([this] { return mExchanges.Count(); }) > 0) {
     sleep(process_limits::kDrainPollInterval);
