A start beside others that end theirs takes their state as complete

What callers saw: of gateways that start within half a second of each other, the first end their start after 0.5 s, and the others up to 1 s later.

Cause: since a start ends with the second summary in which a peer says that it is not starting, as the first one of a link precedes the peer's state. A peer that ends its own start sends its state and one such summary; the next one comes a second later.

Change: any summary but the first of a link counts. A process sends no periodic summary before it has the peer's hello, so that none precedes the state.

Evidence: mesh_core.RoutersThatStartAfterOneAnotherEndTheirStartWithTheFirst failed with the former code, passes now; the other tests of the mesh pass.

--- a/src/peers/internal/linkstate.h
+++ b/src/peers/internal/linkstate.h
@@ -42,8 +42,6 @@
   std::size_t summariesReceived = 0;
   /// The latest summary of the peer said that it is starting; true before any.
   bool peerStarting = true;
-  /// Number of summaries in which the peer said that it is not starting.
-  std::size_t settledSummaries = 0;
   /// This process has announced to the starting peer all that it holds.
   bool stateSent = false;
 
--- a/src/peers/internal/meshcoresending.cpp
+++ b/src/peers/internal/meshcoresending.cpp
@@ -66,7 +66,9 @@
 mesh_core::implementation::SendSummaries()
 {
   for (auto& [id, link] : links) {
-    if (now - link.lastSummaryAt >= options.summaryInterval) {
+    // A peer that is starting takes any summary but the first as the end of the state, which is
+    // sent to it once its hello has arrived.
+    if (link.helloReceived && now - link.lastSummaryAt >= options.summaryInterval) {
       link.lastSummaryAt = now;
       Append(
         link,
--- a/src/peers/internal/meshcorestart.cpp
+++ b/src/peers/internal/meshcorestart.cpp
@@ -9,8 +9,6 @@
 constexpr duration kAllStartingTime = 500_ms;
 /// Longest start, when no peer can be reached or the bodies do not arrive.
 constexpr duration kMaxStartTime = 1500_ms;
-/// The first summary of a peer comes before its state, the second one after it.
-constexpr std::size_t kSummaryAfterState = 2;
 
 } // namespace
 
@@ -19,9 +17,9 @@
 {
   aLink.peerStarting = aSummary.starting;
   if (starting && !aSummary.starting) {
-    // Equal documents are no proof that the rest of the state has arrived.
-    ++aLink.settledSummaries;
-    mReceivedState = mReceivedState || aLink.settledSummaries >= kSummaryAfterState;
+    // Equal documents are no proof that the rest of the state has arrived. Only the first summary
+    // of a link, which comes with the hello, precedes the peer's state.
+    mReceivedState = mReceivedState || aLink.summariesReceived > 0;
   }
   if (!starting && aSummary.starting && !aLink.stateSent) {
     SendState(aLink);
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -378,6 +378,29 @@
   CHECK(mesh.RunUntil(2_s, noneStarts).has_value());
 }
 
+// Guards against processes that start a little after others and wait for a summary that these send
+// only a second after the end of their own start: the first one ends it after half a second.
+TEST(mesh_core, RoutersThatStartAfterOneAnotherEndTheirStartWithTheFirst)
+{
+  constexpr duration kStep = 40_ms;
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Kill(i);
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Restart(i);
+    mesh.Run(kStep);
+  }
+  const auto noneStarts = [this] {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (mesh.Core(i).IsStarting()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mesh.RunUntil(500_ms, noneStarts).has_value());
+}
+
 // Guards against a process that waits for ever for peers that it cannot reach.
 TEST(mesh_core, StartEndsWithoutReachablePeers)
 {
