Processes that all start beside a store that never came back serve at once

What callers saw: after a stop of all gateways, half a second in which none answered.

Cause: processes that reach only others which start too wait 0.5 s for one that knows more. That guards against an older copy of the store.

Change: the store tells by its era whether it ever came back from one. With era 0, a start ends as soon as all linked peers say that they are starting and each seed has answered or refused a link; for that all seeds are dialled at the start. Otherwise the 0.5 s hold as before.

--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -56,6 +56,7 @@
                                      platform::store_era aPresent)
 {
   mLease.OnEraChange(aPresent);
+  mMesh.SetStoreAge(aPresent == platform::store_era{});
   if (!aFormer) {
     return;
   }
--- a/src/gateway/internal/meshlink.cpp
+++ b/src/gateway/internal/meshlink.cpp
@@ -107,6 +107,14 @@
   }
 }
 
+void
+mesh_link::SetStoreAge(bool aNeverRestored)
+{
+  if (mImplementation->node) {
+    mImplementation->node->SetStoreAge(aNeverRestored);
+  }
+}
+
 bool
 mesh_link::IsStarting() const
 {
--- a/src/gateway/meshlink.h
+++ b/src/gateway/meshlink.h
@@ -36,6 +36,8 @@
   /// Sets whether the watch of the store delivers changes, and whether a list was read since the
   /// start of this process.
   void SetStoreState(bool aUpToDate, bool aHasList);
+  /// Sets whether the store has never come back from an older copy; to be called once it is known.
+  void SetStoreAge(bool aNeverRestored);
   /// Returns true while this process has started and a peer may still know more than it does.
   /// Always false without a mesh.
   [[nodiscard]] bool IsStarting() const;
--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -8,6 +8,7 @@
 #include "peers/messagestore.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace persimmon::peers {
@@ -26,6 +27,7 @@
   void On(const publish_requested& aEvent);
   void On(const seeds_changed& aEvent);
   void On(const store_state_changed& aEvent);
+  void On(const store_age_known& aEvent);
   void On(const timer_fired& aEvent);
   void On(const stop_requested& aEvent);
 
@@ -131,6 +133,12 @@
   /// Sends a peer all that IsInitialState() names and announces all documents and tables, followed
   /// by a summary.
   void SendState(link_state& aLink);
+  /// Dials all seeds at the first timer of the process, so that a start soon knows its peers.
+  void DialSeedsAtStart();
+  /// Returns whether every seed has answered since the start of the process, or refused a link.
+  [[nodiscard]] bool HaveSeedsAnswered() const;
+  /// Returns whether all linked peers are starting too and none can be expected to know more.
+  [[nodiscard]] bool StartsWithOthers() const;
   /// Ends the start once it has nothing to wait for.
   void UpdateStart();
   void EndStart();
@@ -175,6 +183,11 @@
   bool mWatchUpToDate = false;
   /// A peer that was not starting has announced all that it held.
   bool mReceivedState = false;
+  /// DialSeedsAtStart() has done its work.
+  bool mSeedsDialled = false;
+  /// Addresses where a dial has failed since the start.
+  std::set<endpoint> mFailedDials;
+  bool mStoreNeverRestored = false;
   std::int64_t mBudget = 0;
   time_point mBudgetUpdatedAt;
   time_point mNextBulkAt;
--- a/src/peers/internal/meshcorelinks.cpp
+++ b/src/peers/internal/meshcorelinks.cpp
@@ -96,6 +96,9 @@
 mesh_core::implementation::OnDialFailed(const endpoint& aAddress)
 {
   const int failures = mDialer.OnFailed(aAddress, now, mRandom);
+  if (starting) {
+    mFailedDials.insert(aAddress);
+  }
   if (failures < kFailuresBeforeSuspicion) {
     return;
   }
@@ -399,9 +402,16 @@
   caughtUp = caughtUp || aEvent.hasList;
 }
 
+void
+mesh_core::implementation::On(const store_age_known& aEvent)
+{
+  mStoreNeverRestored = aEvent.neverRestored;
+}
+
 void
 mesh_core::implementation::On(const timer_fired&)
 {
+  DialSeedsAtStart();
   if (now >= mNextMaintenanceAt) {
     mNextMaintenanceAt = now + kMaintenanceInterval;
     CloseSilentLinks();
--- a/src/peers/internal/meshcorestart.cpp
+++ b/src/peers/internal/meshcorestart.cpp
@@ -5,7 +5,8 @@
 namespace persimmon::peers {
 namespace {
 
-/// Time after which processes that only know others which are starting too end their start.
+/// Time after which processes that only know others which are starting too end their start, when
+/// the store may show an older copy or a seed has not answered.
 constexpr duration kAllStartingTime = 500_ms;
 /// Longest start, when no peer can be reached or the bodies do not arrive.
 constexpr duration kMaxStartTime = 1500_ms;
@@ -41,20 +42,65 @@
 }
 
 void
-mesh_core::implementation::UpdateStart()
+mesh_core::implementation::DialSeedsAtStart()
 {
-  if (!starting) {
+  if (mSeedsDialled || options.leaf) {
     return;
   }
+  mSeedsDialled = true;
+  for (const endpoint& seed : mSeeds) {
+    if (seed != options.address && mDialer.MayDial(seed, now)) {
+      Dial(seed);
+    }
+  }
+}
+
+bool
+mesh_core::implementation::HaveSeedsAnswered() const
+{
+  const auto isLinked = [this](const endpoint& aSeed) {
+    return std::any_of(links.begin(), links.end(), [&](const auto& aEntry) {
+      const member* peer = members.Find(aEntry.second.peer);
+      const auto dialled = mOutgoingAddresses.find(aEntry.first);
+      return aEntry.second.helloReceived &&
+             ((peer != nullptr && peer->address == aSeed) ||
+              (dialled != mOutgoingAddresses.end() && dialled->second == aSeed));
+    });
+  };
+  return std::all_of(mSeeds.begin(), mSeeds.end(), [&](const endpoint& aSeed) {
+    return aSeed == options.address || mFailedDials.count(aSeed) != 0 || isLinked(aSeed);
+  });
+}
+
+bool
+mesh_core::implementation::StartsWithOthers() const
+{
   const bool linked = std::any_of(
     links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.helloReceived; });
   const bool allStarting = std::all_of(
     links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.peerStarting; });
+  const bool hellosReceived = std::all_of(
+    links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.helloReceived; });
+  if (!linked || !allStarting) {
+    return false;
+  }
+  // What the store shows is then as new as anything that a peer could know of it.
+  const bool storeSuffices = mStoreNeverRestored && hellosReceived && HaveSeedsAnswered();
+  return storeSuffices || now - mStartedAt >= kAllStartingTime;
+}
+
+void
+mesh_core::implementation::UpdateStart()
+{
+  if (!starting) {
+    return;
+  }
+  const bool linked = std::any_of(
+    links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.helloReceived; });
   const duration age = now - mStartedAt;
   const bool hasPeers = linked || !mSeeds.empty();
   const bool synchronised = mReceivedState && mMissing.empty();
-  const bool startsWithOthers = linked && allStarting && age >= kAllStartingTime;
-  if (options.leaf || !hasPeers || synchronised || startsWithOthers || age >= kMaxStartTime) {
+  if (options.leaf || !hasPeers || synchronised || StartsWithOthers() || age >= kMaxStartTime) {
     EndStart();
   }
 }
--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -375,6 +375,12 @@
   mImplementation->Post(store_state_changed{ aWatchUpToDate, aHasList });
 }
 
+void
+mesh_node::SetStoreAge(bool aNeverRestored)
+{
+  mImplementation->Post(store_age_known{ aNeverRestored });
+}
+
 mesh_status
 mesh_node::Status() const
 {
--- a/src/peers/meshevent.h
+++ b/src/peers/meshevent.h
@@ -53,6 +53,13 @@
   bool hasList = false;
 };
 
+/// Whether the store may show an older copy to this process, from the first response of the store.
+struct store_age_known
+{
+  /// The store has never come back from an older copy.
+  bool neverRestored = false;
+};
+
 /// Periodic timer, to be sent every mesh_options::urgentInterval.
 struct timer_fired
 {};
@@ -67,6 +74,7 @@
                                 publish_requested,
                                 seeds_changed,
                                 store_state_changed,
+                                store_age_known,
                                 timer_fired,
                                 stop_requested>;
 
--- a/src/peers/meshnode.h
+++ b/src/peers/meshnode.h
@@ -63,6 +63,8 @@
   /// Sets whether the watch of the store currently delivers changes and whether a full list was
   /// read since this process started.
   void SetStoreState(bool aWatchUpToDate, bool aHasList);
+  /// Sets whether the store has never come back from an older copy; to be called once it is known.
+  void SetStoreAge(bool aNeverRestored);
 
   [[nodiscard]] mesh_status Status() const;
   /// Routers that count as live, including this router; for a leaf, all live routers.
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -401,6 +401,64 @@
   CHECK(mesh.RunUntil(500_ms, noneStarts).has_value());
 }
 
+// Guards against calls that come too late to all processes when all start together, such as after
+// the power of all machines was away, though a store that never lost anything tells all there is.
+TEST(mesh_core, RoutersThatStartTogetherBesideAStoreThatNeverCameBackServeAtOnce)
+{
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Kill(i);
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Restart(i);
+    mesh.Feed(i, store_age_known{ true });
+  }
+  const auto noneStarts = [this] {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (mesh.Core(i).IsStarting()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mesh.RunUntil(150_ms, noneStarts).has_value());
+}
+
+// Guards against processes that start together and end their start before one that knew more, and
+// is a seed of theirs, has sent it: they have read the same documents and lack its quarantine.
+TEST(mesh_core, RoutersThatStartTogetherWaitForASeedThatKnowsMore)
+{
+  const mesh_message quarantine = quarantine_message{ 7, 1, false, {} };
+  mesh.Publish(2, quarantine);
+  mesh.Run(1_s);
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    if (i != 2) {
+      mesh.Kill(i);
+    }
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    if (i != 2) {
+      mesh.Restart(i);
+      delivered[i].clear();
+      mesh.Feed(i, store_age_known{ true });
+    }
+  }
+  std::size_t ended = 0;
+  const auto allEnded = [&] {
+    ended = 0;
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (!mesh.Core(i).IsStarting()) {
+        ++ended;
+        CHECK(i == 2 ||
+              std::any_of(delivered[i].begin(), delivered[i].end(), [&](const auto& aGot) {
+                return aGot.index() == quarantine.index();
+              }));
+      }
+    }
+    return ended == kRouters;
+  };
+  CHECK(mesh.RunUntil(2_s, allEnded).has_value());
+}
+
 // Guards against a process that waits for ever for peers that it cannot reach.
 TEST(mesh_core, StartEndsWithoutReachablePeers)
 {
