A starting process dials seeds again that have not answered

Cause: the first dials go out before the machines of the seeds run. Nothing refuses them, and TCP sends the first packet again after a second.

Change: while a process starts, each seed without a link is dialled every 100 ms, beside a dial in progress; after a failed dial its backoff holds as before.

Evidence: mesh_core.StartEndsSoonThoughTheFirstDialsWereLost fails with one dial a seed.

--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -133,8 +133,10 @@
   /// Sends a peer all that IsInitialState() names and announces all documents and tables, followed
   /// by a summary.
   void SendState(link_state& aLink);
-  /// Dials all seeds at the first timer of the process, so that a start soon knows its peers.
+  /// Dials the seeds to which a starting process has no link, at intervals.
   void DialSeedsAtStart();
+  /// Returns whether there is a link to the router with this address.
+  [[nodiscard]] bool IsLinkedTo(const endpoint& aAddress) const;
   /// Returns whether every seed has answered since the start of the process, or refused a link.
   [[nodiscard]] bool HaveSeedsAnswered() const;
   /// Returns whether all linked peers are starting too and none can be expected to know more.
@@ -183,8 +185,8 @@
   bool mWatchUpToDate = false;
   /// A peer that was not starting has announced all that it held.
   bool mReceivedState = false;
-  /// DialSeedsAtStart() has done its work.
-  bool mSeedsDialled = false;
+  /// Time of the next dials of DialSeedsAtStart().
+  time_point mNextStartDialAt;
   /// Addresses where a dial has failed since the start.
   std::set<endpoint> mFailedDials;
   bool mStoreNeverRestored = false;
--- a/src/peers/internal/meshcorestart.cpp
+++ b/src/peers/internal/meshcorestart.cpp
@@ -8,6 +8,10 @@
 /// Time after which processes that only know others which are starting too end their start, when
 /// the store may show an older copy or a seed has not answered.
 constexpr duration kAllStartingTime = 500_ms;
+/// Interval at which a starting process dials the seeds to which it has no link, also when an
+/// earlier dial is still in progress: TCP sends the first packet again only after a second, too
+/// late for a seed whose machine is starting as well.
+constexpr duration kStartDialInterval = 100_ms;
 /// Longest start, when no peer can be reached or the bodies do not arrive.
 constexpr duration kMaxStartTime = 1500_ms;
 
@@ -44,31 +48,36 @@
 void
 mesh_core::implementation::DialSeedsAtStart()
 {
-  if (mSeedsDialled || options.leaf) {
+  if (!starting || options.leaf || now < mNextStartDialAt) {
     return;
   }
-  mSeedsDialled = true;
-  for (const endpoint& seed : mSeeds) {
-    if (seed != options.address && mDialer.MayDial(seed, now)) {
+  mNextStartDialAt = now + kStartDialInterval;
+  const std::vector<endpoint> seeds = mSeeds;
+  for (const endpoint& seed : seeds) {
+    const bool mayDial = mFailedDials.count(seed) == 0 || mDialer.MayDial(seed, now);
+    if (seed != options.address && mayDial && !IsLinkedTo(seed)) {
       Dial(seed);
     }
   }
 }
 
+bool
+mesh_core::implementation::IsLinkedTo(const endpoint& aAddress) const
+{
+  return std::any_of(links.begin(), links.end(), [&](const auto& aEntry) {
+    const member* peer = members.Find(aEntry.second.peer);
+    const auto dialled = mOutgoingAddresses.find(aEntry.first);
+    return aEntry.second.helloReceived &&
+           ((peer != nullptr && peer->address == aAddress) ||
+            (dialled != mOutgoingAddresses.end() && dialled->second == aAddress));
+  });
+}
+
 bool
 mesh_core::implementation::HaveSeedsAnswered() const
 {
-  const auto isLinked = [this](const endpoint& aSeed) {
-    return std::any_of(links.begin(), links.end(), [&](const auto& aEntry) {
-      const member* peer = members.Find(aEntry.second.peer);
-      const auto dialled = mOutgoingAddresses.find(aEntry.first);
-      return aEntry.second.helloReceived &&
-             ((peer != nullptr && peer->address == aSeed) ||
-              (dialled != mOutgoingAddresses.end() && dialled->second == aSeed));
-    });
-  };
-  return std::all_of(mSeeds.begin(), mSeeds.end(), [&](const endpoint& aSeed) {
-    return aSeed == options.address || mFailedDials.count(aSeed) != 0 || isLinked(aSeed);
+  return std::all_of(mSeeds.begin(), mSeeds.end(), [this](const endpoint& aSeed) {
+    return aSeed == options.address || mFailedDials.count(aSeed) != 0 || IsLinkedTo(aSeed);
   });
 }
 
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -423,6 +423,31 @@
   CHECK(mesh.RunUntil(150_ms, noneStarts).has_value());
 }
 
+// Guards against processes that wait for a second and more since the machines of their seeds
+// started a little later and did not answer the first dial.
+TEST(mesh_core, StartEndsSoonThoughTheFirstDialsWereLost)
+{
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Kill(i);
+  }
+  mesh.Cut([](std::size_t, std::size_t) { return true; });
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Restart(i);
+    mesh.Feed(i, store_age_known{ true });
+  }
+  mesh.Run(80_ms);
+  mesh.Heal();
+  const auto noneStarts = [this] {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      if (mesh.Core(i).IsStarting()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mesh.RunUntil(250_ms, noneStarts).has_value());
+}
+
 // Guards against processes that start together and serve before a seed that went on running, and
 // may know more, has answered them.
 TEST(mesh_core, RoutersThatStartTogetherWaitForASeedThatHasNotAnswered)
