--- a/src/gateway/incomingcall.h
+++ b/src/gateway/incomingcall.h
@@ -33,8 +33,8 @@
   std::uint64_t promptTokens = 0;
   /// Largest number of tokens that the response may have.
   std::uint64_t maxOutputTokens = 0;
-  /// Parts of the prompt that other requests may have too, in their order; empty when there are none
-  /// or the caller names none.
+  /// Parts of the prompt that other requests may have too, in their order; empty when there are
+  /// none or the caller names none.
   std::vector<prompt_part_id> sharedPromptParts;
   /// Size of the request line and headers in bytes.
   std::size_t headerBytes = 0;
