--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -189,7 +189,7 @@
   if (mEnded || mAttempts.size() != 1 || !mAttempts.front()->isStalled) {
     return;
   }
-  if (mContext.crashes.Check(mFingerprint).verdict == poison::poison_verdict::quarantined) {
+  if (mContext.crashes.Check(mIdentities).verdict == poison::poison_verdict::quarantined) {
     return;
   }
   if (const auto second = mStateMachine.TryConcurrentAttempt(mContext.Now())) {
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -223,6 +223,7 @@
     for (const auto& [name, change] : std::exchange(mUnpublished, {})) {
       mMesh.Publish(change);
     }
+    mCallHandler.HandleHeld();
   }
 }
 
@@ -230,6 +231,7 @@
 void
 gateway_process<Dialect>::OnFastTick()
 {
+  mCrashes.OnFastTick();
   if (mInstances.TakeChangedFlag()) {
     OnInstancesChanged();
   }
@@ -261,7 +263,7 @@
   // The gateway that forms the groups needs changes of the instances soonest.
   const duration batchDelay = BatchDelay(liveGateways.size(), mSettings.leaveNotice);
   mInstances.SetBatchDelay(mLease.IsHolder() ? kMinBatchDelay : batchDelay);
-  mCrashes.OnSlowTick(liveGateways.size());
+  mCrashes.OnSlowTick(mSettings.id, liveGateways);
   mSuspicions.Update(false);
   const duration age = now - mInstances.LastResponseAt();
   mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
@@ -282,7 +284,11 @@
   };
   sleep(std::min(process_limits::kStopNotice,
                  mSettings.gracePeriod / process_limits::kStopNoticeDivisor));
-  RunOnLoop([this] { return mContext.rejectsNewCalls = true; });
+  RunOnLoop([this] {
+    mContext.rejectsNewCalls = true;
+    mCallHandler.HandleHeld();
+    return 0;
+  });
   while (steady_clock().Now() < drainDeadline &&
          RunOnLoop([this] { return mExchanges.Count(); }) > 0) {
     sleep(process_limits::kDrainPollInterval);
--- a/src/peers/internal/meshcorestart.cpp
+++ b/src/peers/internal/meshcorestart.cpp
@@ -5,12 +5,15 @@
 namespace persimmon::peers {
 namespace {
 
-/// Time after which processes that only know others which are starting too end their start.
+/// Time after which processes that only know others which are starting too end their start, when
+/// the store may show an older copy or a seed has not answered.
 constexpr duration kAllStartingTime = 500_ms;
+/// Interval at which a starting process dials the seeds to which it has no link, also when an
+/// earlier dial is still in progress: TCP sends the first packet again only after a second, too
+/// late for a seed whose machine is starting as well.
+constexpr duration kStartDialInterval = 100_ms;
 /// Longest start, when no peer can be reached or the bodies do not arrive.
 constexpr duration kMaxStartTime = 1500_ms;
-/// The first summary of a peer comes before its state, the second one after it.
-constexpr std::size_t kSummaryAfterState = 2;
 
 } // namespace
 
@@ -19,9 +22,9 @@
 {
   aLink.peerStarting = aSummary.starting;
   if (starting && !aSummary.starting) {
-    // Equal documents are no proof that the rest of the state has arrived.
-    ++aLink.settledSummaries;
-    mReceivedState = mReceivedState || aLink.settledSummaries >= kSummaryAfterState;
+    // Equal documents are no proof that the rest of the state has arrived. Only the first summary
+    // of a link, which comes with the hello, precedes the peer's state.
+    mReceivedState = mReceivedState || aLink.summariesReceived > 0;
   }
   if (!starting && aSummary.starting && !aLink.stateSent) {
     SendState(aLink);
@@ -43,20 +46,70 @@
 }
 
 void
-mesh_core::implementation::UpdateStart()
+mesh_core::implementation::DialSeedsAtStart()
 {
-  if (!starting) {
+  if (!starting || options.leaf || now < mNextStartDialAt) {
     return;
   }
+  mNextStartDialAt = now + kStartDialInterval;
+  const std::vector<endpoint> seeds = mSeeds;
+  for (const endpoint& seed : seeds) {
+    const bool mayDial = mFailedDials.count(seed) == 0 || mDialer.MayDial(seed, now);
+    if (seed != options.address && mayDial && !IsLinkedTo(seed)) {
+      Dial(seed);
+    }
+  }
+}
+
+bool
+mesh_core::implementation::IsLinkedTo(const endpoint& aAddress) const
+{
+  return std::any_of(links.begin(), links.end(), [&](const auto& aEntry) {
+    const member* peer = members.Find(aEntry.second.peer);
+    const auto dialled = mOutgoingAddresses.find(aEntry.first);
+    return aEntry.second.helloReceived &&
+           ((peer != nullptr && peer->address == aAddress) ||
+            (dialled != mOutgoingAddresses.end() && dialled->second == aAddress));
+  });
+}
+
+bool
+mesh_core::implementation::HaveSeedsAnswered() const
+{
+  return std::all_of(mSeeds.begin(), mSeeds.end(), [this](const endpoint& aSeed) {
+    return aSeed == options.address || mFailedDials.count(aSeed) != 0 || IsLinkedTo(aSeed);
+  });
+}
+
+bool
+mesh_core::implementation::StartsWithOthers() const
+{
   const bool linked = std::any_of(
     links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.helloReceived; });
   const bool allStarting = std::all_of(
     links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.peerStarting; });
+  const bool hellosReceived = std::all_of(
+    links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.helloReceived; });
+  if (!linked || !allStarting) {
+    return false;
+  }
+  // What the store shows is then as new as anything that a peer could know of it.
+  const bool storeSuffices = mStoreNeverRestored && hellosReceived && HaveSeedsAnswered();
+  return storeSuffices || now - mStartedAt >= kAllStartingTime;
+}
+
+void
+mesh_core::implementation::UpdateStart()
+{
+  if (!starting) {
+    return;
+  }
+  const bool linked = std::any_of(
+    links.begin(), links.end(), [](const auto& aEntry) { return aEntry.second.helloReceived; });
   const duration age = now - mStartedAt;
   const bool hasPeers = linked || !mSeeds.empty();
   const bool synchronised = mReceivedState && mMissing.empty();
-  const bool startsWithOthers = linked && allStarting && age >= kAllStartingTime;
-  if (options.leaf || !hasPeers || synchronised || startsWithOthers || age >= kMaxStartTime) {
+  if (options.leaf || !hasPeers || synchronised || StartsWithOthers() || age >= kMaxStartTime) {
     EndStart();
   }
 }
