--- a/src/fleet/reportresult.h
+++ b/src/fleet/reportresult.h
@@ -14,13 +14,14 @@
   no_answer,
   /// What arrived is no valid report.
   invalid,
-  /// Nothing listens at the address: the process of the instance has ended.
+  /// Nothing listens at the address: the process has ended, or the instance drains and takes no
+  /// more.
   refused,
   /// Another instance answers at the address.
   misdirected
 };
 
-/// Returns whether a failure proves that the instance no longer runs at its address.
+/// Returns whether a failure proves that an instance that is not leaving has ended.
 [[nodiscard]] constexpr bool
 ProvesLoss(report_failure aFailure)
 {
