A verdict on a part of a prompt ends with the crashes that it rests on

Cause: a sound response that began at b withdraws the crashes until b + 600 ms, but ended a quarantine only if that was not later than b + 600 ms. A quarantine is later than its crashes: they wait 800 ms, and come seconds late as news or by proof. So all crashes of a part could be withdrawn while its quarantine stayed. Processes that heard of the withdrawals alone never ended it either. Nothing else could prove the part sound, since its requests were refused.

Now a quarantine ends when crashes are withdrawn and the rest weighs too little to give cause for it, at the process with the sound response and at each that hears of the withdrawals and knew the crashes.

Not looked at: the verdict in the stored object.

--- a/src/poison/internal/promptparttable.cpp
+++ b/src/poison/internal/promptparttable.cpp
@@ -184,6 +184,25 @@
   aChanges.quarantines.push_back({ aPart, refused.quarantineCount, false, {} });
 }
 
+bool
+prompt_part_table::IsUnfounded(const entry& aEntry, std::uint32_t aWeightBefore, time_point aNow)
+{
+  // With less weight before, the crashes that gave cause for the quarantine are not all known here.
+  return InQuarantine(aEntry, aNow) && aWeightBefore >= kQuarantineWeight &&
+         Weight(aEntry, aNow) < kQuarantineWeight;
+}
+
+void
+prompt_part_table::Lift(std::uint64_t aPart,
+                        entry& aEntry,
+                        suspicion_changes& aChanges,
+                        time_point aNow)
+{
+  aEntry.lifted = true;
+  aChanges.quarantines.push_back(
+    { aPart, aEntry.quarantineCount, true, aNow - aEntry.quarantinedAt });
+}
+
 suspicion_changes
 prompt_part_table::AddCrash(const peers::crash_message& aCrash, time_point aNow)
 {
@@ -214,6 +233,7 @@
   }
   entry& sound = found->second;
   const time_point until = aBegunAt + kSoundMargin;
+  const std::uint32_t weightBefore = Weight(sound, aNow);
   bool anyWithdrawn = false;
   suspicion_changes changes;
   for (crash& counted : sound.crashes) {
@@ -226,10 +246,9 @@
       }
     }
   }
-  if (InQuarantine(sound, aNow) && sound.quarantinedAt <= until) {
-    sound.lifted = true;
-    changes.quarantines.push_back(
-      { aPart, sound.quarantineCount, true, aNow - sound.quarantinedAt });
+  const bool isSince = InQuarantine(sound, aNow) && sound.quarantinedAt <= until;
+  if (isSince || IsUnfounded(sound, weightBefore, aNow)) {
+    Lift(aPart, sound, changes, aNow);
   }
   if (anyWithdrawn || !changes.Empty()) {
     changes.Append(Judge(aNow));
@@ -246,12 +265,16 @@
   }
   const bool refuted = !aMessage.withdrawn && IsVoid(aMessage.fingerprint, at, aNow);
   const bool withdrawn = aMessage.withdrawn || refuted;
-  const bool changed =
-    Store(Touch(aMessage.fingerprint), { aMessage.crash, aMessage.weight, withdrawn, at });
-  if (!changed) {
+  entry& suspect = Touch(aMessage.fingerprint);
+  const std::uint32_t weightBefore = Weight(suspect, aNow);
+  if (!Store(suspect, { aMessage.crash, aMessage.weight, withdrawn, at })) {
     return {};
   }
-  suspicion_changes changes = Judge(aNow);
+  suspicion_changes changes;
+  if (IsUnfounded(suspect, weightBefore, aNow)) {
+    Lift(aMessage.fingerprint, suspect, changes, aNow);
+  }
+  changes.Append(Judge(aNow));
   if (refuted) {
     changes.crashes.push_back(aMessage);
     changes.crashes.back().withdrawn = true;
--- a/src/poison/promptparttable.h
+++ b/src/poison/promptparttable.h
@@ -54,7 +54,7 @@
   /// Notes that a crash was not told to other processes: neither is its withdrawal.
   void KeepToItself(const peers::crash_message& aCrash);
   /// Records a sound response that began at aBegunAt: crashes until kSoundMargin later don't count,
-  /// and a quarantine since then ends.
+  /// and a quarantine since then, or one that rests on such crashes, ends.
   suspicion_changes RecordSound(std::uint64_t aPart, time_point aBegunAt, time_point aNow);
   /// Applies a message of another process or from the store. Returns what follows from it.
   suspicion_changes Apply(const peers::crash_message& aMessage, time_point aNow);
@@ -114,6 +114,16 @@
   /// Judges one part. Returns whether it is in quarantine and explains its crashes.
   bool JudgePart(const standing& aStanding, suspicion_changes& aChanges, time_point aNow);
   void Quarantine(std::uint64_t aPart, suspicion_changes& aChanges, time_point aNow);
+  /// Returns whether a part is in a quarantine that rests on crashes which have been withdrawn
+  /// since its crashes weighed aWeightBefore: what is left gives no cause for it.
+  [[nodiscard]] static bool IsUnfounded(const entry& aEntry,
+                                        std::uint32_t aWeightBefore,
+                                        time_point aNow);
+  /// Ends the quarantine of a part.
+  static void Lift(std::uint64_t aPart,
+                   entry& aEntry,
+                   suspicion_changes& aChanges,
+                   time_point aNow);
   /// Returns the entry of a part, created if missing, as the newest.
   entry& Touch(std::uint64_t aPart);
   void Evict();
--- a/src/poison/tests/mocks/promptpartplay.cpp
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -203,6 +203,11 @@
   sent.end = sent.endsUpstream
                ? sent.headAt + Milliseconds(kShortestRun + mRandom.Below(kRunSpread))
                : sent.headAt + kResponseTime;
+  if (sent.endsUpstream && mSetup.crashesBeforeHead) {
+    sent.headAt = time_point{ INT64_MAX / 2 };
+    sent.nextData = sent.headAt;
+    sent.end = mNow + Milliseconds(kShortestWait + mRandom.Below(kWaitSpread));
+  }
   upstream& target = mUpstreams[aUpstream];
   ++target.calls;
   const upstream_id life{ std::to_string(aUpstream) + "/" + std::to_string(target.life) };
--- a/src/poison/tests/mocks/promptpartplay.h
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -49,6 +49,8 @@
   /// zero.
   time_point outageFrom{ 12000 };
   duration outageTime{};
+  /// True when upstreams crash before the harmful response begins.
+  bool crashesBeforeHead = false;
   /// Sound requests count from here on, or later.
   time_point soundFrom{};
   /// News reach the other processes after a time between these, and all after the longest with
--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -124,6 +124,28 @@
   }
 }
 
+// Guards against two parts that crash upstreams before the response begins, where few upstreams are
+// left for sound responses: the crashes of responses that had just begun weigh more.
+TEST(prompt_part_play, TwoPoisonPartsThatCrashBeforeTheResponseAtFewUpstreams)
+{
+  setup.poisonParts = 2;
+  setup.crashesBeforeHead = true;
+  setup.processes = 3;
+  setup.requestsPerSecond = 50;
+  setup.upstreams = 8;
+  setup.restart = 1500_ms;
+  setup.rareShare = 1;
+  setup.rareParts = 5;
+  setup.newsAlwaysLate = false;
+  setup.longestNews = 200_ms;
+  for (const double share : { 0.1, 0.2 }) {
+    setup.poisonShare = share;
+    for (std::uint64_t seed = 1; seed <= 4 * kSeeds; ++seed) {
+      Check(seed);
+    }
+  }
+}
+
 // Guards against processes that each need crashes of their own: the store carries verdicts alone.
 TEST(prompt_part_play, PoisonPartIsRefusedInTimeWithTheStoreAlone)
 {
--- a/src/poison/tests/promptparttabletests.cpp
+++ b/src/poison/tests/promptparttabletests.cpp
@@ -129,6 +129,39 @@
   CHECK_FALSE(Refused(kSound));
 }
 
+// Guards against a verdict that stays for ten minutes though nothing speaks for it any more: the
+// crashes were counted some time after they happened, so that the quarantine is later than the
+// sound response that refutes them.
+TEST(prompt_part_table, QuarantineEndsWithTheCrashesThatItRestsOn)
+{
+  const time_point verdict = kNow + 2_s;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    table.AddCrash(Crash(kSound, crash, 2_s), verdict);
+  }
+  CHECK(Refused(kSound, verdict));
+  const auto changes = table.RecordSound(kSound, kNow, verdict + 100_ms);
+  CHECK_EQUAL(3, changes.crashes.size());
+  CHECK_EQUAL(1, changes.quarantines.size());
+  CHECK(changes.quarantines[0].lifted);
+  CHECK_FALSE(Refused(kSound, verdict + 100_ms));
+}
+
+// Guards against the same verdict at a process that hears of the withdrawals alone.
+TEST(prompt_part_table, QuarantineEndsWhenItsCrashesAreWithdrawnElsewhere)
+{
+  AddThree(kSound, 1);
+  AddThree(kPoison, 11);
+  Add(kPoison, 14);
+  for (const auto& [part, crash] : { std::pair{ kSound, 1 }, std::pair{ kPoison, 11 } }) {
+    peers::crash_message withdrawn = Crash(part, static_cast<std::uint64_t>(crash));
+    withdrawn.withdrawn = true;
+    const auto changes = table.Apply(withdrawn, kNow + 1_s);
+    CHECK_EQUAL(part == kSound ? 1 : 0, changes.quarantines.size());
+  }
+  CHECK_FALSE(Refused(kSound, kNow + 1_s));
+  CHECK(Refused(kPoison, kNow + 1_s));
+}
+
 // Guards against a part that was sound for long, turned harmful, and is not refused since responses
 // that began before still end well.
 TEST(prompt_part_table, SoundResponseThatBeganLongBeforeTakesNothingBack)
