The number of crashes decides which part of a prompt explains them, then the weight

Cause: all four crashes of the harmless part were also the harmful one's, which had twice as many. But a crash before the response begins weighs 1, and responses that had just begun beside it weigh 2, and the part with more weight was taken for the cause. The harmful part needed eight crashes for a verdict instead of six, and with equal weights the harmless one stayed refused: a part in quarantine has no further crashes by which it could outweigh the other.

Now the part with more crashes explains them; with as many, the one whose crashes weigh more.

--- a/src/poison/internal/promptparttable.cpp
+++ b/src/poison/internal/promptparttable.cpp
@@ -1,6 +1,7 @@
 #include "poison/promptparttable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace persimmon::poison {
 
@@ -94,11 +95,16 @@
   for (const auto& [part, present] : mEntries) {
     const std::uint32_t weight = Weight(present, aNow);
     if (weight >= kQuarantineWeight || (weight > 0 && present.quarantineCount > 0)) {
-      standings.push_back({ part, weight });
+      const auto& crashes = present.crashes;
+      const auto count = std::count_if(crashes.begin(), crashes.end(), [aNow](const crash& aCrash) {
+        return Counts(aCrash, aNow);
+      });
+      standings.push_back({ part, static_cast<std::size_t>(count), weight });
     }
   }
   std::sort(standings.begin(), standings.end(), [](const standing& aLeft, const standing& aRight) {
-    return aLeft.weight != aRight.weight ? aLeft.weight > aRight.weight : aLeft.part < aRight.part;
+    return std::tuple(aRight.crashes, aRight.weight, aLeft.part) <
+           std::tuple(aLeft.crashes, aLeft.weight, aRight.part);
   });
   return standings;
 }
@@ -134,7 +140,7 @@
   for (auto first = standings.begin(); first != standings.end();) {
     // Parts with the same crashes can't be told apart: none of them explains the others.
     const auto last = std::find_if(first, standings.end(), [first](const standing& aOther) {
-      return aOther.weight != first->weight;
+      return aOther.crashes != first->crashes || aOther.weight != first->weight;
     });
     std::vector<std::uint64_t> explained;
     for (; first != last; ++first) {
--- a/src/poison/promptparttable.h
+++ b/src/poison/promptparttable.h
@@ -25,9 +25,10 @@
 constexpr std::size_t kMaxLastingParts = 64;
 
 /// What is known of the parts of prompts that may crash upstreams. Each part is judged by the
-/// crashes that no other part with more of them explains: a part that stands in all requests, or in
-/// the others that a crash ended, has few of its own. Tables that have received the same messages
-/// and have seen the same sound responses agree. Does no I/O; the caller serialises calls.
+/// crashes that no other part with more of them, or as many that weigh more, explains: a part that
+/// stands in all requests, or in the others that a crash ended, has few of its own. Tables that
+/// have received the same messages and have seen the same sound responses agree. Does no I/O; the
+/// caller serialises calls.
 class prompt_part_table
 {
 public:
@@ -89,10 +90,11 @@
     /// Position in mByAge.
     std::list<std::uint64_t>::iterator agePosition;
   };
-  /// A part with the weight of all crashes that count against it.
+  /// A part with the number and the weight of all crashes that count against it.
   struct standing
   {
     std::uint64_t part = 0;
+    std::size_t crashes = 0;
     std::uint32_t weight = 0;
   };
 
@@ -104,8 +106,10 @@
   [[nodiscard]] static std::uint32_t Weight(const entry& aEntry, time_point aNow);
   /// Returns the weight of the crashes that count and that nothing explains.
   [[nodiscard]] std::uint32_t OwnWeight(const entry& aEntry, time_point aNow) const;
-  /// Returns the parts that crashes count against and that may be in quarantine now or then, most
-  /// weight first.
+  /// Returns the parts that crashes count against and that may be in quarantine now or then, those
+  /// with most crashes first, and most weight first among these. The number comes first: a harmful
+  /// part may end its upstreams before the response begins, which weighs less than other responses
+  /// that had just begun there.
   [[nodiscard]] std::vector<standing> Standings(time_point aNow) const;
   /// Stores a crash. Returns whether the entry changed.
   static bool Store(entry& aEntry, const crash& aCrash);
--- a/src/poison/tests/promptparttabletests.cpp
+++ b/src/poison/tests/promptparttabletests.cpp
@@ -87,6 +87,26 @@
   CHECK_EQUAL(1, table.LastingEntries(kNow).quarantines.size());
 }
 
+// Guards against a sound part that stays refused, and hides a harmful one that ends its upstreams
+// before the response begins: each of its crashes weighs less than those of the responses that had
+// just begun there.
+TEST(prompt_part_table, PartWithMoreCrashesExplainsThoseThatWeighMore)
+{
+  const auto add = [this](std::uint64_t aPart, std::uint64_t aCrash, std::uint32_t aWeight) {
+    table.AddCrash({ aPart, aCrash, aWeight, false, false, {} }, kNow);
+  };
+  for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+    add(kPoison, crash, kLateCrashWeight);
+    add(kSound, crash, kEarlyCrashWeight);
+  }
+  CHECK(Refused(kSound));
+  for (std::uint64_t crash = 5; crash <= 6; ++crash) {
+    add(kPoison, crash, kLateCrashWeight);
+  }
+  CHECK(Refused(kPoison));
+  CHECK_FALSE(Refused(kSound));
+}
+
 TEST(prompt_part_table, PartIsRefusedAgainWhenWhatExplainedItProvesSound)
 {
   for (std::uint64_t crash = 1; crash <= 4; ++crash) {
