Silence of a group counts against the parts of its prompts until the group is heard again

Cause: only a proof counted.

Now a group that is found silent, here or at another gateway, counts as a crash at the begin of its silence against the parts of the calls that had just begun or not begun. It is withdrawn, and with it a verdict that rests on it, when the same life of the group is heard again: by an answer, or by all reports. A proof of the same crash adds nothing. A silence with a member that drains or has no entry doesn't count.

Why it is safe: a verdict needs three silent upstreams, six where no response had begun; sound responses acquit the parts that others have; and what remains ends when the upstreams are heard again.

Tests: without the change the plays of silent crashes and six tests of prompt_part_tracker fail; without the withdrawal three of these.

Weighed: a lapsed entry without a drain as further evidence; the silence comes first and needs no store. Not solved: whole requests that crash engines silently still wait for a proof.

--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -10,6 +10,7 @@
 #include "upstream/upstreamloop.h"
 
 #include <functional>
+#include <map>
 #include <unordered_map>
 
 namespace persimmon::gateway {
@@ -72,6 +73,11 @@
   /// Records an attempt whose response broke off, was not valid or did not come, and finds out
   /// whether its upstream has crashed.
   void Lost(const monitored_attempt& aAttempt, loss_scope aScope);
+  /// Records that a group was found silent. Its head may have crashed, which counts against the
+  /// parts of the prompts of its calls until the group is heard again.
+  void GroupSilent(const fleet::engine_group& aGroup);
+  /// Records that a group that was found silent works.
+  void GroupWorks(const fleet::engine_group& aGroup);
   /// Applies messages of another gateway or from the store.
   void Apply(const poison::suspicion_changes& aMessages);
   /// Looks for restarted instances; call after each change of the instances.
@@ -90,6 +96,12 @@
                                                           loss_scope aScope) const;
   /// Counts a lost call against its request, unless there are too many that were not answered.
   void CountLoss(const monitored_attempt& aAttempt, loss_scope aScope, time_point aNow);
+  /// An upstream whose silence counts against parts of prompts.
+  struct silent_upstream
+  {
+    instance_id head;
+    time_point foundAt;
+  };
   /// A lost call whose upstream is under investigation.
   struct lost_call
   {
@@ -97,6 +109,13 @@
     time_point lostAt;
   };
 
+  /// Returns an upstream in its present run; aGroup is nullptr for an instance without a group.
+  [[nodiscard]] upstream_id UpstreamOf(const instance_id& aUpstream,
+                                       const fleet::engine_group* aGroup) const;
+  /// Returns whether an instance has left or is leaving as planned.
+  [[nodiscard]] bool IsLeaving(const instance_id& aInstance) const;
+  /// Withdraws what the silence of upstreams has counted once they are heard again.
+  void LookForSignsOfLife(time_point aNow);
   /// Logs and counts what was found out about the upstream of a lost call.
   void ReportConclusion(const lost_call& aCall,
                         const upstream_id& aUpstream,
@@ -113,6 +132,7 @@
   poison::prompt_part_tracker mPartTracker;
   crash_investigator mInvestigator;
   std::unordered_map<attempt_id, lost_call> mLostCalls;
+  std::map<upstream_id, silent_upstream> mSilent;
   dispatch::permit_bucket mUnansweredCalls;
   std::uint64_t mLastAttempt = 0;
 };
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace persimmon::gateway {
 namespace {
@@ -65,6 +66,15 @@
            : mPartTracker.CheckOrTry(aRequest, now);
 }
 
+upstream_id
+crash_monitor::UpstreamOf(const instance_id& aUpstream, const fleet::engine_group* aGroup) const
+{
+  const fleet::instance* instance = mUpstreams.Fleet().Find(aUpstream);
+  const std::uint64_t run = instance != nullptr ? instance->incarnationId.value : 0;
+  const std::uint64_t epoch = aGroup != nullptr ? aGroup->epoch.value : 0;
+  return { fmt::format("{}/{}/{}", aUpstream.value, run, epoch) };
+}
+
 monitored_attempt
 crash_monitor::Started(const poison::request_identities& aRequest, const instance_id& aUpstream)
 {
@@ -79,9 +89,7 @@
         { member, instance->service, instance->address, instance->incarnationId });
     }
   }
-  const std::uint64_t epoch = group != nullptr ? group->epoch.value : 0;
-  const std::uint64_t run = started.members.empty() ? 0 : started.members[0].incarnationId.value;
-  started.upstream = { fmt::format("{}/{}/{}", aUpstream.value, run, epoch) };
+  started.upstream = UpstreamOf(aUpstream, group);
   const time_point now = steady_clock().Now();
   mTracker.RecordDispatch({ started.id, started.fingerprint, started.upstream }, now);
   mPartTracker.RecordDispatch(started.id, started.upstream, aRequest, now);
@@ -131,12 +139,67 @@
   }
   // An instance that leaves as planned closes its port: that proves no crash.
   std::erase_if(candidates, [this](const crash_candidate& aCandidate) {
-    const fleet::instance* instance = mUpstreams.Fleet().Find(aCandidate.instance);
-    return instance == nullptr || instance->draining;
+    return IsLeaving(aCandidate.instance);
   });
   return candidates;
 }
 
+bool
+crash_monitor::IsLeaving(const instance_id& aInstance) const
+{
+  const fleet::instance* instance = mUpstreams.Fleet().Find(aInstance);
+  return instance == nullptr || instance->draining;
+}
+
+void
+crash_monitor::GroupSilent(const fleet::engine_group& aGroup)
+{
+  // The group of an instance that leaves as planned stands still without a crash.
+  const bool anyLeaves =
+    std::any_of(aGroup.members.begin(), aGroup.members.end(), [this](const instance_id& aMember) {
+      return IsLeaving(aMember);
+    });
+  if (anyLeaves || !aGroup.complete) {
+    return;
+  }
+  const time_point now = steady_clock().Now();
+  const upstream_id upstream = UpstreamOf(aGroup.Head(), &aGroup);
+  const dispatch::upstream_stats* stats = mUpstreams.Stats().Find(aGroup.Head());
+  const time_point heardAt = stats != nullptr ? stats->lastByteAt : time_point{ INT64_MIN / 2 };
+  mSilent[upstream] = { aGroup.Head(), now };
+  Announce(mPartTracker.RecordSilence(upstream, heardAt, now), true);
+}
+
+void
+crash_monitor::GroupWorks(const fleet::engine_group& aGroup)
+{
+  const upstream_id upstream = UpstreamOf(aGroup.Head(), &aGroup);
+  if (mSilent.erase(upstream) > 0) {
+    Announce(mPartTracker.RecordSignOfLife(upstream, steady_clock().Now()), true);
+  }
+}
+
+void
+crash_monitor::LookForSignsOfLife(time_point aNow)
+{
+  for (auto current = mSilent.begin(); current != mSilent.end();) {
+    const auto next = std::next(current);
+    const auto& [upstream, silent] = *current;
+    const dispatch::upstream_stats* stats = mUpstreams.Stats().Find(silent.head);
+    // What a later life or group of the head sends says nothing of this one.
+    const bool isSameRun =
+      UpstreamOf(silent.head, mUpstreams.FindGroupByHead(silent.head)) == upstream;
+    const bool isHeard = isSameRun && stats != nullptr && stats->lastByteAt > silent.foundAt;
+    if (isHeard) {
+      Announce(mPartTracker.RecordSignOfLife(upstream, aNow), true);
+    }
+    if (isHeard || silent.foundAt + poison::kSuspectLifetime <= aNow) {
+      mSilent.erase(current);
+    }
+    current = next;
+  }
+}
+
 void
 crash_monitor::CountLoss(const monitored_attempt& aAttempt, loss_scope aScope, time_point aNow)
 {
@@ -267,7 +330,9 @@
 void
 crash_monitor::OnFastTick()
 {
-  Announce(mPartTracker.Settle(steady_clock().Now()), true);
+  const time_point now = steady_clock().Now();
+  LookForSignsOfLife(now);
+  Announce(mPartTracker.Settle(now), true);
 }
 
 void
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -46,6 +46,7 @@
   };
   mProber.onRecovered = [this](const fleet::engine_group& aGroup) {
     mUpstreams.ClearBroken(aGroup.id, aGroup.epoch);
+    mCrashes.GroupWorks(aGroup);
     WriteLog(kGroupWhole,
              { { "group", aGroup.id.value }, { "epoch", std::to_string(aGroup.epoch.value) } });
   };
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -156,6 +156,9 @@
     mMesh.Publish(peers::presence_message{ group.id, group.epoch, mSettings.id, {}, false, 0, 0 });
     mAssembly.SuspectGroup(group.id, group.epoch);
   }
+  if (aFault.evidence == fleet::fault_evidence::silence) {
+    mCrashes.GroupSilent(group);
+  }
   for (const auto& exchange : mExchanges.Snapshot()) {
     exchange->CheckProgress();
   }
--- a/src/poison/internal/promptparttable.cpp
+++ b/src/poison/internal/promptparttable.cpp
@@ -229,6 +229,42 @@
   }
 }
 
+void
+prompt_part_table::Withdraw(std::uint64_t aPart,
+                            crash& aCrash,
+                            suspicion_changes& aChanges,
+                            time_point aNow)
+{
+  aCrash.withdrawn = true;
+  if (aCrash.told) {
+    aChanges.crashes.push_back({ aPart, aCrash.id, aCrash.weight, false, true, aNow - aCrash.at });
+  }
+}
+
+suspicion_changes
+prompt_part_table::Withdraw(std::uint64_t aPart, std::uint64_t aCrash, time_point aNow)
+{
+  const auto found = mEntries.find(aPart);
+  if (found == mEntries.end()) {
+    return {};
+  }
+  entry& suspect = found->second;
+  const std::uint32_t weightBefore = Weight(suspect, aNow);
+  suspicion_changes changes;
+  for (crash& counted : suspect.crashes) {
+    if (counted.id == aCrash && Counts(counted, aNow)) {
+      Withdraw(aPart, counted, changes, aNow);
+    }
+  }
+  if (IsUnfounded(suspect, weightBefore, aNow)) {
+    Lift(aPart, suspect, changes, aNow);
+  }
+  if (Weight(suspect, aNow) != weightBefore) {
+    changes.Append(Judge(aNow));
+  }
+  return changes;
+}
+
 suspicion_changes
 prompt_part_table::RecordSound(std::uint64_t aPart, time_point aBegunAt, time_point aNow)
 {
@@ -244,12 +280,8 @@
   suspicion_changes changes;
   for (crash& counted : sound.crashes) {
     if (Counts(counted, aNow) && counted.at <= until) {
-      counted.withdrawn = true;
       anyWithdrawn = true;
-      if (counted.told) {
-        changes.crashes.push_back(
-          { aPart, counted.id, counted.weight, false, true, aNow - counted.at });
-      }
+      Withdraw(aPart, counted, changes, aNow);
     }
   }
   const bool isSince = InQuarantine(sound, aNow) && sound.quarantinedAt <= until;
--- a/src/poison/internal/promptparttracker.cpp
+++ b/src/poison/internal/promptparttracker.cpp
@@ -4,7 +4,9 @@
 #include "poison/suspicionlog.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <iterator>
+#include <utility>
 
 namespace persimmon::poison {
 
@@ -75,6 +77,7 @@
   running_attempt started;
   started.upstream = aUpstream;
   started.request = aRequest;
+  started.sentAt = aNow;
   const std::vector<std::uint64_t> refused = Refused(aRequest.promptParts, aNow);
   if (!refused.empty()) {
     started.triedPart = refused.front();
@@ -142,6 +145,14 @@
   return changes;
 }
 
+std::uint64_t
+prompt_part_tracker::CrashOf(const upstream_id& aUpstream) const
+{
+  const auto found = mSilences.find(aUpstream);
+  const std::uint32_t ended = found == mSilences.end() ? 0 : found->second.ended;
+  return HashText(ended == 0 ? aUpstream.value : fmt::format("{}#{}", aUpstream.value, ended));
+}
+
 std::uint32_t
 prompt_part_tracker::CrashWeight(const running_attempt& aAttempt, time_point aNow)
 {
@@ -195,6 +206,59 @@
   return changes;
 }
 
+suspicion_changes
+prompt_part_tracker::RecordSilence(const upstream_id& aUpstream,
+                                   time_point aHeardAt,
+                                   time_point aNow)
+{
+  if (mSilences.size() >= kMaxSilences && !mSilences.contains(aUpstream)) {
+    return {};
+  }
+  suspicion_changes changes;
+  for (auto& [id, running] : mRunning) {
+    if (running.upstream != aUpstream || running.counted) {
+      continue;
+    }
+    const std::optional<time_point> lostAt = running.lostAt;
+    if (!lostAt) {
+      SetLost(running, loss_kind::stalled, std::max(aHeardAt, running.sentAt));
+    }
+    changes.Append(CountCrash(running, aNow));
+    running.lostAt = lostAt;
+    if (running.counted) {
+      silence& present = mSilences[aUpstream];
+      present.changedAt = aNow;
+      const auto& parts = running.request.promptParts;
+      present.parts.insert(present.parts.end(), parts.begin(), parts.end());
+    }
+  }
+  return changes;
+}
+
+suspicion_changes
+prompt_part_tracker::RecordSignOfLife(const upstream_id& aUpstream, time_point aNow)
+{
+  const auto found = mSilences.find(aUpstream);
+  if (found == mSilences.end() || found->second.parts.empty()) {
+    return {};
+  }
+  const std::uint64_t crash = CrashOf(aUpstream);
+  std::erase_if(mSettling, [crash](const settling_crash& aSettling) {
+    return aSettling.message.crash == crash && !aSettling.received;
+  });
+  for (auto& [id, running] : mRunning) {
+    running.counted = running.counted && running.upstream != aUpstream;
+  }
+  suspicion_changes changes;
+  silence& ended = found->second;
+  for (const std::uint64_t part : std::exchange(ended.parts, {})) {
+    changes.Append(mTable.Withdraw(part, crash, aNow));
+  }
+  ++ended.ended;
+  ended.changedAt = aNow;
+  return changes;
+}
+
 suspicion_changes
 prompt_part_tracker::CountCrash(running_attempt& aAttempt, time_point aNow)
 {
@@ -204,7 +268,7 @@
   }
   aAttempt.counted = true;
   peers::crash_message crash;
-  crash.crash = HashText(aAttempt.upstream.value);
+  crash.crash = CrashOf(aAttempt.upstream);
   crash.weight = aAttempt.lossWeight;
   crash.age = aNow - *aAttempt.lostAt;
   // Parts in quarantine come first: they explain the crash, so that it doesn't count against
@@ -325,6 +389,9 @@
 {
   mTable.Prune(aNow);
   mTrials.Prune(aNow);
+  std::erase_if(mSilences, [aNow](const auto& aSilence) {
+    return aSilence.second.changedAt + kSuspectLifetime <= aNow;
+  });
 }
 
 } // namespace persimmon::poison
--- a/src/poison/promptparttable.h
+++ b/src/poison/promptparttable.h
@@ -57,6 +57,8 @@
   /// Records a sound response that began at aBegunAt: crashes until kSoundMargin later don't count,
   /// and a quarantine since then, or one that rests on such crashes, ends.
   suspicion_changes RecordSound(std::uint64_t aPart, time_point aBegunAt, time_point aNow);
+  /// Withdraws a crash of a part: it was none. Returns the changes for other processes.
+  suspicion_changes Withdraw(std::uint64_t aPart, std::uint64_t aCrash, time_point aNow);
   /// Applies a message of another process or from the store. Returns what follows from it.
   suspicion_changes Apply(const peers::crash_message& aMessage, time_point aNow);
   suspicion_changes Apply(const peers::quarantine_message& aMessage, time_point aNow);
@@ -123,6 +125,11 @@
   [[nodiscard]] static bool IsUnfounded(const entry& aEntry,
                                         std::uint32_t aWeightBefore,
                                         time_point aNow);
+  /// Withdraws a crash and adds the news of it if other processes know of the crash.
+  static void Withdraw(std::uint64_t aPart,
+                       crash& aCrash,
+                       suspicion_changes& aChanges,
+                       time_point aNow);
   /// Ends the quarantine of a part.
   static void Lift(std::uint64_t aPart,
                    entry& aEntry,
--- a/src/poison/promptparttracker.h
+++ b/src/poison/promptparttracker.h
@@ -33,11 +33,14 @@
 /// parts, such as the former turns of a conversation, are of one crash and no other.
 constexpr double kPartNewsReserve = 12;
 
+/// Most silent upstreams whose counted crashes are remembered; further silences don't count.
+constexpr std::size_t kMaxSilences = 1024;
+
 /// Detects parts of prompts that crash the upstreams that begin to respond to them, in requests
 /// that are otherwise all different. A crash counts against the shared parts of each request that
 /// it ended, once for each part and run of an upstream, and only if the response had just begun or
-/// not begun: a response that goes on proves its parts sound. Does no I/O; the caller serialises
-/// calls.
+/// not begun: a response that goes on proves its parts sound. The silence of an upstream counts
+/// like a crash until the upstream is heard again. Does no I/O; the caller serialises calls.
 class prompt_part_tracker
 {
 public:
@@ -65,6 +68,14 @@
   void RecordEnd(const attempt_id& aAttempt);
   /// Records the proved crash of an upstream. Returns the changes for other processes.
   suspicion_changes RecordCrash(const upstream_id& aUpstream, time_point aNow);
+  /// Records that an upstream, last heard of at aHeardAt, is silent: it may have crashed. Counts
+  /// this against the parts of its calls as a crash would. Returns the changes for other processes.
+  suspicion_changes RecordSilence(const upstream_id& aUpstream,
+                                  time_point aHeardAt,
+                                  time_point aNow);
+  /// Records that a silent upstream is heard again: withdraws what its silence counted. Returns the
+  /// changes for other processes.
+  suspicion_changes RecordSignOfLife(const upstream_id& aUpstream, time_point aNow);
   /// Applies messages of another process or from the store. Returns what follows from them.
   suspicion_changes Apply(const suspicion_changes& aMessages, time_point aNow);
   /// Counts crashes that have waited for kSettlingTime. Call at least a few times a second.
@@ -86,6 +97,7 @@
   {
     upstream_id upstream;
     request_identities request;
+    time_point sentAt;
     /// The first part in quarantine at the dispatch, which was a trial then; 0 when there was none.
     std::uint64_t triedPart = 0;
     /// Time of the response's head; nothing before it.
@@ -100,6 +112,15 @@
     /// The loss counts already.
     bool counted = false;
   };
+  /// Silences of an upstream in one run.
+  struct silence
+  {
+    /// Number of those after which it was heard again.
+    std::uint32_t ended = 0;
+    /// Parts that the present silence counts against.
+    std::vector<std::uint64_t> parts;
+    time_point changedAt;
+  };
   /// A crash that does not count yet.
   struct settling_crash
   {
@@ -114,6 +135,9 @@
   /// Records that a response goes on or has ended well.
   suspicion_changes RecordSound(running_attempt& aAttempt, time_point aNow);
   static void SetLost(running_attempt& aAttempt, loss_kind aKind, time_point aNow);
+  /// Identifies the crash of an upstream's run. After a silence that was none, the next one is
+  /// another.
+  [[nodiscard]] std::uint64_t CrashOf(const upstream_id& aUpstream) const;
   /// Counts the crash of a lost attempt's upstream against the attempt's parts, once.
   suspicion_changes CountCrash(running_attempt& aAttempt, time_point aNow);
   /// Counts a crash against one part, at once or after kSettlingTime.
@@ -134,6 +158,7 @@
   router_id mSelf;
   std::vector<router_id> mLive;
   std::unordered_map<attempt_id, running_attempt> mRunning;
+  std::unordered_map<upstream_id, silence> mSilences;
   std::deque<settling_crash> mSettling;
   news_allowance mNews{ kMaxPartNewsAtOnce };
 };
--- a/src/poison/tests/mocks/promptpartplay.cpp
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -17,6 +17,13 @@
 constexpr std::uint64_t kShortestRun = 30;
 constexpr std::uint64_t kRunSpread = 41;
 constexpr std::size_t kFifth = 4;
+/// Time from the begin of a silence until a process finds it: streams that stand still, and two
+/// requests for a report that are not answered.
+constexpr std::uint64_t kShortestFinding = 590;
+constexpr std::uint64_t kFindingSpread = 471;
+/// Time from the end of a silence until a process that found it hears of that.
+constexpr std::uint64_t kShortestSign = 50;
+constexpr std::uint64_t kSignSpread = 1151;
 constexpr duration kStableTime = 3_s;
 
 duration
@@ -51,6 +58,8 @@
       Publish(i, mTrackers[i].Settle(mNow));
     }
     KillOthers();
+    SilenceOthers();
+    ProgressSilences();
     Progress();
     for (const request& repeated : std::exchange(mToRepeat, {})) {
       Arrive(repeated);
@@ -60,7 +69,7 @@
   }
   mResult.crashes = mCrashes.size();
   const bool five = mCrashes.size() > kFifth;
-  const time_point last = mCrashes.empty() ? mNow : mCrashes.back();
+  const time_point last = mCrashes.empty() ? time_point{} : mCrashes.back();
   const time_point counted = five ? mCrashes[kFifth] : last;
   mResult.laterArrivals = static_cast<std::size_t>(
     std::count_if(mHarmfulArrivals.begin(), mHarmfulArrivals.end(), [counted](time_point aAt) {
@@ -183,7 +192,8 @@
   for (std::size_t tried = 0; tried < mUpstreams.size(); ++tried) {
     mNextUpstream = (mNextUpstream + 1) % mUpstreams.size();
     const upstream& candidate = mUpstreams[mNextUpstream];
-    if (candidate.upFrom <= mNow && candidate.calls < mSetup.callsPerUpstream) {
+    if (candidate.upFrom <= mNow && !candidate.avoided &&
+        candidate.calls < mSetup.callsPerUpstream) {
       return mNextUpstream;
     }
   }
@@ -210,9 +220,8 @@
   }
   upstream& target = mUpstreams[aUpstream];
   ++target.calls;
-  const upstream_id life{ std::to_string(aUpstream) + "/" + std::to_string(target.life) };
   mTrackers[aRequest.process].RecordDispatch(
-    sent.attempt, life, { aRequest.number, aRequest.parts }, mNow);
+    sent.attempt, LifeOf(aUpstream), { aRequest.number, aRequest.parts }, mNow);
   if (aRequest.harmful) {
     mHarmfulArrivals.push_back(mNow);
   }
@@ -224,6 +233,12 @@
 {
   std::set<std::size_t> crashed;
   for (call& current : mCalls) {
+    if (IsSilent(current.upstream)) {
+      current.headAt = current.headAt + kStep;
+      current.nextData = current.nextData + kStep;
+      current.end = current.end + kStep;
+      continue;
+    }
     ProgressOf(current);
     if (current.endsUpstream && current.end <= mNow) {
       crashed.insert(current.upstream);
@@ -231,22 +246,33 @@
   }
   for (const std::size_t upstream : crashed) {
     mCrashes.push_back(mNow);
-    Crash(upstream);
+    if (mSetup.crashesAreSilent) {
+      mUpstreams[upstream].crashedSilently = true;
+      BeginSilence(upstream, mSetup.restart);
+    } else {
+      Crash(upstream);
+    }
   }
+  const auto isOver = [this](const call& aCall) {
+    return aCall.end <= mNow && !IsSilent(aCall.upstream);
+  };
   for (const call& current : mCalls) {
-    if (current.end <= mNow) {
+    if (isOver(current)) {
       --mUpstreams[current.upstream].calls;
       const std::size_t process = current.origin.process;
       Publish(process, mTrackers[process].RecordCompletion(current.attempt, mNow));
     }
   }
-  std::erase_if(mCalls, [this](const call& aCall) { return aCall.end <= mNow; });
+  std::erase_if(mCalls, isOver);
 }
 
 void
 prompt_part_play::ProgressOf(call& aCall)
 {
   prompt_part_tracker& tracker = mTrackers[aCall.origin.process];
+  if (aCall.headAt <= mNow && (!aCall.hasHead || aCall.nextData <= mNow)) {
+    mHeardAt[{ aCall.origin.process, aCall.upstream }] = mNow;
+  }
   if (!aCall.hasHead && aCall.headAt <= mNow) {
     aCall.hasHead = true;
     tracker.RecordHead(aCall.attempt, mNow);
@@ -262,12 +288,114 @@
 {
   if (mSetup.otherDeaths.ms > 0 && mNow.ms % mSetup.otherDeaths.ms == 0) {
     const std::size_t victim = mRandom.Below(mUpstreams.size());
-    if (mUpstreams[victim].upFrom <= mNow) {
+    if (mUpstreams[victim].upFrom <= mNow && !IsSilent(victim)) {
       Crash(victim);
     }
   }
 }
 
+upstream_id
+prompt_part_play::LifeOf(std::size_t aUpstream) const
+{
+  return { std::to_string(aUpstream) + "/" + std::to_string(mUpstreams[aUpstream].life) };
+}
+
+void
+prompt_part_play::SilenceOthers()
+{
+  if (mSetup.allSilentTime.ms > 0 && mNow == mSetup.allSilentFrom) {
+    for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
+      BeginSilence(i, mSetup.allSilentTime);
+    }
+  }
+  if (mSetup.soundSilences.ms > 0 && mNow.ms % mSetup.soundSilences.ms == 0) {
+    BeginSilence(mRandom.Below(mUpstreams.size()), mSetup.silenceTime);
+  }
+}
+
+void
+prompt_part_play::BeginSilence(std::size_t aUpstream, duration aTime)
+{
+  upstream& silent = mUpstreams[aUpstream];
+  if (silent.upFrom > mNow || IsSilent(aUpstream)) {
+    return;
+  }
+  silent.silentUntil = mNow + aTime;
+  for (std::size_t i = 0; i < mTrackers.size(); ++i) {
+    const time_point found = mNow + Milliseconds(kShortestFinding + mRandom.Below(kFindingSpread));
+    mSilencesToFind.insert({ found, { i, aUpstream, silent.life } });
+  }
+}
+
+void
+prompt_part_play::ProgressSilences()
+{
+  while (!mSilencesToFind.empty() && mSilencesToFind.begin()->first <= mNow) {
+    const finding found = mSilencesToFind.extract(mSilencesToFind.begin()).mapped();
+    if (IsSilent(found.upstream) && mUpstreams[found.upstream].life == found.life) {
+      OnFoundSilent(found);
+    }
+  }
+  while (!mSignsOfLife.empty() && mSignsOfLife.begin()->first <= mNow) {
+    const finding heard = mSignsOfLife.extract(mSignsOfLife.begin()).mapped();
+    if (mUpstreams[heard.upstream].life == heard.life) {
+      Publish(heard.process,
+              mTrackers[heard.process].RecordSignOfLife(LifeOf(heard.upstream), mNow));
+    }
+  }
+  for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
+    const upstream& silent = mUpstreams[i];
+    if (silent.silentUntil.ms > 0 && silent.silentUntil <= mNow) {
+      EndSilence(i);
+    }
+  }
+}
+
+void
+prompt_part_play::OnFoundSilent(const finding& aFinding)
+{
+  upstream& silent = mUpstreams[aFinding.upstream];
+  silent.avoided = true;
+  const auto heard = mHeardAt.find({ aFinding.process, aFinding.upstream });
+  Publish(
+    aFinding.process,
+    mTrackers[aFinding.process].RecordSilence(
+      LifeOf(aFinding.upstream), heard == mHeardAt.end() ? time_point{} : heard->second, mNow));
+  for (call& current : mCalls) {
+    const bool stalled =
+      current.upstream == aFinding.upstream && current.origin.process == aFinding.process;
+    if (stalled && !current.doubled && !current.origin.repeated) {
+      current.doubled = true;
+      mToRepeat.push_back(current.origin);
+      mToRepeat.back().repeated = true;
+    }
+  }
+  if (!silent.crashedSilently) {
+    const time_point sign =
+      silent.silentUntil + Milliseconds(kShortestSign + mRandom.Below(kSignSpread));
+    mSignsOfLife.insert({ sign, aFinding });
+  }
+}
+
+void
+prompt_part_play::EndSilence(std::size_t aUpstream)
+{
+  upstream& ended = mUpstreams[aUpstream];
+  ended.silentUntil = {};
+  ended.avoided = false;
+  if (!std::exchange(ended.crashedSilently, false)) {
+    return;
+  }
+  ++ended.life;
+  ended.calls = 0;
+  for (const call& lost : mCalls) {
+    if (lost.upstream == aUpstream) {
+      mTrackers[lost.origin.process].RecordEnd(lost.attempt);
+    }
+  }
+  std::erase_if(mCalls, [aUpstream](const call& aCall) { return aCall.upstream == aUpstream; });
+}
+
 void
 prompt_part_play::Crash(std::size_t aUpstream)
 {
--- a/src/poison/tests/mocks/promptpartplay.h
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -51,6 +51,16 @@
   duration outageTime{};
   /// True when upstreams crash before the harmful response begins.
   bool crashesBeforeHead = false;
+  /// True when an upstream that crashes falls silent: its calls break off nowhere, and it comes
+  /// back after restart as another one.
+  bool crashesAreSilent = false;
+  /// Time between silences of single upstreams, each for silenceTime, after which they go on; none
+  /// when zero.
+  duration soundSilences{};
+  duration silenceTime = 1500_ms;
+  /// Time from which all upstreams are silent for allSilentTime at once; none when zero.
+  time_point allSilentFrom{ 12000 };
+  duration allSilentTime{};
   /// Sound requests count from here on, or later.
   time_point soundFrom{};
   /// News reach the other processes after a time between these, and all after the longest with
@@ -123,12 +133,26 @@
     time_point end;
     bool hasHead = false;
     bool endsUpstream = false;
+    /// Sent to a second upstream as well.
+    bool doubled = false;
   };
   struct upstream
   {
     std::size_t life = 0;
     time_point upFrom;
     std::size_t calls = 0;
+    /// It sends nothing until then, and starts again then if it has crashed.
+    time_point silentUntil;
+    bool crashedSilently = false;
+    /// A process has found it silent.
+    bool avoided = false;
+  };
+  /// What one process finds out of one run of an upstream: that it is silent, or heard again.
+  struct finding
+  {
+    std::size_t process = 0;
+    std::size_t upstream = 0;
+    std::size_t life = 0;
   };
   struct news
   {
@@ -152,6 +176,17 @@
   void ProgressOf(call& aCall);
   void KillOthers();
   void Crash(std::size_t aUpstream);
+  [[nodiscard]] upstream_id LifeOf(std::size_t aUpstream) const;
+  [[nodiscard]] bool IsSilent(std::size_t aUpstream) const
+  {
+    return mNow < mUpstreams[aUpstream].silentUntil;
+  }
+  void BeginSilence(std::size_t aUpstream, duration aTime);
+  void SilenceOthers();
+  /// Tells processes that upstreams are silent or heard again, and starts those that have crashed.
+  void ProgressSilences();
+  void OnFoundSilent(const finding& aFinding);
+  void EndSilence(std::size_t aUpstream);
   void NoteVerdicts();
 
   part_play_setup mSetup;
@@ -161,6 +196,10 @@
   std::vector<call> mCalls;
   std::vector<request> mToRepeat;
   std::multimap<time_point, news> mNews;
+  std::multimap<time_point, finding> mSilencesToFind;
+  std::multimap<time_point, finding> mSignsOfLife;
+  /// When a process last received something from an upstream.
+  std::map<std::pair<std::size_t, std::size_t>, time_point> mHeardAt;
   std::set<std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>> mKnownNews;
   std::map<std::int64_t, std::size_t> mNewsBySecond;
   /// Since when a process refuses a sound part.
--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -49,11 +49,12 @@
   part_play_setup setup;
   duration maxWrongVerdict = kMaxWrongVerdict;
   std::size_t maxLaterArrivals = kMaxLaterArrivals;
+  std::size_t leastCrashes = 3;
 
   void Check(std::uint64_t aSeed) const
   {
     const part_play_result result = prompt_part_play(setup, aSeed).Run();
-    const bool good = result.crashes >= 3 && result.laterArrivals <= maxLaterArrivals &&
+    const bool good = result.crashes >= leastCrashes && result.laterArrivals <= maxLaterArrivals &&
                       result.SoundShare() >= kMinSoundShare &&
                       result.longestWrongVerdict <= maxWrongVerdict &&
                       result.mostNewsInASecond <= kMaxNewsInASecond;
@@ -161,6 +162,48 @@
   CheckShares();
 }
 
+// Guards against upstreams that fall silent when they crash and come back as others: nothing proves
+// the crash.
+TEST(prompt_part_play, PoisonPartIsRefusedInTimeWhenCrashesAreSilent)
+{
+  setup.crashesAreSilent = true;
+  for (const std::size_t processes : { 1, 9, 68, 300 }) {
+    setup.processes = processes;
+    CheckShares();
+  }
+}
+
+// Guards against a sound upstream that is silent beside crashing ones and gets sound parts refused.
+TEST(prompt_part_play, SilentSoundUpstreamsBesideSilentCrashesGetNoSoundPartRefusedForLong)
+{
+  setup.crashesAreSilent = true;
+  setup.soundSilences = 700_ms;
+  setup.upstreams = 30;
+  for (const std::size_t processes : { 1, 9, 68 }) {
+    setup.processes = processes;
+    maxWrongVerdict = processes == 1 ? duration{} : kMaxWrongVerdict;
+    CheckShares();
+  }
+}
+
+// Guards against a silence of all upstreams at once that is taken for crashes by sound parts.
+TEST(prompt_part_play, SilenceOfAllUpstreamsGetsNoSoundPartRefusedForLong)
+{
+  setup.poisonShare = 0;
+  leastCrashes = 0;
+  for (const duration silence : { 700_ms, 1500_ms, 3000_ms }) {
+    setup.allSilentTime = silence;
+    setup.soundFrom = setup.allSilentFrom + silence + kMaxWrongVerdict;
+    maxWrongVerdict = kMaxWrongVerdict;
+    for (const std::size_t processes : { 1, 9, 68, 300 }) {
+      setup.processes = processes;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        Check(seed);
+      }
+    }
+  }
+}
+
 // Guards against sound parts that stay refused after an outage in which each request crashed its
 // upstream, whatever it was: once all with a part are refused, none can prove it sound.
 TEST(prompt_part_play, SoundPartsAreServedAgainAfterAnOutage)
--- a/src/poison/tests/promptparttrackertests.cpp
+++ b/src/poison/tests/promptparttrackertests.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint64_t kPoison = 666;
 constexpr std::uint64_t kSound = 7;
 constexpr std::uint64_t kRequest = 42;
+/// Time from the begin of a silence until it is found.
+constexpr duration kFoundAfter = 700_ms;
 
 } // namespace
 
@@ -44,6 +46,17 @@
     tracker.RecordData(attempt, aBegin + kSoundResponseTime);
     tracker.RecordEnd(attempt);
   }
+  /// Begins responses with a part at three upstreams that then are silent from aNow on, and found
+  /// silent later.
+  suspicion_changes BeginAtThreeThatFallSilent(std::uint64_t aPart, time_point aNow)
+  {
+    suspicion_changes changes;
+    for (int upstream = 0; upstream < 3; ++upstream) {
+      Begin({ aPart }, upstream, aNow);
+      changes.Append(tracker.RecordSilence({ fmt::format("u{}", upstream) }, aNow, aNow + kFoundAfter));
+    }
+    return changes;
+  }
   bool Refused(std::uint64_t aPart, time_point aNow) const
   {
     return tracker.Check({ 1, aPart }, aNow).verdict == poison_verdict::quarantined;
@@ -183,6 +196,99 @@
   CHECK(tracker.RecordCrash({ "u1" }, kNow + 1_s).Empty());
 }
 
+// Guards against upstreams that fall silent when they crash, and of which nothing proves it.
+TEST(prompt_part_tracker, SilenceCountsLikeACrash)
+{
+  const auto changes = BeginAtThreeThatFallSilent(kPoison, kNow);
+  CHECK_EQUAL(3, changes.crashes.size());
+  CHECK(changes.crashes[0].age == kFoundAfter);
+  CHECK_EQUAL(kEarlyCrashWeight, changes.crashes[0].weight);
+  CHECK_EQUAL(1, changes.quarantines.size());
+  CHECK(Refused(kPoison, kNow + kFoundAfter));
+}
+
+// Guards against sound parts that stay refused since sound upstreams were silent for a moment.
+TEST(prompt_part_tracker, SilenceNoLongerCountsOnceTheUpstreamIsHeard)
+{
+  BeginAtThreeThatFallSilent(kSound, kNow);
+  const time_point heard = kNow + kFoundAfter + 1_s;
+  const auto changes = tracker.RecordSignOfLife({ "u1" }, heard);
+  CHECK_EQUAL(1, changes.crashes.size());
+  CHECK(changes.crashes[0].withdrawn);
+  CHECK_EQUAL(1, changes.quarantines.size());
+  CHECK(changes.quarantines[0].lifted);
+  CHECK_FALSE(Refused(kSound, heard));
+  CHECK(tracker.RecordSignOfLife({ "u1" }, heard).Empty());
+  CHECK(tracker.RecordSignOfLife({ "u9" }, heard).Empty());
+}
+
+// Guards against a crash that counts twice: when it is found as a silence and when it is proved.
+TEST(prompt_part_tracker, ProofOfACountedSilenceAddsNothing)
+{
+  for (int upstream = 0; upstream < 2; ++upstream) {
+    const attempt_id attempt = Begin({ kPoison }, upstream, kNow);
+    const upstream_id life{ fmt::format("u{}", upstream) };
+    CHECK_EQUAL(1, tracker.RecordSilence(life, kNow, kNow + kFoundAfter).crashes.size());
+    CHECK(tracker.RecordSilence(life, kNow, kNow + kFoundAfter).Empty());
+    CHECK(Lose(attempt, kNow + 2_s).Empty());
+    CHECK(tracker.RecordCrash(life, kNow + 2_s).Empty());
+  }
+  CHECK_FALSE(Refused(kPoison, kNow + 2_s));
+}
+
+// Guards against an upstream that was silent, went on, and crashed then: the first, withdrawn, must
+// not hide the second.
+TEST(prompt_part_tracker, CrashAfterASilenceThatWasNoneCounts)
+{
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    const upstream_id life{ fmt::format("u{}", upstream) };
+    const attempt_id attempt = Begin({ kPoison }, upstream, kNow);
+    tracker.RecordSilence(life, kNow, kNow + kFoundAfter);
+    tracker.RecordSignOfLife(life, kNow + 1_s);
+    CHECK_EQUAL(1, Lose(attempt, kNow + 1_s).crashes.size());
+  }
+  CHECK(Refused(kPoison, kNow + 1_s));
+}
+
+// Guards against a harmful part whose response had begun when its upstream fell silent, which is
+// found some time later; and against sound parts of responses that had gone on by then.
+TEST(prompt_part_tracker, SilenceCountsAsOfItsBegin)
+{
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    const upstream_id life{ fmt::format("u{}", upstream) };
+    tracker.RecordData(Begin({ kPoison }, upstream, kNow), kNow);
+    tracker.RecordData(Begin({ kSound }, upstream, kNow - 300_ms), kNow - 160_ms);
+    tracker.RecordSilence(life, kNow + 20_ms, kNow + 20_ms + kFoundAfter);
+  }
+  CHECK(Refused(kPoison, kNow + 1_s));
+  CHECK_FALSE(Refused(kSound, kNow + 1_s));
+}
+
+// Guards against a silence that counts after it has ended, since it had to wait for sound
+// responses.
+TEST(prompt_part_tracker, SilenceThatEndsBeforeItCountsNeverCounts)
+{
+  RunWell({ kSound }, kNow);
+  const time_point since = kNow + kSoundMargin + 1_ms;
+  CHECK(BeginAtThreeThatFallSilent(kSound, since).Empty());
+  CHECK(tracker.RecordSignOfLife({ "u0" }, since + kFoundAfter).Empty());
+  CHECK_EQUAL(2, tracker.Settle(since + kSettlingTime).crashes.size());
+  CHECK_FALSE(Refused(kSound, since + kSettlingTime));
+}
+
+// Guards against silences without end that fill the memory.
+TEST(prompt_part_tracker, NumberOfSilencesIsBounded)
+{
+  constexpr int kFirst = 1000;
+  for (int upstream = kFirst; upstream < kFirst + static_cast<int>(kMaxSilences); ++upstream) {
+    Begin({ kSound }, upstream, kNow);
+    tracker.RecordSilence({ fmt::format("u{}", upstream) }, kNow, kNow);
+  }
+  CHECK(BeginAtThreeThatFallSilent(kPoison, kNow).Empty());
+  tracker.Prune(kNow + kSuspectLifetime);
+  CHECK_FALSE(BeginAtThreeThatFallSilent(kPoison, kNow + kSuspectLifetime).Empty());
+}
+
 // Guards against the first of two parts that always come together, whose verdict hides the other.
 TEST(prompt_part_tracker, PartsThatAlwaysComeTogetherAreAllRefused)
 {
