A group whose member accepts no connections is released sooner

A host without power differs from a silent server: no connection to it is accepted. That proves nothing, as a sound one may be cut off for a second or so; but no call reaches it meanwhile. So reports now tell `unreachable` from `no_answer`, and a member that is not leaving counts as lost after 1.8 s without accepting a connection if its head reports, later than the silence began, that nothing waits or runs (a release cuts nothing off), and after 2.4 s otherwise (what stood still has lost its callers). Silence with connections accepted still takes 3.2 s.

--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -35,6 +35,13 @@
   /// Releasing a group cuts off whatever it runs, and a sound instance may be silent for seconds;
   /// after this time the callers of a group that stands still have given up.
   duration silenceUntilLost{ 3200 };
+  /// The same for an instance that accepts no connection either. Since then no call has reached a
+  /// group that it heads, and what its group had before has stood still: the callers that wait
+  /// longest leave after this time.
+  duration unreachableUntilLost{ 2400 };
+  /// The same if its head reports that the group runs nothing: a release cuts nothing off, and a
+  /// group of sound instances is joined anew within a second.
+  duration unreachableUntilLostIfIdle{ 1800 };
   /// Delay before an order that had no effect is sent again.
   duration orderRetryInterval{ 400 };
   /// Time that a closing group may take to finish its requests.
--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -149,10 +149,14 @@
                                          const instance_id& aMember,
                                          const fleet::fleet_view& aFleet,
                                          time_point aNow) const;
-  /// Returns the time since a member last answered or its group was last at work.
-  [[nodiscard]] duration Silence(const managed_group& aGroup,
-                                 const instance_state& aState,
-                                 time_point aNow) const;
+  /// Returns the time from aSince, or from the latest work of its group, in which nothing showed
+  /// that a member lives.
+  [[nodiscard]] duration TimeWithoutSign(const managed_group& aGroup,
+                                         const instance_state& aState,
+                                         time_point aSince,
+                                         time_point aNow) const;
+  /// Returns true when the head has reported since a time that nothing waits or runs at its group.
+  [[nodiscard]] bool RunsNothing(const managed_group& aGroup, time_point aSince) const;
   /// Returns the latest known membership of an instance, from its report or its registry entry;
   /// empty when it is in no group.
   [[nodiscard]] std::optional<fleet::group_membership> MembershipOf(
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -22,6 +22,9 @@
   std::uint32_t missedReports = 0;
   /// Time of the first of them; meaningless when there are none.
   time_point silentSince{ INT64_MIN / 2 };
+  /// Time of the first of the latest of them in a row for which no connection was accepted; empty
+  /// when one was accepted for the latest, or when there are none.
+  std::optional<time_point> unreachableSince;
   /// Number of the latest of them in a row that prove that the instance has ended.
   std::uint32_t provedLosses = 0;
   /// Latest time at which the group that it heads was at work, as far as its callers have told.
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -170,6 +170,9 @@
     state.silentSince = state.missedReports == 0 ? aNow : state.silentSince;
     ++state.missedReports;
     state.provedLosses = fleet::ProvesLoss(aResult.failure) ? state.provedLosses + 1 : 0;
+    const bool isUnreachable = aResult.failure == fleet::report_failure::unreachable;
+    state.unreachableSince =
+      isUnreachable ? std::optional(state.unreachableSince.value_or(aNow)) : std::nullopt;
     state.nextProbeAt = aNow + mOptions.probeRetryDelay;
     return;
   }
@@ -183,6 +186,7 @@
   state.lastReportAt = aNow;
   state.missedReports = 0;
   state.provedLosses = 0;
+  state.unreachableSince.reset();
   state.stallSuspected = false;
   state.nextProbeAt = aNow + ProbeInterval(aInstance);
   if (report->membership) {
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -8,6 +8,8 @@
 
 /// A report that arrives at least this long after an order shows whether the order was executed.
 constexpr duration kOrderSettleTime = 700_ms;
+/// Longest time by which the load in a report lags behind.
+constexpr duration kMaxReportLag = 700_ms;
 /// Forming timeout of a model without loading time; a multiple of the loading time is added.
 constexpr duration kBaseFormingTimeout = 5_s;
 /// Longest time from the stage change to opening until the head accepts requests.
@@ -75,17 +77,29 @@
 }
 
 duration
-group_controller::Silence(const managed_group& aGroup,
-                          const instance_state& aState,
-                          time_point aNow) const
+group_controller::TimeWithoutSign(const managed_group& aGroup,
+                                  const instance_state& aState,
+                                  time_point aSince,
+                                  time_point aNow) const
 {
   if (aState.missedReports < mOptions.missesUntilUnresponsive) {
     return {};
   }
   const auto head = mInstanceStates.find(aGroup.Head().instance);
-  const time_point activeAt =
-    head == mInstanceStates.end() ? aState.silentSince : head->second.lastActivityAt;
-  return aNow - std::max(aState.silentSince, activeAt);
+  const time_point activeAt = head == mInstanceStates.end() ? aSince : head->second.lastActivityAt;
+  return aNow - std::max(aSince, activeAt);
+}
+
+bool
+group_controller::RunsNothing(const managed_group& aGroup, time_point aSince) const
+{
+  const auto found = mInstanceStates.find(aGroup.Head().instance);
+  if (found == mInstanceStates.end() || found->second.missedReports > 0 || !found->second.report) {
+    return false;
+  }
+  const instance_state& head = found->second;
+  return head.lastReportAt >= aSince + kMaxReportLag && head.report->running == 0 &&
+         head.report->queued == 0;
 }
 
 std::string
@@ -106,7 +120,19 @@
   if (runsNothing && IsUnresponsive(aMember)) {
     return "instance " + aMember.value + " does not answer";
   }
-  const duration silence = Silence(aGroup, state, aNow);
+  if (!isLeaving && state.unreachableSince) {
+    const time_point since = *state.unreachableSince;
+    const bool runsNothingNow = RunsNothing(aGroup, since);
+    const duration unreachable = TimeWithoutSign(aGroup, state, since, aNow);
+    if (unreachable >=
+        (runsNothingNow ? mOptions.unreachableUntilLostIfIdle : mOptions.unreachableUntilLost)) {
+      return fmt::format("instance {} has accepted no connection for {} ms{}",
+                         aMember.value,
+                         unreachable.ms,
+                         runsNothingNow ? ", and its group runs nothing" : "");
+    }
+  }
+  const duration silence = TimeWithoutSign(aGroup, state, state.silentSince, aNow);
   if (silence >= mOptions.silenceUntilLost) {
     return fmt::format("instance {} has not answered for {} ms", aMember.value, silence.ms);
   }
--- a/src/assembly/tests/mocks/enginesimulator.h
+++ b/src/assembly/tests/mocks/enginesimulator.h
@@ -27,6 +27,10 @@
     bool alive = true;
     /// True when probes and orders reach the engine.
     bool reachable = true;
+    /// False when the engine accepts no connection while it can't be reached.
+    bool acceptsConnections = true;
+    /// Requests that it reports to run, as the head of a group.
+    std::uint64_t running = 0;
     /// True when the answers to orders are lost.
     bool dropsReplies = false;
     /// When the joining engine becomes ready.
@@ -91,7 +95,9 @@
   {
     const engine& target = engines.at(aId);
     if (!target.reachable) {
-      return { std::nullopt, fleet::report_failure::no_answer };
+      return { std::nullopt,
+               target.acceptsConnections ? fleet::report_failure::no_answer
+                                         : fleet::report_failure::unreachable };
     }
     if (!target.alive) {
       return { std::nullopt, fleet::report_failure::refused };
@@ -102,6 +108,7 @@
     report.stagedModels = target.entry.stagedModels;
     report.membership = target.entry.membership;
     report.acceptedOrders = target.entry.acceptedOrders;
+    report.running = target.running;
     return { report, {} };
   }
 
--- a/src/fleet/reportresult.h
+++ b/src/fleet/reportresult.h
@@ -12,6 +12,9 @@
   /// Nothing arrived in time, or the connection broke. A sound instance may be silent for seconds
   /// and then go on, so this proves nothing.
   no_answer,
+  /// No connection was accepted in time. A sound instance may be cut off for a second or so, so
+  /// this proves nothing either; but nobody's calls reach it meanwhile.
+  unreachable,
   /// What arrived is no valid report.
   invalid,
   /// Nothing listens at the address: the process has ended, or the instance drains and takes no
--- a/src/gateway/internal/memberfault.cpp
+++ b/src/gateway/internal/memberfault.cpp
@@ -14,6 +14,7 @@
       return { fleet::fault_evidence::proof,
                "another instance answers at the address of " + aMember.value };
     case fleet::report_failure::no_answer:
+    case fleet::report_failure::unreachable:
     case fleet::report_failure::invalid:
       break;
   }
--- a/src/gateway/reportrequest.h
+++ b/src/gateway/reportrequest.h
@@ -30,6 +30,9 @@
   if (aOutcome.refused) {
     return fleet::report_failure::refused;
   }
+  if (aOutcome.end == upstream::call_end::not_sent) {
+    return fleet::report_failure::unreachable;
+  }
   if (aStatus == kStatusMisdirected) {
     return fleet::report_failure::misdirected;
   }
