A silent member's group is left to finish, and one that answers again is kept

What callers saw (found by reading): streams that began before a planned drain broke some 5 s after it, at all gateways; a takeover of the lease during a drain cut off what a closing head, or one whose entry had lapsed, was finishing; and when the leader alone lost its way to a domain for over 3.2 s, all groups of the domain were cut off as the way came back.

Cause: silence counted as evidence where it is none. A draining instance stops listening before its group has finished, and its refused probes counted as silence; an incomplete group was adopted to be released unless its head was open and all reports were fresh; a release for silence was never taken back, also while no order had got through, and its orders waited for the very end of the silence.

Now: what leaves as planned gives no evidence by silence; only its head, its departure (draining seen, entry gone, connections refused) or the time of a closing group ends the group. Incomplete groups are adopted to finish, with a place for an unknown head that is filled in once its entry is back. A group is released for silence only when a member has answered for a second: otherwise nobody would be set free, and this process may be the one that is cut off. Members that are silent get no order to leave for it, and a group none of whose members was ordered to leave is kept when all of them answer (decision `kept`).

Not followed: requests that the head reports as running are no activity. A head that stands still reports them too.

--- a/src/assembly/assemblyaction.h
+++ b/src/assembly/assemblyaction.h
@@ -42,6 +42,8 @@
     released,
     /// The group will be ordered to finish its requests because a member is draining.
     closing,
+    /// The group was to be released for a silence, but all its members answer again.
+    kept,
     /// The group has ended and its members are free.
     freed,
     /// The group of a former leader was taken over.
--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -89,7 +89,7 @@
   /// Adopts the groups of a former leader.
   void AdoptGroups(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
   /// Adopts one group in the stage that its members report, once their reports are current or the
-  /// grace period is over. An incomplete group is adopted to be released.
+  /// grace period is over. An incomplete group may finish what it runs.
   void AdoptGroup(const fleet::engine_group& aGroup,
                   const fleet::fleet_view& aFleet,
                   time_point aNow,
@@ -138,11 +138,27 @@
   [[nodiscard]] bool HasLeft(const managed_group& aGroup,
                              const managed_member& aMember,
                              const fleet::fleet_view& aFleet) const;
-  /// Returns why a member counts as lost; empty when it does not.
-  [[nodiscard]] std::string LossCause(const managed_group& aGroup,
-                                      const managed_member& aMember,
-                                      const fleet::fleet_view& aFleet,
-                                      time_point aNow) const;
+  /// Returns what proves that a member is lost; empty when nothing does.
+  [[nodiscard]] std::string ProvedLossCause(const managed_group& aGroup,
+                                            const managed_member& aMember,
+                                            const fleet::fleet_view& aFleet) const;
+  /// Gives a group up of which a member is lost.
+  void EndAfterLoss(managed_group& aGroup,
+                    const std::string& aCause,
+                    bool aIsProved,
+                    time_point aNow,
+                    actions& aActions);
+  /// Returns true when an instance may stop listening before its group has finished. aEntry is its
+  /// registry entry, nullptr for none.
+  [[nodiscard]] static bool IsLeaving(const instance_state& aState, const fleet::instance* aEntry);
+  /// Returns true when a member has answered for a while. Without one, a release would set nobody
+  /// free, and this process may merely not reach the group.
+  [[nodiscard]] bool HasSurvivor(const managed_group& aGroup, time_point aNow) const;
+  /// Fills in the head of an adopted group once it is registered.
+  void FindMissingHead(managed_group& aGroup, const fleet::fleet_view& aFleet) const;
+  /// Returns true when all members of a group that was given up for silence have answered since,
+  /// and none was ordered to leave.
+  [[nodiscard]] bool IsWhole(const managed_group& aGroup, const fleet::fleet_view& aFleet) const;
   /// Returns why a member without answers counts as lost; empty when it does not. A group that this
   /// leader forms runs nothing, so it does not wait for a silent member.
   [[nodiscard]] std::string SilenceCause(const managed_group& aGroup,
@@ -293,6 +309,8 @@
   domain_assignment mDomainAssignment;
   time_point mDomainsAssignedAt{ INT64_MIN / 2 };
   std::map<routes::model_name, double> mDemandByModel;
+  /// Latest time at which so few instances answered that silence told nothing.
+  time_point mLastWithoutQuorumAt{ INT64_MIN / 2 };
   /// Content of the token bucket at mLoadTokensAt.
   double mLoadTokens = 0;
   time_point mLoadTokensAt{ INT64_MIN / 2 };
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -18,6 +18,8 @@
   /// Latest report; empty before the first one.
   std::optional<fleet::engine_report> report;
   time_point lastReportAt{ INT64_MIN / 2 };
+  /// Time of the first report since the latest probe without an answer.
+  time_point answeringSince{ INT64_MIN / 2 };
   /// Consecutive probes without an answer.
   std::uint32_t missedReports = 0;
   /// Time of the first of them; meaningless when there are none.
@@ -29,6 +31,8 @@
   std::uint32_t provedLosses = 0;
   /// Latest time at which the group that it heads was at work, as far as its callers have told.
   time_point lastActivityAt{ INT64_MIN / 2 };
+  /// True when its entry showed that it drains.
+  bool hasDrained = false;
   /// True while a probe is in flight.
   bool probePending = false;
   time_point nextProbeAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/enumnames.cpp
+++ b/src/assembly/internal/enumnames.cpp
@@ -62,6 +62,8 @@
       return "released";
     case record_decision::decision_kind::closing:
       return "closing";
+    case record_decision::decision_kind::kept:
+      return "kept";
     case record_decision::decision_kind::freed:
       return "freed";
     case record_decision::decision_kind::adopted:
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -91,7 +91,9 @@
   UpdateInstanceStates(aFleet, aNow);
   AdoptGroups(aFleet, aNow, result);
   ProbeInstances(aNow, result);
-  if (!LacksQuorum(aFleet)) {
+  if (LacksQuorum(aFleet)) {
+    mLastWithoutQuorumAt = aNow;
+  } else {
     for (managed_group& group : mGroups) {
       AdvanceGroup(group, aFleet, aNow, result);
     }
@@ -115,6 +117,7 @@
       state.nextProbeAt = aNow;
     }
     state.address = instance->address;
+    state.hasDrained = state.hasDrained || instance->draining;
     if (instance->membership) {
       mHighestEpoch = std::max(mHighestEpoch, instance->membership->epoch.value);
     }
@@ -183,6 +186,8 @@
     state.address = address;
   }
   state.report = report;
+  const bool isFirstAnswer = state.missedReports > 0 || state.lastReportAt < mLeadingSince;
+  state.answeringSince = isFirstAnswer ? aNow : state.answeringSince;
   state.lastReportAt = aNow;
   state.missedReports = 0;
   state.provedLosses = 0;
@@ -303,10 +308,12 @@
   adoptedGroup.isAdopted = true;
   if (!aGroup.complete) {
     // An entry that has lapsed proves no loss. A head that serves finishes what it runs, or reports
-    // the group broken.
-    adoptedGroup.currentStage = aGroup.headPhase == fleet::member_phase::open && reportsCurrent
-                                  ? managed_group::stage::closing
-                                  : managed_group::stage::releasing;
+    // the group broken; an unknown one may be at work.
+    const bool mayRun = adoptedGroup.Head().instance.Empty() ||
+                        aGroup.headPhase == fleet::member_phase::open ||
+                        aGroup.headPhase == fleet::member_phase::closing;
+    adoptedGroup.currentStage =
+      mayRun ? managed_group::stage::closing : managed_group::stage::releasing;
   }
   RecordDecision(record_decision::decision_kind::adopted,
                  adoptedGroup,
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -8,6 +8,9 @@
 
 /// A report that arrives at least this long after an order shows whether the order was executed.
 constexpr duration kOrderSettleTime = 700_ms;
+/// Time for which an instance must have answered to show that this process reaches the others of
+/// its group as well, so that those which do not answer are not merely probed a little later.
+constexpr duration kMinAnsweringTime = 1_s;
 /// Longest time by which the load in a report lags behind.
 constexpr duration kMaxReportLag = 700_ms;
 /// Forming timeout of a model without loading time; a multiple of the loading time is added.
@@ -102,6 +105,25 @@
          head.report->queued == 0;
 }
 
+bool
+group_controller::IsLeaving(const instance_state& aState, const fleet::instance* aEntry)
+{
+  // An instance that leaves as planned stops listening before its group has finished. One whose
+  // entry goes without notice may do the same.
+  return aEntry == nullptr ? aState.provedLosses > 0 : aEntry->draining;
+}
+
+bool
+group_controller::HasSurvivor(const managed_group& aGroup, time_point aNow) const
+{
+  return std::any_of(
+    aGroup.members.begin(), aGroup.members.end(), [&](const managed_member& aMember) {
+      const auto found = mInstanceStates.find(aMember.instance);
+      return found != mInstanceStates.end() && found->second.missedReports == 0 &&
+             found->second.answeringSince <= aNow - kMinAnsweringTime;
+    });
+}
+
 std::string
 group_controller::SilenceCause(const managed_group& aGroup,
                                const instance_id& aMember,
@@ -109,18 +131,16 @@
                                time_point aNow) const
 {
   const instance_state& state = mInstanceStates.at(aMember);
-  // An instance that leaves as planned stops listening before its group has finished.
-  const fleet::instance* entry = aFleet.Find(aMember);
-  const bool isLeaving = entry == nullptr || entry->draining;
-  if (!isLeaving && state.provedLosses >= mOptions.provedLossesUntilLost) {
-    return "instance " + aMember.value + " no longer runs at its address";
-  }
   const bool runsNothing =
     aGroup.currentStage == managed_group::stage::forming && !aGroup.isAdopted;
   if (runsNothing && IsUnresponsive(aMember)) {
     return "instance " + aMember.value + " does not answer";
   }
-  if (!isLeaving && state.unreachableSince) {
+  const fleet::instance* entry = aFleet.Find(aMember);
+  if (IsLeaving(state, entry) || !HasSurvivor(aGroup, aNow)) {
+    return {};
+  }
+  if (entry != nullptr && state.unreachableSince) {
     const time_point since = *state.unreachableSince;
     const bool runsNothingNow = RunsNothing(aGroup, since);
     const duration unreachable = TimeWithoutSign(aGroup, state, since, aNow);
@@ -140,10 +160,9 @@
 }
 
 std::string
-group_controller::LossCause(const managed_group& aGroup,
-                            const managed_member& aMember,
-                            const fleet::fleet_view& aFleet,
-                            time_point aNow) const
+group_controller::ProvedLossCause(const managed_group& aGroup,
+                                  const managed_member& aMember,
+                                  const fleet::fleet_view& aFleet) const
 {
   const auto found = mInstanceStates.find(aMember.instance);
   if (found == mInstanceStates.end()) {
@@ -153,9 +172,13 @@
   if (state.incarnationId > aMember.incarnationId) {
     return "instance " + aMember.instance.value + " restarted";
   }
-  std::string silenceCause = SilenceCause(aGroup, aMember.instance, aFleet, aNow);
-  if (!silenceCause.empty()) {
-    return silenceCause;
+  const fleet::instance* entry = aFleet.Find(aMember.instance);
+  const bool noLongerListens = state.provedLosses >= mOptions.provedLossesUntilLost;
+  if (noLongerListens && !IsLeaving(state, entry)) {
+    return "instance " + aMember.instance.value + " no longer runs at its address";
+  }
+  if (noLongerListens && entry == nullptr && state.hasDrained) {
+    return "instance " + aMember.instance.value + " has left";
   }
   const bool joinSettled = aMember.joinAccepted && aMember.joinSentAt &&
                            state.lastReportAt > *aMember.joinSentAt + kOrderSettleTime;
@@ -165,6 +188,22 @@
   return {};
 }
 
+void
+group_controller::EndAfterLoss(managed_group& aGroup,
+                               const std::string& aCause,
+                               bool aIsProved,
+                               time_point aNow,
+                               actions& aActions)
+{
+  if (aGroup.currentStage == managed_group::stage::forming) {
+    RecordDecision(record_decision::decision_kind::abandoned, aGroup, aCause, aActions);
+    EndGroup(aGroup, aCause, aNow, aActions);
+    return;
+  }
+  aGroup.isReleasedForSilence = !aIsProved;
+  StartReleasing(aGroup, aCause, aNow, aActions);
+}
+
 void
 group_controller::AdvanceGroup(managed_group& aGroup,
                                const fleet::fleet_view& aFleet,
@@ -175,18 +214,18 @@
     AdvanceReleasing(aGroup, aFleet, aNow, aActions);
     return;
   }
+  FindMissingHead(aGroup, aFleet);
   for (const managed_member& member : aGroup.members) {
-    const std::string cause = LossCause(aGroup, member, aFleet, aNow);
-    if (cause.empty()) {
+    if (member.instance.Empty()) {
       continue;
     }
-    if (aGroup.currentStage == managed_group::stage::forming) {
-      RecordDecision(record_decision::decision_kind::abandoned, aGroup, cause, aActions);
-      EndGroup(aGroup, cause, aNow, aActions);
-    } else {
-      StartReleasing(aGroup, cause, aNow, aActions);
+    const std::string proved = ProvedLossCause(aGroup, member, aFleet);
+    const std::string cause =
+      proved.empty() ? SilenceCause(aGroup, member.instance, aFleet, aNow) : proved;
+    if (!cause.empty()) {
+      EndAfterLoss(aGroup, cause, !proved.empty(), aNow, aActions);
+      return;
     }
-    return;
   }
   switch (aGroup.currentStage) {
     case managed_group::stage::forming:
@@ -204,6 +243,23 @@
   }
 }
 
+void
+group_controller::FindMissingHead(managed_group& aGroup, const fleet::fleet_view& aFleet) const
+{
+  if (!aGroup.Head().instance.Empty()) {
+    return;
+  }
+  for (const fleet::instance* candidate : aFleet.InstancesOfService(mService.name)) {
+    const auto& membership = candidate->membership;
+    if (membership && membership->group == aGroup.id && membership->epoch == aGroup.epoch &&
+        membership->rank == 0) {
+      aGroup.Head().instance = candidate->id;
+      aGroup.Head().incarnationId = candidate->incarnationId;
+      aGroup.closeSentAt.reset();
+    }
+  }
+}
+
 void
 group_controller::AdvanceForming(managed_group& aGroup,
                                  const fleet::fleet_view& aFleet,
@@ -335,6 +391,22 @@
   return reportCurrent && !IsMemberOf(aGroup.id, aGroup.epoch, aMember.instance, aFleet);
 }
 
+bool
+group_controller::IsWhole(const managed_group& aGroup, const fleet::fleet_view& aFleet) const
+{
+  const auto head = MembershipOf(aGroup.Head().instance, aFleet);
+  const bool isOpen = head && head->phase == fleet::member_phase::open;
+  return isOpen &&
+         std::all_of(
+           aGroup.members.begin(), aGroup.members.end(), [&](const managed_member& aMember) {
+             const auto found = mInstanceStates.find(aMember.instance);
+             return !aMember.leaveSentAt && !aMember.hasLeft && found != mInstanceStates.end() &&
+                    found->second.missedReports == 0 &&
+                    found->second.lastReportAt > aGroup.stageStartedAt &&
+                    IsMemberOf(aGroup.id, aGroup.epoch, aMember.instance, aFleet);
+           });
+}
+
 void
 group_controller::AdvanceReleasing(managed_group& aGroup,
                                    const fleet::fleet_view& aFleet,
@@ -344,6 +416,13 @@
   for (managed_member& member : aGroup.members) {
     member.hasLeft = HasLeft(aGroup, member, aFleet);
   }
+  if (aGroup.isReleasedForSilence && IsWhole(aGroup, aFleet)) {
+    aGroup.currentStage = managed_group::stage::serving;
+    aGroup.isReleasedForSilence = false;
+    aGroup.stageStartedAt = aNow;
+    RecordDecision(record_decision::decision_kind::kept, aGroup, "all members answer", aActions);
+    return;
+  }
   if (aGroup.Head().hasLeft) {
     EndGroup(aGroup, "head left the group", aNow, aActions);
     return;
@@ -361,6 +440,12 @@
   bool anyRegistered = false;
   for (managed_member& member : aGroup.members) {
     anyRegistered = anyRegistered || aFleet.Find(member.instance) != nullptr;
+    // An order that waits for the end of a silence would be carried out at a group at work.
+    const auto state = mInstanceStates.find(member.instance);
+    const bool isSilent = state != mInstanceStates.end() && state->second.missedReports > 0;
+    if (aGroup.isReleasedForSilence && isSilent) {
+      continue;
+    }
     const bool mustLeave = member.instance == head || IsUnresponsive(head);
     if (!mustLeave || !IsDue(member.leaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
--- a/src/assembly/internal/groupplanning.cpp
+++ b/src/assembly/internal/groupplanning.cpp
@@ -121,7 +121,11 @@
 {
   double supply = 0;
   for (const managed_group& group : mGroups) {
-    if (group.model == aModel && group.currentStage != managed_group::stage::releasing) {
+    const bool answers = std::any_of(
+      group.members.begin(), group.members.end(), [this](const managed_member& aMember) {
+        return !IsUnresponsive(aMember.instance);
+      });
+    if (group.model == aModel && group.currentStage != managed_group::stage::releasing && answers) {
       supply += static_cast<double>(group.members.size());
     }
   }
--- a/src/assembly/managedgroup.h
+++ b/src/assembly/managedgroup.h
@@ -56,6 +56,8 @@
   /// True when a former leader formed the group: its head may serve although its entry does not
   /// show it yet.
   bool isAdopted = false;
+  /// True while the group is released for the silence of a member, without proof.
+  bool isReleasedForSilence = false;
   /// When the current stage began; for `serving`, when the preceding stage began.
   time_point stageStartedAt;
   /// When the latest order to open was sent.
--- a/src/assembly/tests/mocks/enginesimulator.h
+++ b/src/assembly/tests/mocks/enginesimulator.h
@@ -25,6 +25,8 @@
     /// Registry entry, which always shows the actual state of the engine.
     fleet::instance entry;
     bool alive = true;
+    /// False once its entry is gone.
+    bool registered = true;
     /// True when probes and orders reach the engine.
     bool reachable = true;
     /// False when the engine accepts no connection while it can't be reached.
@@ -85,7 +87,9 @@
   {
     fleet::fleet_view view;
     for (const auto& [id, target] : engines) {
-      view.Upsert(target.entry);
+      if (target.registered) {
+        view.Upsert(target.entry);
+      }
     }
     return view;
   }
@@ -197,6 +201,8 @@
   std::map<instance_id, engine> engines;
   /// Descriptions of the violated invariants.
   std::vector<std::string> violations;
+  /// Number of orders to leave that the heads of open groups carried out.
+  std::size_t leavesOfOpenHeads = 0;
   /// Start times of the loads from the weight store.
   std::vector<time_point> loadStarts;
 
@@ -290,7 +296,8 @@
     if (!IsMemberOf(aEngine, aOrder)) {
       return order_outcome::conflict;
     }
-    aEngine.entry.membership->phase = fleet::member_phase::ready;
+    aEngine.entry.membership->phase =
+      aEngine.running > 0 ? fleet::member_phase::closing : fleet::member_phase::ready;
     return order_outcome::begun;
   }
 
@@ -299,6 +306,7 @@
     if (!IsMemberOf(aEngine, aOrder)) {
       return order_outcome::conflict;
     }
+    leavesOfOpenHeads += aEngine.entry.membership->phase == fleet::member_phase::open ? 1 : 0;
     aEngine.entry.membership.reset();
     aEngine.openAt = {};
     return order_outcome::begun;
