--- a/src/assembly/tests/mocks/enginesimulator.h
+++ b/src/assembly/tests/mocks/enginesimulator.h
@@ -25,8 +25,14 @@
     /// Registry entry, which always shows the actual state of the engine.
     fleet::instance entry;
     bool alive = true;
+    /// False once its entry is gone.
+    bool registered = true;
     /// True when probes and orders reach the engine.
     bool reachable = true;
+    /// False when the engine accepts no connection while it can't be reached.
+    bool acceptsConnections = true;
+    /// Requests that it reports to run, as the head of a group.
+    std::uint64_t running = 0;
     /// True when the answers to orders are lost.
     bool dropsReplies = false;
     /// When the joining engine becomes ready.
@@ -81,7 +87,9 @@
   {
     fleet::fleet_view view;
     for (const auto& [id, target] : engines) {
-      view.Upsert(target.entry);
+      if (target.registered) {
+        view.Upsert(target.entry);
+      }
     }
     return view;
   }
@@ -91,7 +99,9 @@
   {
     const engine& target = engines.at(aId);
     if (!target.reachable) {
-      return { std::nullopt, fleet::report_failure::no_answer };
+      return { std::nullopt,
+               target.acceptsConnections ? fleet::report_failure::no_answer
+                                         : fleet::report_failure::unreachable };
     }
     if (!target.alive) {
       return { std::nullopt, fleet::report_failure::refused };
@@ -102,6 +112,7 @@
     report.stagedModels = target.entry.stagedModels;
     report.membership = target.entry.membership;
     report.acceptedOrders = target.entry.acceptedOrders;
+    report.running = target.running;
     return { report, {} };
   }
 
@@ -190,6 +201,8 @@
   std::map<instance_id, engine> engines;
   /// Descriptions of the violated invariants.
   std::vector<std::string> violations;
+  /// Number of orders to leave that the heads of open groups carried out.
+  std::size_t leavesOfOpenHeads = 0;
   /// Start times of the loads from the weight store.
   std::vector<time_point> loadStarts;
 
@@ -283,7 +296,8 @@
     if (!IsMemberOf(aEngine, aOrder)) {
       return order_outcome::conflict;
     }
-    aEngine.entry.membership->phase = fleet::member_phase::ready;
+    aEngine.entry.membership->phase =
+      aEngine.running > 0 ? fleet::member_phase::closing : fleet::member_phase::ready;
     return order_outcome::begun;
   }
 
@@ -292,6 +306,7 @@
     if (!IsMemberOf(aEngine, aOrder)) {
       return order_outcome::conflict;
     }
+    leavesOfOpenHeads += aEngine.entry.membership->phase == fleet::member_phase::open ? 1 : 0;
     aEngine.entry.membership.reset();
     aEngine.openAt = {};
     return order_outcome::begun;
