The end of a start is told when it happens, not found at later ticks

What callers saw: calls at a gateway that starts are answered late.

Cause: the gateway asked the mesh at its ticks of 50 ms whether the start had ended, and waited one tick more so that all that the mesh had received was applied: 50 to 100 ms after the last news.

Change: the mesh core says when its start ends, behind the messages that came before; the gateway's loop gets both in this order, applies instances that have changed and handles the calls that wait. Where neither configuration nor instances are known by then, it waits for the store's first lists as long as the two ticks were.

--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -19,6 +19,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -50,6 +51,8 @@
   bool StartListening();
   void StartWatches();
   void HandleReadinessRequest(entry::responder& aResponder);
+  /// Returns whether a configuration and instances are known.
+  [[nodiscard]] bool IsInformed() const;
   [[nodiscard]] bool IsReady() const;
   void ApplyConfiguration(const std::string& aText, revision aRevision, const char* aSource);
   /// Reads everything again when the store has come back from an older copy.
@@ -63,7 +66,8 @@
   /// Returns the highest slowdown that a group's members reported, between 1 and a maximum.
   [[nodiscard]] double HighestSlowdown(const fleet::engine_group& aGroup) const;
   void OnLeaseChanged();
-  /// Ends the start one tick after the mesh has learnt what the peers know.
+  /// Ends the start once the mesh has delivered what the peers know; calls that waited are handled
+  /// at once.
   void UpdateStart();
   /// Runs frequently: assembly steps and progress checks of the exchanges.
   void OnFastTick();
@@ -113,8 +117,8 @@
   /// Changes of instances that this process has read while it was starting, by document, without
   /// those of which a peer knew more. They are published when the start ends.
   std::map<service_name, peers::document_message> mUnpublished;
-  /// The mesh had ended its start at the latest tick.
-  bool mMeshStarted = false;
+  /// When the mesh ended its start; nothing before it.
+  std::optional<time_point> mMeshStartedAt;
   /// Readiness that was last logged.
   bool mReportedReady = false;
   entry::http_server mServer;
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -16,6 +16,8 @@
 /// Part of the grace period that is left for the shutdown after the drain.
 constexpr duration kExitReserve = 900_ms;
 constexpr duration kDrainPollInterval = 20_ms;
+/// Longest wait for the configuration and the instances at a start when no peer has told them.
+constexpr duration kMaxWaitForFirstLists = 100_ms;
 /// Time for responses that were handed to connections to be sent.
 constexpr duration kFinalFlushTime = 150_ms;
 /// Largest body that the server reads, in bytes. A body between the configured limit and this one
@@ -76,6 +78,10 @@
     // Not at once: a response of an exchange may be the cause, which this call would change.
     mUpstreamLoop.Post([this] { OnInstancesChanged(); });
   };
+  mMesh.SetStartHandler([this] {
+    mMeshStartedAt = mContext.Now();
+    UpdateStart();
+  });
   mMesh.SetHandler(
     [this](const peers::mesh_message& aMessage, const router_id&) { OnMeshMessage(aMessage); });
 }
@@ -184,12 +190,18 @@
   mSuspicions.Start();
 }
 
+template<gateway_dialect Dialect>
+bool
+gateway_process<Dialect>::IsInformed() const
+{
+  return mUpstreams.Routes() != nullptr && !mUpstreams.Fleet().Instances().empty();
+}
+
 template<gateway_dialect Dialect>
 bool
 gateway_process<Dialect>::IsReady() const
 {
-  return mUpstreams.Routes() != nullptr && !mUpstreams.Fleet().Instances().empty() &&
-         !mContext.starting && !mContext.stopping;
+  return IsInformed() && !mContext.starting && !mContext.stopping;
 }
 
 template<gateway_dialect Dialect>
@@ -213,18 +225,22 @@
 void
 gateway_process<Dialect>::UpdateStart()
 {
-  if (!mContext.starting) {
+  if (!mContext.starting || !mMeshStartedAt) {
     return;
   }
-  // What the mesh has received is applied between two ticks.
-  mContext.starting = !mMeshStarted;
-  mMeshStarted = !mMesh.IsStarting();
-  if (!mContext.starting) {
-    for (const auto& [name, change] : std::exchange(mUnpublished, {})) {
-      mMesh.Publish(change);
-    }
-    mCallHandler.HandleHeld();
+  if (mInstances.TakeChangedFlag()) {
+    OnInstancesChanged();
+  }
+  const bool storeMayAnswer =
+    mContext.Now() - *mMeshStartedAt < process_limits::kMaxWaitForFirstLists;
+  if (!IsInformed() && storeMayAnswer) {
+    return;
+  }
+  mContext.starting = false;
+  for (const auto& [name, change] : std::exchange(mUnpublished, {})) {
+    mMesh.Publish(change);
   }
+  mCallHandler.HandleHeld();
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/internal/meshlink.cpp
+++ b/src/gateway/internal/meshlink.cpp
@@ -32,6 +32,7 @@
   loop::event_loop& loop;
   std::string reason;
   handler onMessage;
+  std::function<void()> onStartEnded;
   std::unique_ptr<peers::mesh_node> node;
 };
 
@@ -39,7 +40,7 @@
                      loop::event_loop& aLoop,
                      metrics_registry& aMetrics)
   : mImplementation(
-      std::make_unique<implementation>(implementation{ aSettings.id, aLoop, {}, {}, {} }))
+      std::make_unique<implementation>(implementation{ aSettings.id, aLoop, {}, {}, {}, {} }))
 {
   if (!aSettings.meshListen.Empty()) {
     mImplementation->node = std::make_unique<peers::mesh_node>(NodeSettings(aSettings), &aMetrics);
@@ -57,13 +58,22 @@
   mImplementation->onMessage = std::move(aHandler);
 }
 
+void
+mesh_link::SetStartHandler(std::function<void()> aHandler)
+{
+  mImplementation->onStartEnded = std::move(aHandler);
+}
+
 bool
 mesh_link::Start()
 {
   implementation& self = *mImplementation;
+  const auto onStartEnded = [&self] { self.loop.Post([&self] { self.onStartEnded(); }); };
   if (!self.node) {
+    onStartEnded();
     return true;
   }
+  self.node->SetStartHandler(onStartEnded);
   self.node->SetMessageHandler(
     [&self](const peers::mesh_message& aMessage, const router_id& aFrom) {
       self.loop.Post([&self, aMessage, aFrom] { self.onMessage(aMessage, aFrom); });
@@ -115,12 +125,6 @@
   }
 }
 
-bool
-mesh_link::IsStarting() const
-{
-  return mImplementation->node && mImplementation->node->IsStarting();
-}
-
 std::vector<router_id>
 mesh_link::LiveGateways() const
 {
--- a/src/gateway/meshlink.h
+++ b/src/gateway/meshlink.h
@@ -25,6 +25,9 @@
   ~mesh_link();
 
   void SetHandler(handler aHandler);
+  /// Sets what is called once, when no peer knows more than what the handler of messages has
+  /// received, or none can be waited for any longer; without a mesh, when Start() is called.
+  void SetStartHandler(std::function<void()> aHandler);
   /// Starts the mesh node. Returns false with LastReason() when it cannot listen. Without a mesh
   /// address there is no node and the call succeeds.
   bool Start();
@@ -38,9 +41,6 @@
   void SetStoreState(bool aUpToDate, bool aHasList);
   /// Sets whether the store has never come back from an older copy; to be called once it is known.
   void SetStoreAge(bool aNeverRestored);
-  /// Returns true while this process has started and a peer may still know more than it does.
-  /// Always false without a mesh.
-  [[nodiscard]] bool IsStarting() const;
   /// Returns the live gateways, including this one.
   [[nodiscard]] std::vector<router_id> LiveGateways() const;
   /// Reason for which Start() failed.
--- a/src/peers/internal/meshcorestart.cpp
+++ b/src/peers/internal/meshcorestart.cpp
@@ -118,6 +118,7 @@
 mesh_core::implementation::EndStart()
 {
   starting = false;
+  actions.emplace_back(std::in_place_type<start_ended>);
   for (auto& [id, link] : links) {
     if (link.helloReceived && link.peerStarting && !link.stateSent) {
       SendState(link);
--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -50,6 +50,7 @@
   metrics_registry* metrics = nullptr;
   message_handler onMessage;
   member_handler onMember;
+  start_handler onStartEnded;
   std::unique_ptr<websocket_transport> transport;
   std::string reason;
   steady_clock clock;
@@ -78,6 +79,7 @@
   void Execute(const send_frame& aAction);
   void Execute(const deliver_message& aAction);
   void Execute(const member_changed& aAction);
+  void Execute(const start_ended&);
   void UpdateMetrics();
   void Tick();
   void Post(const mesh_event& aEvent);
@@ -259,6 +261,14 @@
   }
 }
 
+void
+mesh_node::implementation::Execute(const start_ended&)
+{
+  if (onStartEnded) {
+    onStartEnded();
+  }
+}
+
 void
 mesh_node::implementation::UpdateMetrics()
 {
@@ -334,6 +344,12 @@
   mImplementation->onMember = std::move(aHandler);
 }
 
+void
+mesh_node::SetStartHandler(start_handler aHandler)
+{
+  mImplementation->onStartEnded = std::move(aHandler);
+}
+
 std::optional<endpoint>
 mesh_node::Start()
 {
@@ -406,13 +422,6 @@
                                : rollout_status{};
 }
 
-bool
-mesh_node::IsStarting() const
-{
-  const std::lock_guard lock(mImplementation->mutex);
-  return !mImplementation->core || mImplementation->core->IsStarting();
-}
-
 bool
 mesh_node::CaughtUp() const
 {
--- a/src/peers/meshaction.h
+++ b/src/peers/meshaction.h
@@ -60,8 +60,13 @@
   member entry;
 };
 
+/// The start of this process has ended; see mesh_core::IsStarting(). All that the peers have told
+/// has been delivered.
+struct start_ended
+{};
+
 using mesh_action =
-  std::variant<open_link, close_link, send_frame, deliver_message, member_changed>;
+  std::variant<open_link, close_link, send_frame, deliver_message, member_changed, start_ended>;
 
 /// Returns the name of a reason for logs.
 const char*
--- a/src/peers/meshnode.h
+++ b/src/peers/meshnode.h
@@ -40,6 +40,9 @@
   using message_handler = std::function<void(const mesh_message& aMessage, const router_id& aFrom)>;
   /// Receives the new entry of a router whose state has changed.
   using member_handler = std::function<void(const member& aMember)>;
+  /// Is called once, at the end of the start (see mesh_core::IsStarting()), after the messages that
+  /// the peers have told until then.
+  using start_handler = std::function<void()>;
 
   explicit mesh_node(mesh_node_settings aSettings, metrics_registry* aMetrics = nullptr);
   /// Calls Stop().
@@ -49,6 +52,8 @@
   void SetMessageHandler(message_handler aHandler);
   /// Sets the handler of membership changes; must be called before Start().
   void SetMemberHandler(member_handler aHandler);
+  /// Sets the handler of the end of the start; must be called before Start().
+  void SetStartHandler(start_handler aHandler);
   /// Starts the node. Returns the listening address, an empty address for a leaf, or nothing on
   /// failure; LastReason() then has the cause.
   std::optional<endpoint> Start();
@@ -76,8 +81,6 @@
   /// Returns whether the stored documents and tables were read from the platform or matched those
   /// of a caught-up peer.
   [[nodiscard]] bool CaughtUp() const;
-  /// See mesh_core::IsStarting(); true before Start().
-  [[nodiscard]] bool IsStarting() const;
   /// Why Start() failed.
   [[nodiscard]] const std::string& LastReason() const;
 
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -358,6 +358,28 @@
   }
 }
 
+// Guards against calls that wait for the end of a start and are then held to an older copy, or are
+// answered late: the end is told once, right after the last of what the peers know.
+TEST(mesh_core, EndOfTheStartIsToldRightAfterWhatThePeersKnow)
+{
+  mesh.Publish(0, Document(10));
+  mesh.Run(2_s);
+  mesh.Kill(3);
+  delivered.clear();
+  std::vector<std::size_t> ended;
+  std::vector<mesh_message> known;
+  mesh.onStartEnded = [&](std::size_t aNode) {
+    ended.push_back(aNode);
+    known = delivered[aNode];
+  };
+  mesh.Restart(3);
+  CHECK(mesh.RunUntil(1_s, [this] { return !mesh.Core(3).IsStarting(); }).has_value());
+  CHECK(ended == std::vector<std::size_t>{ 3 });
+  CHECK(std::find(known.begin(), known.end(), Document(10)) != known.end());
+  mesh.Run(3_s);
+  UNSIGNED_LONGS_EQUAL(1, ended.size());
+}
+
 // Guards against processes that wait for each other when all start at about the same time.
 TEST(mesh_core, RoutersThatStartTogetherEndTheirStart)
 {
--- a/src/peers/tests/mocks/memorymesh.h
+++ b/src/peers/tests/mocks/memorymesh.h
@@ -25,6 +25,7 @@
   using delivery =
     std::function<void(std::size_t aNode, const mesh_message& aMessage, time_point aNow)>;
   delivery onDeliver;
+  std::function<void(std::size_t aNode)> onStartEnded;
 
   explicit memory_mesh(std::uint64_t aSeed)
     : mRandom(aSeed)
@@ -281,6 +282,13 @@
 
   void Execute(std::size_t, const member_changed&) {}
 
+  void Execute(std::size_t aNode, const start_ended&)
+  {
+    if (onStartEnded) {
+      onStartEnded(aNode);
+    }
+  }
+
   random_source mRandom;
   time_point mNow{ 1000 };
   std::vector<node> mNodes;
