--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -50,6 +50,7 @@
   metrics_registry* metrics = nullptr;
   message_handler onMessage;
   member_handler onMember;
+  start_handler onStartEnded;
   std::unique_ptr<websocket_transport> transport;
   std::string reason;
   steady_clock clock;
@@ -78,6 +79,7 @@
   void Execute(const send_frame& aAction);
   void Execute(const deliver_message& aAction);
   void Execute(const member_changed& aAction);
+  void Execute(const start_ended&);
   void UpdateMetrics();
   void Tick();
   void Post(const mesh_event& aEvent);
@@ -154,6 +156,8 @@
   running = true;
   WriteLog(kMeshStarted, { { "address", address.value }, { "self", settings.self.value } });
   transport->Start(static_cast<long>(interval.ms), [this] { Tick(); });
+  // The first dials don't wait for an interval: calls may wait for the end of the start.
+  transport->Post([this] { Tick(); });
   return address;
 }
 
@@ -259,6 +263,14 @@
   }
 }
 
+void
+mesh_node::implementation::Execute(const start_ended&)
+{
+  if (onStartEnded) {
+    onStartEnded();
+  }
+}
+
 void
 mesh_node::implementation::UpdateMetrics()
 {
@@ -334,6 +346,12 @@
   mImplementation->onMember = std::move(aHandler);
 }
 
+void
+mesh_node::SetStartHandler(start_handler aHandler)
+{
+  mImplementation->onStartEnded = std::move(aHandler);
+}
+
 std::optional<endpoint>
 mesh_node::Start()
 {
@@ -406,13 +424,6 @@
                                : rollout_status{};
 }
 
-bool
-mesh_node::IsStarting() const
-{
-  const std::lock_guard lock(mImplementation->mutex);
-  return !mImplementation->core || mImplementation->core->IsStarting();
-}
-
 bool
 mesh_node::CaughtUp() const
 {
