A head that serves a later group, or a later life, proves no loss of a call

What callers saw: a call whose group had just formed anew ended as group_lost after 150 ms without a byte, though it ran: a second run, or a cut where none was left.

Cause: what this process knows of a head lags behind. A call is sent "to group N" while the head serves N+1 already. When the entry caught up, the later epoch counted as proof that the call does not go on; so did a later incarnation, also where the earlier one came from an older copy of the entry or from an entry that did not tell it (0). The prober did the same: a head that reported a later group had "left the group".

Now both are evidence of the reversible kind: no new calls go to the group of before, a second attempt runs beside the first, and the first ends when its connection does, as it does at a head that has left or ended. An unknown incarnation proves no restart.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -5,6 +5,7 @@
 #include "gateway/crashmonitor.h"
 #include "gateway/eventframer.h"
 #include "gateway/responseinfo.h"
+#include "gateway/sentgroup.h"
 #include "upstream/callid.h"
 #include "upstream/responsehead.h"
 
@@ -14,13 +15,6 @@
 
 namespace persimmon::gateway {
 
-/// The group to which a call was sent.
-struct sent_group
-{
-  group_id id;
-  generation epoch;
-};
-
 /// One call to one upstream on behalf of an exchange.
 struct attempt
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include "dispatch/callstatemachine.h"
 #include "entry/responder.h"
 #include "gateway/attempt.h"
+#include "gateway/attemptfault.h"
 #include "gateway/exchangeregistry.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/gatewaydialect.h"
@@ -114,7 +115,7 @@
                                            time_point aNow) const;
   /// Logs that the call is about to be sent, and counts it if limits left out other upstreams.
   void LogSend(const dispatch::send_action& aAction, const upstream_target& aTarget);
-  attempt& AddAttempt(const upstream_target& aTarget, time_point aNow);
+  attempt& AddAttempt(const upstream_target& aTarget, incarnation aIncarnation, time_point aNow);
   /// Returns handlers that pass the events of an attempt's call on while the attempt exists.
   upstream::call_handlers MakeHandlers(const attempt& aAttempt);
   /// Cancels and removes an attempt, and returns its upstream.
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -108,8 +108,7 @@
   }
   const upstream_target target = MakeTarget(aAction, *instance, now);
   LogSend(aAction, target);
-  attempt& added = AddAttempt(target, now);
-  added.incarnationId = instance->incarnationId;
+  attempt& added = AddAttempt(target, instance->incarnationId, now);
   added.call =
     mContext.loop.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
 }
@@ -160,17 +159,20 @@
 
 template<gateway_dialect Dialect>
 attempt&
-exchange<Dialect>::AddAttempt(const upstream_target& aTarget, time_point aNow)
+exchange<Dialect>::AddAttempt(const upstream_target& aTarget,
+                              incarnation aIncarnation,
+                              time_point aNow)
 {
   auto added = std::make_unique<attempt>();
   added->number = ++mLastAttemptNumber;
   added->upstream = aTarget.instance;
+  added->incarnationId = aIncarnation;
   added->startedAt = aNow;
   added->lastReceivedAt = aNow;
   added->pendingPromptTokens = Attributes().promptTokens;
   added->framer.StartAfter(aTarget.resumeAfter);
   if (const fleet::engine_group* group = mContext.upstreams.FindGroupByHead(aTarget.instance)) {
-    added->group = sent_group{ group->id, group->epoch };
+    added->group = sent_group{ group->id, group->epoch, aIncarnation };
   }
   added->monitored = mContext.crashes.Started(mIdentities, added->upstream);
   mContext.upstreams.OnCallStarted(added->upstream, added->pendingPromptTokens, aNow);
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -146,14 +146,10 @@
   if (!aAttempt.group) {
     return std::nullopt;
   }
-  const fleet::instance* head = mContext.upstreams.Fleet().Find(aAttempt.upstream);
-  const bool hasMovedOn =
-    head != nullptr && (head->incarnationId > aAttempt.incarnationId ||
-                        (head->membership && head->membership->epoch > aAttempt.group->epoch));
-  if (hasMovedOn) {
-    return fleet::fault_evidence::proof;
-  }
-  return mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch);
+  return FindAttemptFault(
+    *aAttempt.group,
+    mContext.upstreams.Fleet().Find(aAttempt.upstream),
+    mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch));
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/internal/memberfault.cpp
+++ b/src/gateway/internal/memberfault.cpp
@@ -20,6 +20,16 @@
   return { fleet::fault_evidence::silence, "no report from instance " + aMember.value };
 }
 
+/// Returns true for a head that serves a later group than aGroup.
+bool
+ServesLaterGroup(const std::optional<fleet::group_membership>& aMembership,
+                 const fleet::engine_group& aGroup)
+{
+  return aMembership && aMembership->epoch > aGroup.epoch && aMembership->rank == 0 &&
+         (aMembership->phase == fleet::member_phase::open ||
+          aMembership->phase == fleet::member_phase::closing);
+}
+
 } // namespace
 
 std::optional<member_fault>
@@ -32,10 +42,16 @@
     return FaultWithoutReport(aMember, aResult.failure);
   }
   const fleet::engine_report& report = *aResult.report;
-  if (report.incarnationId > aIncarnation) {
+  const auto& membership = report.membership;
+  if (aMember == aGroup.Head() && ServesLaterGroup(membership, aGroup)) {
+    // Calls that were sent before this process knew of the later group run there.
+    return member_fault{ fleet::fault_evidence::silence,
+                         "instance " + aMember.value + " serves a later group" };
+  }
+  const bool isKnown = aIncarnation != incarnation{};
+  if (isKnown && report.incarnationId > aIncarnation) {
     return member_fault{ fleet::fault_evidence::proof, "instance " + aMember.value + " restarted" };
   }
-  const auto& membership = report.membership;
   if (!membership || membership->group != aGroup.id || membership->epoch != aGroup.epoch) {
     return member_fault{ fleet::fault_evidence::proof,
                          "instance " + aMember.value + " left the group" };
--- a/src/gateway/memberfault.h
+++ b/src/gateway/memberfault.h
@@ -18,7 +18,8 @@
 };
 
 /// Returns the fault of a member of a serving group; nothing when it has none. aIncarnation is the
-/// registered incarnation of the member; aResult is its response to a request for its report.
+/// registered incarnation of the member, zero when its entry does not tell it; aResult is its
+/// response to a request for its report.
 std::optional<member_fault>
 FindMemberFault(const fleet::engine_group& aGroup,
                 const instance_id& aMember,
--- a/src/gateway/tests/memberfaulttests.cpp
+++ b/src/gateway/tests/memberfaulttests.cpp
@@ -4,6 +4,7 @@
 
 using namespace persimmon;
 using namespace persimmon::gateway;
+using fleet::fault_evidence;
 
 // clang-format off
 TEST_GROUP(member_fault)
@@ -68,3 +69,25 @@
     CHECK(Find({ std::nullopt, failure })->evidence == fleet::fault_evidence::proof);
   }
 }
+
+// Guards against calls that are ended since the head serves a later group than the one that this
+// process knows, when it is the later one that runs them.
+TEST(member_fault, HeadThatServesALaterGroupProvesNoLoss)
+{
+  report.membership = fleet::group_membership{ { "h" }, { 5 }, 0, fleet::member_phase::open };
+  const auto fault = FindMemberFault(group, { "a" }, { 9 }, { report, {} });
+  CHECK(fault && fault->evidence == fault_evidence::silence);
+  report.incarnationId = { 10 };
+  const auto restarted = FindMemberFault(group, { "a" }, { 9 }, { report, {} });
+  CHECK(restarted && restarted->evidence == fault_evidence::silence);
+  // One that has left and serves none proves it.
+  report.membership->phase = fleet::member_phase::joining;
+  const auto left = FindMemberFault(group, { "a" }, { 9 }, { report, {} });
+  CHECK(left && left->evidence == fault_evidence::proof);
+}
+
+// Guards against a sound member that counts as restarted since its entry did not tell its start.
+TEST(member_fault, UnknownIncarnationProvesNoRestart)
+{
+  CHECK_FALSE(FindMemberFault(group, { "b" }, {}, { report, {} }).has_value());
+}
