An upstream that fails a call for a moment is asked again

What callers saw: a started stream whose other upstreams accepted no connection for a second waited for its deadline and was cut, though they were back; one whose next upstream was full for a moment was cut at once; one whose first upstream had only been silent was cut when the second was lost; a call that had not started got 503 although its upstreams accepted connections again 0.2 s later.

Cause: whatever failed a call once was excluded for the rest of it, and max-attempts counted sends. call_upstreams now keeps the two apart. Only a loss excludes an upstream for good. One that accepted no connection, or refused the call, is left out for 600 ms; one whose attempt was superseded may be asked at once. max-attempts counts upstreams that the call was sent to, whether they ran it or refused it, so that no third one is asked; one that nothing was sent to does not count. A call that failed to connect may wait for 1.6 s (at most a quarter of its time, as before) instead of 0.8 s; three failed connections still end it.

A send that reaches no upstream, or is withheld, gives its permit of the retry budget back: nothing arrived.

A call that may run only once is still never sent again after an upstream may have run it.

Five tests of call_state_machine failed on the former code: StartedStreamGoesToAnUpstreamThatAcceptsConnectionsAgain, CallWaitsForUpstreamsThatAcceptedNoConnectionForAMoment, StartedStreamGoesToAnUpstreamThatIsNoLongerFull, SupersededUpstreamIsAskedAgain, AttemptThatIsNotSentReturnsItsPermit.

--- a/src/dispatch/callstatemachine.h
+++ b/src/dispatch/callstatemachine.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/callaction.h"
 #include "dispatch/callattributes.h"
+#include "dispatch/callupstreams.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/upstreamselector.h"
 
@@ -46,7 +47,7 @@
   /// the retry budget are left.
   std::optional<send_action> TryConcurrentAttempt(time_point aNow);
   /// Records that an attempt was cancelled because another one is answered.
-  void OnSuperseded(const instance_id& aUpstream) { ReleaseUpstream(aUpstream); }
+  void OnSuperseded(const instance_id& aUpstream) { mUpstreams.Release(aUpstream); }
 
   /// Records that the response head was forwarded to the caller.
   void OnResponseStarted() { mResponseStarted = true; }
@@ -56,7 +57,7 @@
   [[nodiscard]] std::optional<std::uint64_t> LastEventId() const { return mLastEventId; }
   /// Returns how often the call was sent to an upstream, without the attempts that failed to
   /// connect.
-  [[nodiscard]] std::uint32_t SendCount() const { return mSendCount; }
+  [[nodiscard]] std::uint32_t SendCount() const { return mUpstreams.SendCount(); }
 
 private:
   /// Sends the call to an available upstream, waits for one, or gives up.
@@ -81,12 +82,13 @@
   [[nodiscard]] call_action GiveUp(failure_cause aCause, duration aRetryAfter) const;
   /// Ends a call for which there is no upstream.
   [[nodiscard]] call_action GiveUp(upstream_shortage aShortage, time_point aNow) const;
-  [[nodiscard]] selection_request MakeSelectionRequest();
+  /// Returns whether the call may run again, or its stream go on, at another upstream.
+  [[nodiscard]] bool MayRunAgain() const;
+  [[nodiscard]] selection_request MakeSelectionRequest(time_point aNow);
   [[nodiscard]] call_action SendOrGiveUp(const instance_id& aUpstream, time_point aNow);
   [[nodiscard]] send_action MakeSendAction(const instance_id& aUpstream) const;
-  void Exclude(const instance_id& aUpstream);
-  /// Records that the call is no longer in flight at an upstream.
-  void ReleaseUpstream(const instance_id& aUpstream);
+  /// Undoes a send that was not carried out, and gives back its permit of the retry budget.
+  void UndoSend(const instance_id& aUpstream);
   /// Does the same as SelectOrWait(), but awaits an attempt that is still in flight.
   call_action AwaitOrSelect(time_point aNow);
 
@@ -94,13 +96,9 @@
   const upstream_selector& mSelector;
   retry_budget& mRetryBudget;
   std::uint64_t mRandom;
-  std::vector<instance_id> mExcluded;
-  /// Number of upstreams that the call was sent to.
-  std::uint32_t mSendCount = 0;
-  /// Number of upstreams that could not be reached.
+  call_upstreams mUpstreams;
+  /// Number of attempts that could not reach their upstreams.
   std::uint32_t mUnreachableCount = 0;
-  /// Upstreams at which the call is in flight, in the order in which it was sent.
-  std::vector<instance_id> mInFlight;
   /// An upstream that was lost may have run the call.
   bool mMayHaveRun = false;
   bool mRefusedAsFull = false;
--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -9,6 +9,9 @@
 
 /// Longest time that a call waits in this process for an upstream before it is refused.
 constexpr duration kMaxWait = 800_ms;
+/// The same for a call that has failed to connect: by then an upstream that was silent for about a
+/// second accepts connections again.
+constexpr duration kMaxWaitAfterNotSent = 1600_ms;
 /// A call waits in this process for at most its time from arrival to deadline, divided by this.
 constexpr std::int64_t kCallTimeDivisor = 4;
 /// A call waits for a free slot, in this process or at its upstream, for at most its latency target
@@ -33,7 +36,7 @@
 constexpr duration kMaxRetryAfterLimited = 2_s;
 /// Retry-After of a stopping process: the time until load balancers stop selecting it.
 constexpr duration kRetryAfterStopping = 100_ms;
-/// Upstreams that may fail to connect before a call is refused.
+/// Attempts that may fail to connect before a call is refused.
 constexpr std::uint32_t kMaxUnreachable = 3;
 
 duration
@@ -104,12 +107,19 @@
   , mSelector(aSelector)
   , mRetryBudget(aRetryBudget)
   , mRandom(aSeed)
+  , mUpstreams(mAttributes.maxAttempts)
 {
   mLastEventId = mAttributes.resumeAfter;
 }
 
+bool
+call_state_machine::MayRunAgain() const
+{
+  return mResponseStarted ? mAttributes.resumable : mAttributes.retryable;
+}
+
 selection_request
-call_state_machine::MakeSelectionRequest()
+call_state_machine::MakeSelectionRequest(time_point aNow)
 {
   random_source generator(mRandom);
   mRandom = generator.Next();
@@ -117,8 +127,7 @@
   request.service = mAttributes.service;
   request.model = mAttributes.model;
   request.promptTokens = mAttributes.promptTokens;
-  request.excluded = mExcluded;
-  request.excluded.insert(request.excluded.end(), mInFlight.begin(), mInFlight.end());
+  mUpstreams.Restrict(request, aNow);
   request.random = mRandom;
   if (!mResponseStarted && mAttributes.latencyTarget.ms > 0) {
     request.maxQueueWait = mAttributes.latencyTarget / kLatencyTargetDivisor;
@@ -131,27 +140,21 @@
 {
   queue_priority priority = mIsLate ? queue_priority::late : queue_priority::normal;
   priority = mResponseStarted ? queue_priority::resumed : priority;
-  return { aUpstream, mAttributes.deadline, mLastEventId, mSendCount > 1, priority };
+  return { aUpstream, mAttributes.deadline, mLastEventId, SendCount() > 1, priority };
 }
 
 void
-call_state_machine::Exclude(const instance_id& aUpstream)
+call_state_machine::UndoSend(const instance_id& aUpstream)
 {
-  if (std::find(mExcluded.begin(), mExcluded.end(), aUpstream) == mExcluded.end()) {
-    mExcluded.push_back(aUpstream);
+  if (const auto permitAt = mUpstreams.UndoSend(aUpstream)) {
+    mRetryBudget.Return(*permitAt);
   }
 }
 
-void
-call_state_machine::ReleaseUpstream(const instance_id& aUpstream)
-{
-  std::erase(mInFlight, aUpstream);
-}
-
 call_action
 call_state_machine::AwaitOrSelect(time_point aNow)
 {
-  if (!mInFlight.empty()) {
+  if (mUpstreams.InFlightCount() > 0) {
     return await_action{};
   }
   return SelectOrWait(aNow);
@@ -169,7 +172,7 @@
   if (mResponseStarted) {
     return abort_action{ aCause };
   }
-  if (mMayHaveRun || !mInFlight.empty()) {
+  if (mMayHaveRun || mUpstreams.InFlightCount() > 0) {
     return fail_action{ aCause };
   }
   return refuse_action{ aCause, aRetryAfter };
@@ -178,8 +181,9 @@
 duration
 call_state_machine::MaxWait(upstream_shortage aShortage) const
 {
+  const duration most = mUnreachableCount > 0 ? kMaxWaitAfterNotSent : kMaxWait;
   const duration longest =
-    std::min(kMaxWait, (mAttributes.deadline - mAttributes.arrivedAt) / kCallTimeDivisor);
+    std::min(most, (mAttributes.deadline - mAttributes.arrivedAt) / kCallTimeDivisor);
   const bool hasTarget =
     aShortage != upstream_shortage::none_available && mAttributes.latencyTarget.ms > 0;
   return hasTarget ? std::min(longest, mAttributes.latencyTarget / kLatencyTargetDivisor) : longest;
@@ -247,7 +251,7 @@
 call_action
 call_state_machine::SelectOrWait(time_point aNow)
 {
-  if (const auto selected = mSelector.Select(MakeSelectionRequest(), aNow)) {
+  if (const auto selected = mSelector.Select(MakeSelectionRequest(aNow), aNow)) {
     return SendOrGiveUp(*selected, aNow);
   }
   const upstream_shortage shortage =
@@ -256,7 +260,7 @@
   if (IsWaitUseful(shortage, until, aNow)) {
     return wait_action{ std::min(aNow + kRecheckInterval, mAttributes.deadline) };
   }
-  selection_request lateRequest = MakeSelectionRequest();
+  selection_request lateRequest = MakeSelectionRequest(aNow);
   lateRequest.maxQueueWait = (mAttributes.deadline - aNow) / kRemainingTimeDivisor;
   if (const auto selected = mSelector.Select(lateRequest, aNow)) {
     mIsLate = true;
@@ -268,11 +272,11 @@
 call_action
 call_state_machine::SendOrGiveUp(const instance_id& aUpstream, time_point aNow)
 {
-  if (mSendCount > 0 && (mSendCount >= mAttributes.maxAttempts || !mRetryBudget.TryAcquire(aNow))) {
+  const bool isRetry = SendCount() > 0;
+  if (isRetry && !mRetryBudget.TryAcquire(aNow)) {
     return GiveUp(mRefusedAsFull ? failure_cause::upstream_full : failure_cause::upstream_lost);
   }
-  ++mSendCount;
-  mInFlight.push_back(aUpstream);
+  mUpstreams.RecordSend(aUpstream, isRetry ? std::optional(aNow) : std::nullopt);
   return MakeSendAction(aUpstream);
 }
 
@@ -295,11 +299,10 @@
 call_action
 call_state_machine::OnNotSent(const instance_id& aUpstream, time_point aNow)
 {
-  Exclude(aUpstream);
-  mSendCount -= std::min<std::uint32_t>(mSendCount, 1);
-  ReleaseUpstream(aUpstream);
+  UndoSend(aUpstream);
+  mUpstreams.Pause(aUpstream, aNow);
   const bool isHopeless = ++mUnreachableCount >= kMaxUnreachable;
-  if (isHopeless && mInFlight.empty() && !mResponseStarted) {
+  if (isHopeless && mUpstreams.InFlightCount() == 0 && !mResponseStarted) {
     return GiveUp(failure_cause::no_upstream);
   }
   return AwaitOrSelect(aNow);
@@ -308,10 +311,10 @@
 call_action
 call_state_machine::OnNotExecuted(const instance_id& aUpstream, time_point aNow)
 {
-  Exclude(aUpstream);
-  ReleaseUpstream(aUpstream);
+  mUpstreams.Release(aUpstream);
+  mUpstreams.Pause(aUpstream, aNow);
   mRefusedAsFull = true;
-  if (mSendCount >= mAttributes.maxAttempts && mInFlight.empty()) {
+  if (mUpstreams.MayAskNoOther() && mUpstreams.InFlightCount() == 0 && !mResponseStarted) {
     const upstream_shortage shortage =
       mSelector.FindShortage(mAttributes.service, mAttributes.model, aNow);
     return shortage == upstream_shortage::all_paused ? GiveUp(shortage, aNow)
@@ -323,12 +326,11 @@
 call_action
 call_state_machine::OnUpstreamLost(const instance_id& aUpstream, time_point aNow)
 {
-  Exclude(aUpstream);
-  ReleaseUpstream(aUpstream);
+  mUpstreams.Release(aUpstream);
+  mUpstreams.Exclude(aUpstream);
   mMayHaveRun = true;
-  const bool mayContinue = mResponseStarted ? mAttributes.resumable : mAttributes.retryable;
-  const bool isLast = !mayContinue || mSendCount >= mAttributes.maxAttempts;
-  if (isLast && mInFlight.empty()) {
+  const bool isLast = !MayRunAgain() || mUpstreams.IsExhausted();
+  if (isLast && mUpstreams.InFlightCount() == 0) {
     return GiveUp(failure_cause::upstream_lost);
   }
   return AwaitOrSelect(aNow);
@@ -343,9 +345,10 @@
 call_action
 call_state_machine::OnSendWithheld(duration aRemaining)
 {
-  mSendCount -= std::min<std::uint32_t>(mSendCount, 1);
-  mInFlight.pop_back();
-  if (!mInFlight.empty()) {
+  if (mUpstreams.InFlightCount() > 0) {
+    UndoSend(mUpstreams.LatestInFlight());
+  }
+  if (mUpstreams.InFlightCount() > 0) {
     return await_action{};
   }
   return OnQuarantined(aRemaining);
@@ -360,11 +363,10 @@
 std::optional<send_action>
 call_state_machine::TryConcurrentAttempt(time_point aNow)
 {
-  const bool mayRunAgain = mResponseStarted ? mAttributes.resumable : mAttributes.retryable;
-  if (!mayRunAgain || mInFlight.size() != 1 || mSendCount >= mAttributes.maxAttempts) {
+  if (!MayRunAgain() || mUpstreams.InFlightCount() != 1) {
     return std::nullopt;
   }
-  selection_request request = MakeSelectionRequest();
+  selection_request request = MakeSelectionRequest(aNow);
   const bool isLate = mAttributes.kind == routes::call_kind::streaming && !mResponseStarted &&
                       aNow > mAttributes.arrivedAt + mAttributes.latencyTarget;
   if (isLate) {
@@ -375,8 +377,7 @@
     return std::nullopt;
   }
   mIsLate = mIsLate || isLate;
-  ++mSendCount;
-  mInFlight.push_back(*selected);
+  mUpstreams.RecordSend(*selected, aNow);
   return MakeSendAction(*selected);
 }
 
--- a/src/dispatch/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -80,4 +80,15 @@
   return true;
 }
 
+void
+retry_budget::Return(time_point aAcquiredAt)
+{
+  const std::int64_t index = BucketIndex(aAcquiredAt);
+  for (bucket& counted : mBuckets) {
+    if (counted.index == index && counted.retries > 0) {
+      --counted.retries;
+    }
+  }
+}
+
 } // namespace persimmon::dispatch
--- a/src/dispatch/internal/upstreamselector.cpp
+++ b/src/dispatch/internal/upstreamselector.cpp
@@ -12,11 +12,17 @@
 /// Mean age of a load report when it arrives.
 constexpr duration kMeanLoadReportAge = 200_ms;
 
+bool
+Contains(const std::vector<instance_id>& aIds, const instance_id& aId)
+{
+  return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
+}
+
 bool
 IsExcluded(const selection_request& aRequest, const instance_id& aId)
 {
-  return std::find(aRequest.excluded.begin(), aRequest.excluded.end(), aId) !=
-         aRequest.excluded.end();
+  return Contains(aRequest.excluded, aId) ||
+         (!aRequest.onlyAmong.empty() && !Contains(aRequest.onlyAmong, aId));
 }
 
 } // namespace
--- a/src/dispatch/retrybudget.h
+++ b/src/dispatch/retrybudget.h
@@ -39,6 +39,8 @@
   void RecordCall(time_point aNow);
   /// Consumes one retry; returns false when the window has none left.
   bool TryAcquire(time_point aNow);
+  /// Gives back a retry that was acquired at aAcquiredAt and then not sent.
+  void Return(time_point aAcquiredAt);
   /// Returns the retries that the window still allows; negative when it is exceeded.
   [[nodiscard]] double Remaining(time_point aNow) const;
 
--- a/src/dispatch/selectionrequest.h
+++ b/src/dispatch/selectionrequest.h
@@ -17,8 +17,10 @@
   /// Empty for services without an engine.
   routes::model_name model;
   std::uint64_t promptTokens = 0;
-  /// Upstreams that already failed this call; they are not selected.
+  /// Upstreams that are not selected.
   std::vector<instance_id> excluded;
+  /// The only upstreams that may be selected; empty for all.
+  std::vector<instance_id> onlyAmong;
   /// Longest time that the call may wait for a free slot at its upstream; empty for no limit.
   std::optional<duration> maxQueueWait;
   /// Uniformly distributed random number for the choice among upstreams of similar cost.
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -288,6 +288,87 @@
   CHECK(std::holds_alternative<abort_action>(call.OnWaitOver(attributes.deadline)));
 }
 
+// Guards against a started stream that is cut at its deadline, although upstreams that accepted no
+// connection for a moment were back long before.
+TEST(call_state_machine, StartedStreamGoesToAnUpstreamThatAcceptsConnectionsAgain)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const instance_id lost = As<send_action>(call.OnArrival(now)).upstream;
+  call.OnResponseStarted();
+  call.OnEventForwarded(3);
+  call_action step = call.OnUpstreamLost(lost, now);
+  for (int i = 0; i < 2; ++i) {
+    step = call.OnNotSent(As<send_action>(step).upstream, now);
+  }
+  CHECK(std::holds_alternative<wait_action>(step));
+  step = call.OnWaitOver(now + 1_s);
+  CHECK(As<send_action>(step).upstream != lost);
+  UNSIGNED_LONGS_EQUAL(3, As<send_action>(step).resumeAfter.value_or(0));
+}
+
+// Guards against a 503 for a call whose upstreams accept connections again.
+TEST(call_state_machine, CallWaitsForUpstreamsThatAcceptedNoConnectionForAMoment)
+{
+  fixture.selector.Fleet().Remove({ "desk-2" });
+  fixture.selector.OnFleetChanged();
+  call_state_machine call(Plain(routes::call_kind::non_idempotent), fixture.selector, budget, 1);
+  const instance_id first = As<send_action>(call.OnArrival(now)).upstream;
+  const call_action second = call.OnNotSent(first, now + 400_ms);
+  const call_action wait = call.OnNotSent(As<send_action>(second).upstream, now + 800_ms);
+  CHECK(std::holds_alternative<wait_action>(wait));
+  CHECK(As<send_action>(call.OnWaitOver(now + 1050_ms)).upstream == first);
+  // It does not wait for the rest of its time.
+  CHECK(std::holds_alternative<refuse_action>(call.OnNotSent(first, now + 1450_ms)));
+}
+
+// Guards against a started stream that is cut, or waits for nothing, since the upstream that it was
+// to go on at was full for a moment.
+TEST(call_state_machine, StartedStreamGoesToAnUpstreamThatIsNoLongerFull)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const instance_id lost = As<send_action>(call.OnArrival(now)).upstream;
+  call.OnResponseStarted();
+  call.OnEventForwarded(3);
+  const instance_id full = As<send_action>(call.OnUpstreamLost(lost, now)).upstream;
+  CHECK(std::holds_alternative<wait_action>(call.OnNotExecuted(full, now)));
+  // Another one would be the third that the call is sent to.
+  CHECK(As<send_action>(call.OnWaitOver(now + 1_s)).upstream == full);
+}
+
+// Guards against a stream that is cut by a loss although its first upstream, which was only silent,
+// could go on with it.
+TEST(call_state_machine, SupersededUpstreamIsAskedAgain)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const instance_id silent = As<send_action>(call.OnArrival(now)).upstream;
+  call.OnResponseStarted();
+  call.OnEventForwarded(7);
+  const auto second = call.TryConcurrentAttempt(now);
+  CHECK(second.has_value());
+  call.OnSuperseded(silent);
+  call.OnEventForwarded(9);
+  const call_action third = call.OnUpstreamLost(second->upstream, now + 2_s);
+  CHECK(As<send_action>(third).upstream == silent);
+  UNSIGNED_LONGS_EQUAL(9, As<send_action>(third).resumeAfter.value_or(0));
+  // Both are lost now, and the call may not be sent to a third one.
+  CHECK(std::holds_alternative<abort_action>(call.OnUpstreamLost(silent, now + 3_s)));
+}
+
+// Guards against a retry budget that is used up by attempts that reach no upstream.
+TEST(call_state_machine, AttemptThatIsNotSentReturnsItsPermit)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  call.OnArrival(now);
+  const double before = budget.Remaining(now);
+  const auto second = call.TryConcurrentAttempt(now);
+  DOUBLES_EQUAL(before - 1, budget.Remaining(now), 0.001);
+  call.OnNotSent(second->upstream, now + 400_ms);
+  DOUBLES_EQUAL(before, budget.Remaining(now + 400_ms), 0.001);
+  CHECK(call.TryConcurrentAttempt(now + 400_ms).has_value());
+  call.OnSendWithheld(20_s);
+  DOUBLES_EQUAL(before, budget.Remaining(now + 400_ms), 0.001);
+}
+
 // Guards against more runs at a time than a call needs, and against a second run of a call that may
 // run only once.
 TEST(call_state_machine, ConcurrentAttemptsAreLimited)
