A mark of silence that vanishes with its group leaves the attempt stalled

What callers saw: a call at a head that hung with its connection open, and for which no other group was free just then, was never sent to a second one: its entries lapsed, or its service left the configuration, and it waited for its deadline.

Cause: marks of unknown groups are dropped, and an attempt was stalled only as long as the mark was there; an unknown group is not probed again. The mark now counts as lifted only while the group is registered; otherwise the attempt stays stalled until something arrives.

Besides, a marked group that drains was not asked again, so that its mark was neither lifted nor raised to proof. It is, while all its members are known.

Ruled out: to take any group that is unknown for a silent one. Its head may well be at work, and each call that waits in its queue would be sent a second time.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "fleet/faultevidence.h"
 #include "gateway/crashmonitor.h"
 #include "gateway/eventframer.h"
 #include "gateway/responseinfo.h"
@@ -49,6 +50,13 @@
   std::string failureDetail;
   /// Longest time between two reads that completed events.
   duration longestEventGap;
+
+  /// Records what speaks against the attempt's group, nothing when nothing does. A mark that
+  /// vanishes with its group is not lifted: the attempt stays stalled until something arrives.
+  void RecordEvidence(std::optional<fleet::fault_evidence> aEvidence, bool aIsGroupRegistered)
+  {
+    isStalled = aEvidence.has_value() || (isStalled && !aIsGroupRegistered);
+  }
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/groupprober.h
+++ b/src/gateway/groupprober.h
@@ -15,6 +15,16 @@
 
 namespace persimmon::gateway {
 
+/// Returns whether the members of a group are to be asked again, so that its mark is lifted or its
+/// loss is proved. A group that drains runs calls, too; that of an incomplete one can't be told, as
+/// not all of its members are known.
+[[nodiscard]] inline bool
+NeedsRecheck(const fleet::engine_group& aGroup, std::optional<fleet::fault_evidence> aMark)
+{
+  return aMark && (aGroup.IsServing() || (aGroup.complete && aGroup.draining &&
+                                          *aMark == fleet::fault_evidence::silence));
+}
+
 /// Determines whether a stalled group has lost a member, by requesting the reports of all its
 /// members. For use on the event loop's thread only.
 template<gateway_dialect Dialect>
@@ -197,7 +207,7 @@
        mContext.upstreams.Routes() ? mContext.upstreams.Routes()->Configuration().services
                                    : std::vector<routes::service_profile>{}) {
     for (const fleet::engine_group& group : mContext.upstreams.Fleet().GroupsOfService(service)) {
-      if (group.IsServing() && mContext.upstreams.IsBroken(group.id, group.epoch)) {
+      if (NeedsRecheck(group, mContext.upstreams.BrokenEvidence(group.id, group.epoch))) {
         StartRound(group);
       }
     }
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -173,7 +173,10 @@
                  { "silent_ms", std::to_string(silence.ms) },
                  { "attempts", std::to_string(mAttempts.size()) } });
     }
-    current->isStalled = evidence.has_value();
+    const bool hasVanished =
+      current->isStalled && !evidence && current->group &&
+      mContext.upstreams.FindGroup(current->group->id, current->group->epoch) == nullptr;
+    current->RecordEvidence(evidence, !hasVanished);
   }
   return nullptr;
 }
--- /dev/null
+++ b/src/gateway/tests/attempttests.cpp
@@ -0,0 +1,33 @@
+#include "gateway/attempt.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::gateway;
+using fleet::fault_evidence;
+
+// clang-format off
+TEST_GROUP(attempt)
+{
+  attempt sent;
+};
+// clang-format on
+
+// Guards against a call for which no second upstream is tried, since the entries of its silent
+// group lapse, or its service leaves the configuration, before another group is free.
+TEST(attempt, MarkThatVanishesWithItsGroupLeavesTheAttemptStalled)
+{
+  sent.RecordEvidence(fault_evidence::silence, true);
+  CHECK(sent.isStalled);
+  sent.RecordEvidence(std::nullopt, false);
+  CHECK(sent.isStalled);
+  // The group is back and all its members have reported.
+  sent.RecordEvidence(std::nullopt, true);
+  CHECK_FALSE(sent.isStalled);
+}
+
+TEST(attempt, GroupThatIsOnlyUnknownDoesNotStallTheAttempt)
+{
+  sent.RecordEvidence(std::nullopt, false);
+  CHECK_FALSE(sent.isStalled);
+}
