--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -2,9 +2,11 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "fleet/faultevidence.h"
 #include "gateway/crashmonitor.h"
 #include "gateway/eventframer.h"
 #include "gateway/responseinfo.h"
+#include "gateway/sentgroup.h"
 #include "upstream/callid.h"
 #include "upstream/responsehead.h"
 
@@ -14,13 +16,6 @@
 
 namespace persimmon::gateway {
 
-/// The group to which a call was sent.
-struct sent_group
-{
-  group_id id;
-  generation epoch;
-};
-
 /// One call to one upstream on behalf of an exchange.
 struct attempt
 {
@@ -55,6 +50,13 @@
   std::string failureDetail;
   /// Longest time between two reads that completed events.
   duration longestEventGap;
+
+  /// Records what speaks against the attempt's group, nothing when nothing does. A mark that
+  /// vanishes with its group is not lifted: the attempt stays stalled until something arrives.
+  void RecordEvidence(std::optional<fleet::fault_evidence> aEvidence, bool aIsGroupRegistered)
+  {
+    isStalled = aEvidence.has_value() || (isStalled && !aIsGroupRegistered);
+  }
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -146,14 +146,10 @@
   if (!aAttempt.group) {
     return std::nullopt;
   }
-  const fleet::instance* head = mContext.upstreams.Fleet().Find(aAttempt.upstream);
-  const bool hasMovedOn =
-    head != nullptr && (head->incarnationId > aAttempt.incarnationId ||
-                        (head->membership && head->membership->epoch > aAttempt.group->epoch));
-  if (hasMovedOn) {
-    return fleet::fault_evidence::proof;
-  }
-  return mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch);
+  return FindAttemptFault(
+    *aAttempt.group,
+    mContext.upstreams.Fleet().Find(aAttempt.upstream),
+    mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch));
 }
 
 template<gateway_dialect Dialect>
@@ -177,7 +173,10 @@
                  { "silent_ms", std::to_string(silence.ms) },
                  { "attempts", std::to_string(mAttempts.size()) } });
     }
-    current->isStalled = evidence.has_value();
+    const bool hasVanished =
+      current->isStalled && !evidence && current->group &&
+      mContext.upstreams.FindGroup(current->group->id, current->group->epoch) == nullptr;
+    current->RecordEvidence(evidence, !hasVanished);
   }
   return nullptr;
 }
