--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -1,11 +1,15 @@
 """Starts and stops a deployment on loopback: stand-ins, routers and placers, each a process of its
 own on ports counted from a base, so that several deployments can run side by side."""
+import fcntl
 import http.client
 import json
 import os
 import pathlib
+import random
 import signal
+import socket
 import subprocess
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -15,6 +19,9 @@
 ZONES = ["nyarugenge", "gasabo", "kicukiro"]
 MESH_KEY = "demo-mesh-key"
 STOP_SECONDS = 15
+# Below the ports that the system gives to outgoing connections. The tests take blocks in the same
+# way (platform/standin/portblock.h), by a lock on the same files.
+FIRST_BLOCK, LAST_BLOCK, PORTS_IN_BLOCK = 10000, 32000, 500
 
 
 def call(method, url, body=None, headers=None, timeout=10):
@@ -40,6 +47,30 @@
         time.sleep(interval)
 
 
+def free_block():
+    """Takes a block of ports that no other deployment of this machine uses; returns its first port
+    and the lock, which holds until it is closed."""
+    blocks = list(range(FIRST_BLOCK, LAST_BLOCK, PORTS_IN_BLOCK))
+    random.SystemRandom().shuffle(blocks)
+    for base in blocks:
+        lock = open(pathlib.Path(tempfile.gettempdir()) / f"persimmon-ports-{base}.lock", "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        if not any(is_used(base + offset) for offset in range(0, PORTS_IN_BLOCK, 10)):
+            return base, lock
+        lock.close()
+    raise SystemExit("no free block of ports")
+
+
+def is_used(port):
+    """Tells whether somebody accepts connections at a port of the loopback address."""
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
 class Cluster:
     """A deployment. Names of processes: platform, router-N, placer-N, engine-DOMAIN, service-NAME."""
 
