--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -1,9 +1,18 @@
 #pragma once
 
+#include "base/clock.h"
 #include "metrics/metrics.h"
 
 namespace persimmon::gateway {
 
+/// Returns a span in the unit of metrics.
+constexpr double
+MetricSeconds(duration aSpan)
+{
+  constexpr double kMsPerSecond = 1000;
+  return static_cast<double>(aSpan.ms) / kMsPerSecond;
+}
+
 constexpr metric_spec kCalls{ "persimmon_gateway_calls_total", "Calls by kind and outcome" };
 constexpr metric_spec kRefusals{ "persimmon_gateway_refusals_total", "Refusals by cause" };
 constexpr metric_spec kAttempts{ "persimmon_gateway_attempts_total",
@@ -23,6 +32,10 @@
                                    "Calls to the store by kind and outcome" };
 constexpr metric_spec kConfigurationVersion{ "persimmon_gateway_configuration_version",
                                              "Version of the configuration in force" };
+constexpr metric_spec kConfigurationAge{
+  "persimmon_gateway_configuration_age_seconds",
+  "Time since the store last answered a watch of the configuration"
+};
 constexpr metric_spec kStoreAge{ "persimmon_gateway_store_age_seconds",
                                  "Time since the store last answered a watch" };
 constexpr metric_spec kLeaseHeld{ "persimmon_gateway_lease_held",
@@ -73,5 +86,9 @@
                                        "Headers of upstreams' responses that have no effect since "
                                        "they are not known" };
 constexpr metric_spec kPeers{ "persimmon_gateway_peers", "Live gateways, this one included" };
+constexpr metric_spec kLinkedPeers{ "persimmon_gateway_linked_peers",
+                                    "Gateways that this process has an open link to" };
+constexpr metric_spec kPeerFrameAge{ "persimmon_gateway_peer_frame_age_seconds",
+                                     "Longest time since a linked peer last sent anything" };
 
 } // namespace persimmon::gateway
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -69,6 +69,8 @@
   void OnFastTick();
   /// Runs each second: metrics, probes of broken groups and the batch delay.
   void OnSlowTick();
+  /// Sets the metrics that tell a present state.
+  void SetGauges(std::size_t aLiveGateways);
   /// Waits for the exchanges in progress, then ends the remaining ones.
   void Drain();
   /// Runs a function on the event loop and returns its result.
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -27,7 +27,7 @@
   } else {
     mFirstByteDelay = now - Attributes().arrivedAt;
     mContext.metrics.Observe(kFirstByte,
-                             static_cast<double>(mFirstByteDelay->ms) / 1000,
+                             MetricSeconds(*mFirstByteDelay),
                              { { "kind", routes::CallKindName(Attributes().kind) } });
   }
   mLastDeliveryAt = now;
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -205,7 +205,7 @@
     return;
   }
   mContext.upstreams.Stats().RecordOutcome(aAttempt.upstream, true, mContext.Now());
-  mContext.metrics.Observe(kEventGap, static_cast<double>(aAttempt.longestEventGap.ms) / 1000);
+  mContext.metrics.Observe(kEventGap, MetricSeconds(aAttempt.longestEventGap));
   mResponder->FinishStream();
   mContext.crashes.Completed(aAttempt.monitored);
   EndAttempt(aAttempt, "whole");
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -255,22 +255,34 @@
   mContext.gatewayCount = gateways.HasSettled(now) ? std::optional(gateways.Count()) : std::nullopt;
   mUpstreams.SetRouterCount(liveGateways.size());
   mProber.RecheckBrokenGroups();
-  mMetrics.Set(kLogLinesDropped, static_cast<double>(DroppedLogLines()));
-  mMetrics.Set(kPeers, static_cast<double>(liveGateways.size()));
-  mMetrics.Set(kGroups,
-               static_cast<double>(mUpstreams.AvailableGroups(now).size()),
-               { { "state", "serving" } });
   // The gateway that forms the groups needs changes of the instances soonest.
   const duration batchDelay = BatchDelay(liveGateways.size(), mSettings.leaveNotice);
   mInstances.SetBatchDelay(mLease.IsHolder() ? kMinBatchDelay : batchDelay);
   mCrashes.OnSlowTick(mSettings.id, liveGateways);
   mSuspicions.Update(false);
-  const duration age = now - mInstances.LastResponseAt();
-  mMetrics.Set(kStoreAge, static_cast<double>(age.ms) / 1000);
+  SetGauges(liveGateways.size());
+  mUpstreamLoop.After(process_limits::kSlowTickInterval, [this] { OnSlowTick(); });
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::SetGauges(std::size_t aLiveGateways)
+{
+  const time_point now = mContext.Now();
+  mMetrics.Set(kLogLinesDropped, static_cast<double>(DroppedLogLines()));
+  mMetrics.Set(kPeers, static_cast<double>(aLiveGateways));
+  mMetrics.Set(kGroups,
+               static_cast<double>(mUpstreams.AvailableGroups(now).size()),
+               { { "state", "serving" } });
+  mMetrics.Set(kStoreAge, MetricSeconds(now - mInstances.LastResponseAt()));
+  mMetrics.Set(kConfigurationAge, MetricSeconds(now - mConfigWatch->LastResponseAt()));
+  const std::vector<duration> ages = mMesh.PeerFrameAges();
+  const auto oldest = std::max_element(ages.begin(), ages.end());
+  mMetrics.Set(kLinkedPeers, static_cast<double>(ages.size()));
+  mMetrics.Set(kPeerFrameAge, oldest == ages.end() ? 0 : MetricSeconds(*oldest));
   for (auto& [service, budget] : mContext.retryBudgets) {
     mMetrics.Set(kRepeatsLeft, budget.Remaining(now), { { "service", service.value } });
   }
-  mUpstreamLoop.After(process_limits::kSlowTickInterval, [this] { OnSlowTick(); });
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/internal/meshlink.cpp
+++ b/src/gateway/internal/meshlink.cpp
@@ -131,6 +131,18 @@
   return live.empty() ? std::vector<router_id>{ mImplementation->self } : live;
 }
 
+std::vector<duration>
+mesh_link::PeerFrameAges() const
+{
+  std::vector<duration> ages;
+  if (mImplementation->node) {
+    for (const peers::peer_status& peer : mImplementation->node->Status().peers) {
+      ages.push_back(peer.sinceLastFrame);
+    }
+  }
+  return ages;
+}
+
 const std::string&
 mesh_link::LastReason() const
 {
--- a/src/gateway/meshlink.h
+++ b/src/gateway/meshlink.h
@@ -43,6 +43,8 @@
   [[nodiscard]] bool IsStarting() const;
   /// Returns the live gateways, including this one.
   [[nodiscard]] std::vector<router_id> LiveGateways() const;
+  /// Returns the time since each linked peer last sent a frame; empty without a mesh.
+  [[nodiscard]] std::vector<duration> PeerFrameAges() const;
   /// Reason for which Start() failed.
   [[nodiscard]] const std::string& LastReason() const;
 
