A settings file that changes without a signal is read again

A gateway kept its former peers, retry limits and leave notice until the next SIGHUP or start.

Cause: the file was read at the start and at SIGHUP alone.

--- a/src/app/gatewaymain.cpp
+++ b/src/app/gatewaymain.cpp
@@ -4,8 +4,10 @@
 #include "gateway/gatewaysettings.h"
 #include "platform/platformdialect.h"
 #include "settings/settings.h"
+#include "settings/settingsfilewatch.h"
 
 #include <csignal>
+#include <mutex>
 #include <optional>
 
 namespace {
@@ -15,6 +17,9 @@
 /// Log lines that may wait for a slow reader: some seconds of a busy gateway.
 constexpr std::size_t kWaitingLogLines = 2000;
 
+/// Time between two looks at the settings file, which may change without a signal.
+constexpr duration kSettingsFileInterval = 1_s;
+
 constexpr const char* kSummary =
   "Routes callers' calls to upstreams and forms the groups of model engines.";
 
@@ -45,13 +50,21 @@
     WriteLog(gateway::kGatewayNotStarted, { { "reason", process.LastReason() } });
     return exit_failure;
   }
-  while (WaitForStopOrReloadSignal() == SIGHUP) {
+  std::mutex reloading;
+  const auto reload = [&] {
+    const std::lock_guard lock(reloading);
     int code = exit_success;
     if (const auto again = ReadSettings(aCount, aArguments, code)) {
       process.Reload(*again);
     } else {
       WriteLog(gateway::kReloadRejected, { { "path", aSettings.settingsFile } });
     }
+  };
+  {
+    const settings_file_watch watch(aSettings.settingsFile, kSettingsFileInterval, reload);
+    while (WaitForStopOrReloadSignal() == SIGHUP) {
+      reload();
+    }
   }
   process.Stop();
   return exit_success;
