A request head that does not end is closed after twice the configured time

What callers saw: nothing as long as each client ends its heads. One that never does held a connection, and one of some 3,900 descriptors, for 5 minutes; a few thousand of them keep all others out.

Cause: header-timeout-ms was read and not applied.

The socket that scans the framing knows where heads begin and end; it starts a timer when a read leaves a head unfinished, so usual heads, which come in one read, cost nothing. The limit belongs to the event loop, so that a new configuration holds at once. Twice the configured time: links hold bytes up for a second and more, and a client within its limit must not be cut. Ruled out: RESTinio's own limit for the next message, which counts idle time and bodies too. The connection is closed without an answer, which promises nothing; the request was not read.

--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -44,6 +44,10 @@
   std::optional<endpoint> Listen(const endpoint& aAddress, request_handler aHandler);
   /// Stops listening on an address. Open connections are not closed.
   void Close(const endpoint& aAddress);
+  /// Sets the time within which the head of a request has to arrive, from its first byte; later
+  /// ones end their connection. Holds for all servers on the same event loops, from the next head
+  /// on; zero means unlimited.
+  void SetHeadTimeLimit(duration aLimit);
   /// Stops all listeners and the server's own threads, and closes all connections.
   void Stop();
   /// Returns the error text of the last Listen(); empty when it succeeded.
--- a/src/entry/internal/httpserver.cpp
+++ b/src/entry/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "entry/httpserver.h"
 
 #include "entry/entryevents.h"
+#include "entry/internal/headtimelimit.h"
 #include "entry/internal/requestframing.h"
 #include "entry/internal/responderimplementation.h"
 #include "entry/internal/scannedsocket.h"
@@ -300,6 +301,14 @@
   mImplementation->servers.erase(found);
 }
 
+void
+http_server::SetHeadTimeLimit(duration aLimit)
+{
+  for (loop::event_loop* const each : mImplementation->loops) {
+    asio::use_service<head_time_limit>(each->Implementation().context).Set(aLimit);
+  }
+}
+
 void
 http_server::Stop()
 {
--- a/src/entry/internal/requestscanner.cpp
+++ b/src/entry/internal/requestscanner.cpp
@@ -132,6 +132,7 @@
 request_scanner::HandleHeader(std::string_view aLine)
 {
   if (aLine.empty()) {
+    ++mEndedHeads;
     return PartBehindHead();
   }
   if (IsBlank(aLine.front())) {
--- a/src/entry/internal/requestscanner.h
+++ b/src/entry/internal/requestscanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -14,6 +15,13 @@
 public:
   /// Reads the next bytes of the connection. Returns false from the first fault on.
   bool Feed(std::string_view aBytes);
+  /// Returns true when a part of a head has come, and not its end.
+  [[nodiscard]] bool IsWithinHead() const
+  {
+    return mPart == part::header || (mPart == part::request_line && !mLine.empty());
+  }
+  /// Number of heads that have come to their ends.
+  [[nodiscard]] std::size_t EndedHeads() const { return mEndedHeads; }
 
 private:
   /// What the next byte belongs to.
@@ -44,6 +52,7 @@
   [[nodiscard]] part PartBehindHead() const;
 
   part mPart = part::request_line;
+  std::size_t mEndedHeads = 0;
   /// Begin of a line whose end has not come.
   std::string mLine;
   /// Bytes left of the body or chunk.
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -16,6 +16,8 @@
 /// Part of the grace period that is left for the shutdown after the drain.
 constexpr duration kExitReserve = 900_ms;
 constexpr duration kDrainPollInterval = 20_ms;
+/// How many times the configured time a head may take: links hold bytes up for a while.
+constexpr std::int64_t kHeadTimeFactor = 2;
 /// Time for responses that were handed to connections to be sent.
 constexpr duration kFinalFlushTime = 150_ms;
 /// Largest body that the server reads, in bytes. A body between the configured limit and this one
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -42,6 +42,7 @@
              { "routes", std::to_string(configuration->routes.size()) },
              { "customers", std::to_string(configuration->customers.size()) } });
   mMetrics.Set(kConfigurationVersion, static_cast<double>(configuration->version));
+  mServer.SetHeadTimeLimit(configuration->limits.headerTimeout * process_limits::kHeadTimeFactor);
   mUpstreams.SetRoutes(std::make_shared<const routes::route_table>(std::move(*configuration)));
   mAssembly.Configure(mUpstreams.Routes()->Configuration());
   mMesh.Publish(
