--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -1,6 +1,7 @@
 #include "poison/tests/mocks/promptpartplay.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <limits>
 #include <rapidcheck.h>
@@ -258,3 +259,34 @@
   });
   CHECK(passed);
 }
+
+// Guards against sound parts that stay refused since sound upstreams were silent for a moment, one
+// at a time or all at once, whichever parts, numbers of processes, traffic and delays of news there
+// are.
+TEST(prompt_part_play, SilencesGetNoSoundPartRefusedForLong)
+{
+  const bool passed = rc::check([] {
+    part_play_setup setup;
+    setup.poisonShare = 0;
+    setup.processes = *rc::gen::element<std::size_t>(1, 9, 68, 300);
+    setup.requestsPerSecond = *rc::gen::inRange(60, 200);
+    setup.upstreams = static_cast<std::size_t>(*rc::gen::inRange(8, 30));
+    setup.rareParts = static_cast<std::size_t>(*rc::gen::inRange(3, 30));
+    setup.rareShare = *rc::gen::inRange(30, 101) / 100.0;
+    setup.soundSilences = 10_ms * *rc::gen::inRange(20, 300);
+    setup.silenceTime = 10_ms * *rc::gen::inRange(20, 300);
+    setup.allSilentTime = 10_ms * *rc::gen::inRange(60, 300);
+    setup.newsAlwaysLate = *rc::gen::arbitrary<bool>();
+    setup.end = 40_s;
+    const part_play_result result =
+      prompt_part_play(setup, *rc::gen::arbitrary<std::uint64_t>()).Run();
+    RC_LOG() << Describe(setup, result)
+             << fmt::format(", silence each {} ms for {}, of all for {}",
+                            setup.soundSilences.ms,
+                            setup.silenceTime.ms,
+                            setup.allSilentTime.ms);
+    const duration longest = std::max(setup.silenceTime, setup.allSilentTime);
+    RC_ASSERT(result.longestWrongVerdict <= longest + kMaxWrongVerdict);
+  });
+  CHECK(passed);
+}
