A start beside a store that never came back doesn't wait for seeds that have no power

Cause: a process without any link ended its start only after 1.5 s; gateways have no others to dial than the seeds.

Change: beside a store of era 0, a process to which no seed has answered for 150 ms (each is dialled at once and after 100 ms) ends its start: a seed that runs and is reached answers within milliseconds, and the store tells all documents. What it may lack for a moment are statements of instances and crashes; quarantines are stored. A process that has a link waits for its seeds as before, and so does one beside a store that came back from a copy or isn't reached.

--- a/src/peers/internal/meshcoreimplementation.h
+++ b/src/peers/internal/meshcoreimplementation.h
@@ -141,6 +141,8 @@
   [[nodiscard]] bool HaveSeedsAnswered() const;
   /// Returns whether all linked peers are starting too and none can be expected to know more.
   [[nodiscard]] bool StartsWithOthers() const;
+  /// Returns whether no seed runs, and the store tells all there is.
+  [[nodiscard]] bool StartsAlone() const;
   /// Ends the start once it has nothing to wait for.
   void UpdateStart();
   void EndStart();
--- a/src/peers/internal/meshcorestart.cpp
+++ b/src/peers/internal/meshcorestart.cpp
@@ -12,6 +12,9 @@
 /// earlier dial is still in progress: TCP sends the first packet again only after a second, too
 /// late for a seed whose machine is starting as well.
 constexpr duration kStartDialInterval = 100_ms;
+/// Time without a link, while each seed is dialled at intervals, after which none is taken to run
+/// beside a store that never came back from an older copy. A seed that runs answers far sooner.
+constexpr duration kSilentSeedsTime = 150_ms;
 /// Longest start, when no peer can be reached or the bodies do not arrive.
 constexpr duration kMaxStartTime = 1500_ms;
 
@@ -98,6 +101,12 @@
   return storeSuffices || now - mStartedAt >= kAllStartingTime;
 }
 
+bool
+mesh_core::implementation::StartsAlone() const
+{
+  return mStoreNeverRestored && links.empty() && now - mStartedAt >= kSilentSeedsTime;
+}
+
 void
 mesh_core::implementation::UpdateStart()
 {
@@ -109,7 +118,8 @@
   const duration age = now - mStartedAt;
   const bool hasPeers = linked || !mSeeds.empty();
   const bool synchronised = mReceivedState && mMissing.empty();
-  if (options.leaf || !hasPeers || synchronised || StartsWithOthers() || age >= kMaxStartTime) {
+  if (options.leaf || !hasPeers || synchronised || StartsWithOthers() || StartsAlone() ||
+      age >= kMaxStartTime) {
     EndStart();
   }
 }
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -470,6 +470,25 @@
   CHECK(mesh.RunUntil(250_ms, noneStarts).has_value());
 }
 
+// Guards against processes that wait for seeds whose machines have no power: none of them answers,
+// and beside a store that never lost anything none is needed.
+TEST(mesh_core, StartEndsSoonThoughNoSeedRunsBesideAStoreThatNeverCameBack)
+{
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    mesh.Kill(i);
+  }
+  mesh.Cut([](std::size_t, std::size_t) { return true; });
+  mesh.Restart(3);
+  mesh.Restart(4);
+  mesh.Feed(3, store_age_known{ true });
+  mesh.Feed(4, store_age_known{ false });
+  mesh.Run(100_ms);
+  CHECK(mesh.Core(3).IsStarting());
+  mesh.Run(120_ms);
+  CHECK_FALSE(mesh.Core(3).IsStarting());
+  CHECK(mesh.Core(4).IsStarting());
+}
+
 // Guards against processes that start together and serve before a seed that went on running, and
 // may know more, has answered them.
 TEST(mesh_core, RoutersThatStartTogetherWaitForASeedThatHasNotAnswered)
