The first event, not the response head, ends a stream's other attempt

What callers saw: a stream was sent to a second head beside its silent first one. The second sent its response head and then nothing more, or was lost: the stream was cut, although the first one, which had been ended for that head, went on a second later.

Cause: BeginStream ended all other attempts. For a stream that may be resumed they now stay open until the first event, which ended them anyway; both begin after the same event, so pieces of two runs never mix. An attempt that has a response of its own that is no stream is still ended at once, and so are all others of a stream that may not be resumed.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -57,6 +57,8 @@
   {
     isStalled = aEvidence.has_value() || (isStalled && !aIsGroupRegistered);
   }
+  /// Returns true when the stream may go on with this attempt although another one has begun it.
+  [[nodiscard]] bool MayGoOnWithStream() const { return !responseInfo; }
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -59,7 +59,15 @@
   }
   mStreaming = true;
   mStateMachine.OnResponseStarted();
-  EndOtherAttempts(aAttempt);
+  // The first event ends the other attempt: this one may be lost before it.
+  const bool othersMayGoOn =
+    Attributes().resumable &&
+    std::all_of(mAttempts.begin(), mAttempts.end(), [&](const attempt_ptr& aOther) {
+      return aOther.get() == &aAttempt || aOther->MayGoOnWithStream();
+    });
+  if (!othersMayGoOn) {
+    EndOtherAttempts(aAttempt);
+  }
   const auto end = mContext.stopping ? entry::stream_end::closes : entry::stream_end::keeps;
   mResponder->OnDrain([weak = this->weak_from_this(), &context = mContext] {
     context.loop.Post([weak] {
--- a/src/gateway/tests/attempttests.cpp
+++ b/src/gateway/tests/attempttests.cpp
@@ -31,3 +31,13 @@
   sent.RecordEvidence(std::nullopt, false);
   CHECK_FALSE(sent.isStalled);
 }
+
+// Guards against a stream whose first attempt is ended for the response head of the second one: no
+// event has come from it, and it may be lost.
+TEST(attempt, AttemptWithoutAResponseMayGoOnWithAStreamThatAnotherOneHasBegun)
+{
+  CHECK(sent.MayGoOnWithStream());
+  // A response that is no stream can't go on with it.
+  sent.responseInfo = response_info{};
+  CHECK_FALSE(sent.MayGoOnWithStream());
+}
