Silence alone asks no upstream of a call again

An upstream whose attempt was superseded may be asked again, which a later loss needs. A second attempt for silence counts sends again, as before; only a loss goes back to an upstream that was left.

call_state_machine.SilenceAloneAsksNoUpstreamAgain holds both.

--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -363,7 +363,8 @@
 std::optional<send_action>
 call_state_machine::TryConcurrentAttempt(time_point aNow)
 {
-  if (!MayRunAgain() || mUpstreams.InFlightCount() != 1) {
+  // Without a loss, a call is not sent more often than it may be sent to upstreams.
+  if (!MayRunAgain() || mUpstreams.InFlightCount() != 1 || SendCount() >= mAttributes.maxAttempts) {
     return std::nullopt;
   }
   selection_request request = MakeSelectionRequest(aNow);
--- a/src/dispatch/tests/callstatemachinetests.cpp
+++ b/src/dispatch/tests/callstatemachinetests.cpp
@@ -354,6 +354,19 @@
   CHECK(std::holds_alternative<abort_action>(call.OnUpstreamLost(silent, now + 3_s)));
 }
 
+// Guards against a third run for silence alone: the superseded upstream is for a loss.
+TEST(call_state_machine, SilenceAloneAsksNoUpstreamAgain)
+{
+  call_state_machine call(Stream(), fixture.selector, budget, 1);
+  const instance_id silent = As<send_action>(call.OnArrival(now)).upstream;
+  call.OnResponseStarted();
+  const auto second = call.TryConcurrentAttempt(now);
+  CHECK(second.has_value());
+  call.OnSuperseded(second->upstream);
+  CHECK_FALSE(call.TryConcurrentAttempt(now + 1_s).has_value());
+  CHECK(As<send_action>(call.OnUpstreamLost(silent, now + 2_s)).upstream == second->upstream);
+}
+
 // Guards against a retry budget that is used up by attempts that reach no upstream.
 TEST(call_state_machine, AttemptThatIsNotSentReturnsItsPermit)
 {
