No second attempt after events without ids, or of a response that has resumed

Three small ones of the second attempt. After data without an id, the second upstream would have begun after the last id and brought that data again: such a stream gets none, as it gets no resumption after a loss. A response that is not streamed and goes on after a silence ended no stall, so that a second run could still follow. And the 700 ms after which an unanswered call counts against its request also counted time in which this process was suspended: at most 200 ms of a gap between two ticks do now.

attempt.StreamWithEventsWithoutIdsGetsNoSecondAttempt, AttemptThatReceivesSomethingIsNotStalled and TimeInWhichThisProcessWasSuspendedIsNotWatched failed with the former rules.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -10,6 +10,7 @@
 #include "upstream/callid.h"
 #include "upstream/responsehead.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,10 @@
   monitored_attempt monitored;
   /// True when the upstream's group was found silent and nothing has arrived since.
   bool isStalled = false;
+  /// Time for which this process has watched the attempt: without the time in which it was
+  /// suspended itself.
+  duration watchedFor;
+  time_point watchedAt;
   /// True when the crash monitor finds out whether the upstream has crashed.
   bool lossReported = false;
   time_point startedAt;
@@ -51,14 +56,32 @@
   /// Longest time between two reads that completed events.
   duration longestEventGap;
 
+  /// Records that a part of the response has arrived.
+  void OnReceived(time_point aNow)
+  {
+    lastReceivedAt = aNow;
+    isStalled = false;
+  }
   /// Records what speaks against the attempt's group, nothing when nothing does. A mark that
   /// vanishes with its group is not lifted: the attempt stays stalled until something arrives.
   void RecordEvidence(std::optional<fleet::fault_evidence> aEvidence, bool aIsGroupRegistered)
   {
     isStalled = aEvidence.has_value() || (isStalled && !aIsGroupRegistered);
   }
+  /// Returns true when the call should be sent to a second upstream as well. One that resumes after
+  /// the last id would repeat events without ids.
+  [[nodiscard]] bool NeedsSecond() const { return isStalled && framer.IsResumable(); }
   /// Returns true when the stream may go on with this attempt although another one has begun it.
   [[nodiscard]] bool MayGoOnWithStream() const { return !responseInfo; }
+  /// Records that this process runs; called at each tick.
+  void Watch(time_point aNow)
+  {
+    watchedFor = watchedFor + std::min(aNow - watchedAt, kMaxTick);
+    watchedAt = aNow;
+  }
+
+  /// Longest time between two ticks of a process that runs.
+  static constexpr duration kMaxTick = 200_ms;
 };
 
 } // namespace persimmon::gateway
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -169,6 +169,7 @@
   added->incarnationId = aIncarnation;
   added->startedAt = aNow;
   added->lastReceivedAt = aNow;
+  added->watchedAt = aNow;
   added->pendingPromptTokens = Attributes().promptTokens;
   added->framer.StartAfter(aTarget.resumeAfter);
   if (const fleet::engine_group* group = mContext.upstreams.FindGroupByHead(aTarget.instance)) {
@@ -287,10 +288,11 @@
   mEnded = true;
   while (!mAttempts.empty()) {
     attempt& cancelled = *mAttempts.back();
-    const duration waited = mContext.Now() - cancelled.startedAt;
+    cancelled.Watch(mContext.Now());
     if (cancelled.isStalled) {
       ReportLoss(cancelled, ScopeOfStandstill(cancelled));
-    } else if (!cancelled.responseInfo && waited > exchange_limits::kMaxUnansweredWait) {
+    } else if (!cancelled.responseInfo &&
+               cancelled.watchedFor > exchange_limits::kMaxUnansweredWait) {
       ReportLoss(cancelled, loss_scope::silent_head);
     }
     EndAttempt(cancelled, "cancelled");
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -99,6 +99,7 @@
 {
   const time_point now = mContext.Now();
   for (const attempt_ptr& current : mAttempts) {
+    current->Watch(now);
     if (mPausedCall == current->call) {
       continue;
     }
@@ -185,7 +186,7 @@
 void
 exchange<Dialect>::SendBesideStalledAttempt()
 {
-  if (mEnded || mAttempts.size() != 1 || !mAttempts.front()->isStalled) {
+  if (mEnded || mAttempts.size() != 1 || !mAttempts.front()->NeedsSecond()) {
     return;
   }
   if (mContext.crashes.Check(mIdentities).verdict == poison::poison_verdict::quarantined) {
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -24,8 +24,7 @@
 exchange<Dialect>::OnResponseHead(attempt& aAttempt, const upstream::response_head& aHead)
 {
   const time_point now = mContext.Now();
-  aAttempt.lastReceivedAt = now;
-  aAttempt.isStalled = false;
+  aAttempt.OnReceived(now);
   aAttempt.responseHead = aHead;
   aAttempt.responseInfo = Dialect::ParseResponseHead(aHead, mCall);
   const response_info& info = *aAttempt.responseInfo;
@@ -98,7 +97,7 @@
 void
 exchange<Dialect>::KeepBody(attempt& aAttempt, std::string_view aData)
 {
-  aAttempt.lastReceivedAt = mContext.Now();
+  aAttempt.OnReceived(mContext.Now());
   if (!mContext.bodies.TryAdd(aAttempt.responseBody.size(), aData.size())) {
     OnAttemptLost(aAttempt, "body_too_large", true);
     return;
@@ -162,8 +161,7 @@
     }
     mContext.crashes.ResponseGoesOn(aAttempt.monitored);
     aAttempt.hasReceivedEvent = true;
-    aAttempt.lastReceivedAt = now;
-    aAttempt.isStalled = false;
+    aAttempt.OnReceived(now);
     EndOtherAttempts(aAttempt);
     RecordDelivery();
     if (const auto last = aAttempt.framer.LastEventId()) {
--- a/src/gateway/tests/attempttests.cpp
+++ b/src/gateway/tests/attempttests.cpp
@@ -10,6 +10,18 @@
 TEST_GROUP(attempt)
 {
   attempt sent;
+  time_point now{ 50000 };
+
+  void setup() override { sent.watchedAt = now; }
+
+  /// Lets time pass in which this process runs a tick every 50 ms.
+  void Watch(duration aTime)
+  {
+    for (const time_point end = now + aTime; now < end;) {
+      now = now + 50_ms;
+      sent.Watch(now);
+    }
+  }
 };
 // clang-format on
 
@@ -18,18 +30,37 @@
 TEST(attempt, MarkThatVanishesWithItsGroupLeavesTheAttemptStalled)
 {
   sent.RecordEvidence(fault_evidence::silence, true);
-  CHECK(sent.isStalled);
+  CHECK(sent.NeedsSecond());
   sent.RecordEvidence(std::nullopt, false);
-  CHECK(sent.isStalled);
+  CHECK(sent.NeedsSecond());
   // The group is back and all its members have reported.
   sent.RecordEvidence(std::nullopt, true);
-  CHECK_FALSE(sent.isStalled);
+  CHECK_FALSE(sent.NeedsSecond());
 }
 
 TEST(attempt, GroupThatIsOnlyUnknownDoesNotStallTheAttempt)
 {
   sent.RecordEvidence(std::nullopt, false);
+  CHECK_FALSE(sent.NeedsSecond());
+}
+
+// Guards against a second run of a call whose response has gone on.
+TEST(attempt, AttemptThatReceivesSomethingIsNotStalled)
+{
+  sent.RecordEvidence(fault_evidence::silence, true);
+  sent.OnReceived(now);
   CHECK_FALSE(sent.isStalled);
+  CHECK(sent.lastReceivedAt == now);
+}
+
+// Guards against events that come twice: the second upstream would begin after the last id.
+TEST(attempt, StreamWithEventsWithoutIdsGetsNoSecondAttempt)
+{
+  sent.framer.Feed("id: 1\ndata: a\n\n");
+  sent.RecordEvidence(fault_evidence::silence, true);
+  CHECK(sent.NeedsSecond());
+  sent.framer.Feed("data: b\n\n");
+  CHECK_FALSE(sent.NeedsSecond());
 }
 
 // Guards against a stream whose first attempt is ended for the response head of the second one: no
@@ -41,3 +72,14 @@
   sent.responseInfo = response_info{};
   CHECK_FALSE(sent.MayGoOnWithStream());
 }
+
+// Guards against an upstream that counts as silent for the time in which this process was
+// suspended.
+TEST(attempt, TimeInWhichThisProcessWasSuspendedIsNotWatched)
+{
+  Watch(300_ms);
+  CHECK(sent.watchedFor == 300_ms);
+  now = now + 5_s;
+  sent.Watch(now);
+  CHECK(sent.watchedFor <= 500_ms);
+}
