--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -330,7 +330,7 @@
       aGroup.stageStartedAt = aNow;
       RecordDecision(record_decision::decision_kind::closing,
                      aGroup,
-                     "a member is draining or no longer registeredMembership",
+                     "a member is draining or no longer registered",
                      aActions);
     }
     return;
@@ -454,7 +454,7 @@
     SendOrder(MakeOrder(aGroup, member.instance, order_kind::leave), aNow, aActions);
   }
   if (!anyRegistered && aNow - aGroup.stageStartedAt > kUnregisteredGroupTimeout) {
-    EndGroup(aGroup, "no member is registeredMembership", aNow, aActions);
+    EndGroup(aGroup, "no member is registered", aNow, aActions);
   }
 }
 
