A planned leave after a silence proves no crash

What callers saw (found by reading): a request that was under way at an instance which was silent for a moment, and left as planned within 20 s, counted as the cause of a crash, as did all that ran there, since the next life at the address was taken for the proof of one.

Cause: whether an instance drains was looked at only when the attempt was lost. Instances that are seen to drain in the incarnation under investigation are dropped from it now; when none is left, it ends without a crash.

An instance whose entry goes without draining is not told apart from a lapsed one.

--- a/src/gateway/crashinvestigator.h
+++ b/src/gateway/crashinvestigator.h
@@ -65,7 +65,8 @@
   std::optional<crash_finding> OnConnectResult(const upstream_id& aUpstream,
                                                connect_result aResult);
   /// Returns the upstreams of which an instance is registered in a later incarnation, under the
-  /// same id or under another one at the same address.
+  /// same id or under another one at the same address, and those all of whose instances leave as
+  /// planned, which have not crashed.
   std::vector<crash_finding> OnFleetChanged(const fleet::fleet_view& aFleet);
   /// Returns the investigations that have found nothing in time.
   std::vector<crash_finding> TakeExpired(time_point aNow);
@@ -87,6 +88,8 @@
   [[nodiscard]] static bool HasLaterLife(const investigation& aInvestigation,
                                          const fleet::fleet_view& aFleet,
                                          const latest_lives& aLatestLives);
+  /// Drops the instances that leave as planned: what comes after them proves no crash.
+  static void DropLeaving(investigation& aInvestigation, const fleet::fleet_view& aFleet);
   /// Removes an investigation and returns its finding.
   crash_finding Close(investigation_map::iterator aPosition, bool aCrashed, const char* aEvidence);
 
--- a/src/gateway/internal/crashinvestigator.cpp
+++ b/src/gateway/internal/crashinvestigator.cpp
@@ -76,6 +76,17 @@
   return latest;
 }
 
+void
+crash_investigator::DropLeaving(investigation& aInvestigation, const fleet::fleet_view& aFleet)
+{
+  std::erase_if(aInvestigation.candidates, [&aFleet](const auto& aPair) {
+    const crash_candidate& candidate = aPair.second;
+    const fleet::instance* instance = aFleet.Find(candidate.instance);
+    return instance != nullptr && instance->draining &&
+           instance->incarnationId == candidate.incarnationId;
+  });
+}
+
 std::vector<crash_finding>
 crash_investigator::OnFleetChanged(const fleet::fleet_view& aFleet)
 {
@@ -86,7 +97,10 @@
   const latest_lives latestLives = FindLatestLives(aFleet);
   for (auto current = mInvestigations.begin(); current != mInvestigations.end();) {
     const auto next = std::next(current);
-    if (HasLaterLife(current->second, aFleet, latestLives)) {
+    DropLeaving(current->second, aFleet);
+    if (current->second.candidates.empty()) {
+      findings.push_back(Close(current, false, "leaves as planned"));
+    } else if (HasLaterLife(current->second, aFleet, latestLives)) {
       findings.push_back(Close(current, true, "later incarnation registered"));
     }
     current = next;
--- a/src/gateway/tests/crashinvestigatortests.cpp
+++ b/src/gateway/tests/crashinvestigatortests.cpp
@@ -114,3 +114,33 @@
   investigator.TakeExpired(kStart + kCrashProofTime);
   CHECK(investigator.HasCapacity());
 }
+
+// Guards against a request that is blamed for a crash since an instance that was silent for a
+// moment left as planned soon after, and its successor started at its address.
+TEST(crash_investigator, PlannedLeaveAfterASilenceIsNoCrash)
+{
+  Add("a", { { { "i-1" }, { "desk" }, { "a:1" }, { 5 } } });
+  fleet::fleet_view fleet = FleetWith("i-1", 5, "desk", "a:1");
+  fleet::instance leaving = *fleet.Find({ "i-1" });
+  leaving.draining = true;
+  fleet.Upsert(leaving);
+  const auto findings = investigator.OnFleetChanged(fleet);
+  CHECK_EQUAL(1, findings.size());
+  CHECK_FALSE(findings[0].crashed);
+  CHECK(investigator.OnFleetChanged(FleetWith("i-2", 6, "desk", "a:1")).empty());
+}
+
+// Guards against a crash of a member that goes unnoticed since another one of its group drains.
+TEST(crash_investigator, PlannedLeaveOfOneMemberHidesNoCrashOfAnother)
+{
+  Add("a",
+      { { { "i-1" }, { "desk" }, { "a:1" }, { 5 } }, { { "i-2" }, { "desk" }, { "a:2" }, { 3 } } });
+  fleet::fleet_view fleet = FleetWith("i-1", 5, "desk", "a:1");
+  fleet::instance leaving = *fleet.Find({ "i-1" });
+  leaving.draining = true;
+  fleet.Upsert(leaving);
+  CHECK(investigator.OnFleetChanged(fleet).empty());
+  const auto findings = investigator.OnFleetChanged(FleetWith("i-2", 4, "desk", "a:2"));
+  CHECK_EQUAL(1, findings.size());
+  CHECK(findings[0].crashed);
+}
