A silent group is kept for as long as the callers of its streams wait

What callers would see (found by reading): where a route's latency target is above 0.6 s or its event gap above 0.3 s, callers wait for an event for longer than 2.4 s, and streams that a sound group would have gone on with are cut off by its release after 2.4 or 3.2 s of silence.

Cause: both times rested on the sheets of two deployments, where nobody waits for more than 2.4 s.

Now the release waits for as long as the configuration lets callers wait: the longest of 2 s, four latency targets and eight event gaps over the routes that send streams to the service. With the targets of those two deployments nothing changes.

unreachable_members.GroupOfAnUnreachableMemberIsKeptForAsLongAsItsCallersWait and GroupOfASilentMember... failed before (release after 2.4 and 3.2 s where callers wait for 4 s). A configuration that lowers a target lowers the wait at once, also for calls that were accepted before.

--- a/src/assembly/assemblyoptions.h
+++ b/src/assembly/assemblyoptions.h
@@ -32,12 +32,12 @@
   /// Consecutive probes that prove that an instance has ended, after which it counts as lost.
   std::uint32_t provedLossesUntilLost = 2;
   /// Silence after which an instance counts as lost without any proof, unless its group is at work.
-  /// Releasing a group cuts off whatever it runs, and a sound instance may be silent for seconds;
-  /// after this time the callers of a group that stands still have given up.
+  /// Releasing a group cuts off whatever it runs, and a sound instance may be silent for seconds.
+  /// Longer where callers wait longer for an event, so that those of a group that stands still have
+  /// left by then.
   duration silenceUntilLost{ 3200 };
   /// The same for an instance that accepts no connection either. Since then no call has reached a
-  /// group that it heads, and what its group had before has stood still: the callers that wait
-  /// longest leave after this time.
+  /// group that it heads, and what its group had before has stood still.
   duration unreachableUntilLost{ 2400 };
   /// The same if its head reports that the group runs nothing: a release cuts nothing off, and a
   /// group of sound instances is joined anew within a second.
--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -33,6 +33,9 @@
 
   /// Replaces the profile of the service.
   void Configure(const routes::service_profile& aService);
+  /// Sets the longest time for which callers wait for an event of a stream: what a silent group
+  /// runs is not cut off before it.
+  void SetCallerPatience(duration aPatience) { mCallerPatience = aPatience; }
   /// Starts acting as the leader and discards the state of earlier leadership. Each order carries
   /// the token, and the ids of new groups contain it.
   void StartLeading(fencing_token aToken, time_point aNow);
@@ -289,6 +292,7 @@
 
   routes::service_profile mService;
   assembly_options mOptions;
+  duration mCallerPatience;
   bool mIsLeading = false;
   fencing_token mToken;
   time_point mLeadingSince;
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -144,8 +144,10 @@
     const time_point since = *state.unreachableSince;
     const bool runsNothingNow = RunsNothing(aGroup, since);
     const duration unreachable = TimeWithoutSign(aGroup, state, since, aNow);
-    if (unreachable >=
-        (runsNothingNow ? mOptions.unreachableUntilLostIfIdle : mOptions.unreachableUntilLost)) {
+    const duration limit = runsNothingNow
+                             ? mOptions.unreachableUntilLostIfIdle
+                             : std::max(mOptions.unreachableUntilLost, mCallerPatience);
+    if (unreachable >= limit) {
       return fmt::format("instance {} has accepted no connection for {} ms{}",
                          aMember.value,
                          unreachable.ms,
@@ -153,7 +155,7 @@
     }
   }
   const duration silence = TimeWithoutSign(aGroup, state, state.silentSince, aNow);
-  if (silence >= mOptions.silenceUntilLost) {
+  if (silence >= std::max(mOptions.silenceUntilLost, mCallerPatience)) {
     return fmt::format("instance {} has not answered for {} ms", aMember.value, silence.ms);
   }
   return {};
--- a/src/assembly/tests/unreachablemembertests.cpp
+++ b/src/assembly/tests/unreachablemembertests.cpp
@@ -37,6 +37,16 @@
     return member;
   }
 
+  /// Checks that a group with a silent member is released once its callers have left, and not before.
+  void CheckKeptForCallers()
+  {
+    fixture.controller.SetCallerPatience(4_s);
+    fixture.RunFor(3900_ms);
+    CHECK(!HasOrderedToLeave());
+    fixture.RunFor(100_ms + kNoticeTime);
+    CHECK(HasOrderedToLeave());
+  }
+
   bool HasOrderedToLeave()
   {
     return std::any_of(fixture.sentOrders.begin(), fixture.sentOrders.end(), [](const engine_order& aOrder) {
@@ -72,6 +82,20 @@
   CHECK(fixture.simulator.violations.empty());
 }
 
+// Guards against streams that are cut off while their callers still wait: where a route allows long
+// pauses, callers wait longer.
+TEST(unreachable_members, GroupOfAnUnreachableMemberIsKeptForAsLongAsItsCallersWait)
+{
+  CutOff(false, 3);
+  CheckKeptForCallers();
+}
+
+TEST(unreachable_members, GroupOfASilentMemberIsKeptForAsLongAsItsCallersWait)
+{
+  CutOff(false, 3).acceptsConnections = true;
+  CheckKeptForCallers();
+}
+
 // Guards against a sound instance that is cut off for a second or so, and whose group is released.
 TEST(unreachable_members, UsualSilenceReleasesNoGroup)
 {
--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -4,6 +4,7 @@
 #include "gateway/gatewaycontext.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/reportrequest.h"
+#include "routes/callerpatience.h"
 
 #include <functional>
 #include <map>
@@ -71,12 +72,13 @@
     controller_ptr& controller = mControllers[service.name];
     if (controller) {
       controller->Configure(service);
-      continue;
-    }
-    controller = std::make_shared<assembly::group_controller>(service, mOptions);
-    if (mIsLeader) {
-      controller->StartLeading(mToken, mContext.Now());
+    } else {
+      controller = std::make_shared<assembly::group_controller>(service, mOptions);
+      if (mIsLeader) {
+        controller->StartLeading(mToken, mContext.Now());
+      }
     }
+    controller->SetCallerPatience(routes::LongestEventWait(aConfiguration, service.name));
   }
 }
 
