Play: one gateway alone reaches no upstream; one word for one thing on the call side

Open until now: a gateway that alone loses its links takes all groups for silent and tells the others that they crash. The new play prompt_part_play.CutOffProcessGetsNoSoundPartRefusedForLong (3, 9, 68, 300 gateways, 0.7 to 8 s) holds that no sound part is refused for more than 3.3 s.

call_upstreams "pauses" upstreams no longer: a pause is what an upstream asks for. It avoids them, and keeps one entry for each. FindAttemptAtBrokenGroup asks whether a group is registered instead of whether it vanished.

--- a/src/dispatch/callupstreams.h
+++ b/src/dispatch/callupstreams.h
@@ -13,7 +13,7 @@
 
 /// Upstreams to which one call was sent, where it is in flight, and where it may be sent next. An
 /// upstream that was lost is never asked again; one that accepted no connection or refused the call
-/// may be asked again after a pause, and one whose attempt was superseded at once. Does no I/O and
+/// may be asked again a little later, and one whose attempt was superseded at once. Does no I/O and
 /// reads no clock.
 class call_upstreams
 {
@@ -32,7 +32,7 @@
   /// Records that the call is no longer in flight at an upstream.
   void Release(const instance_id& aUpstream);
   /// Keeps the call away from an upstream for a short time.
-  void Pause(const instance_id& aUpstream, time_point aNow);
+  void Avoid(const instance_id& aUpstream, time_point aNow);
   /// Keeps the call away from an upstream for good.
   void Exclude(const instance_id& aUpstream);
 
@@ -56,7 +56,7 @@
     /// The call was not sent to the upstream before.
     bool isFirst = false;
   };
-  struct pause
+  struct avoided_upstream
   {
     instance_id upstream;
     time_point until;
@@ -67,7 +67,7 @@
   std::vector<instance_id> mAsked;
   /// In the order in which the call was sent.
   std::vector<send> mInFlight;
-  std::vector<pause> mPauses;
+  std::vector<avoided_upstream> mAvoided;
   std::vector<instance_id> mExcluded;
   std::uint32_t mSendCount = 0;
 };
--- a/src/dispatch/internal/callstatemachine.cpp
+++ b/src/dispatch/internal/callstatemachine.cpp
@@ -300,7 +300,7 @@
 call_state_machine::OnNotSent(const instance_id& aUpstream, time_point aNow)
 {
   UndoSend(aUpstream);
-  mUpstreams.Pause(aUpstream, aNow);
+  mUpstreams.Avoid(aUpstream, aNow);
   const bool isHopeless = ++mUnreachableCount >= kMaxUnreachable;
   if (isHopeless && mUpstreams.InFlightCount() == 0 && !mResponseStarted) {
     return GiveUp(failure_cause::no_upstream);
@@ -312,7 +312,7 @@
 call_state_machine::OnNotExecuted(const instance_id& aUpstream, time_point aNow)
 {
   mUpstreams.Release(aUpstream);
-  mUpstreams.Pause(aUpstream, aNow);
+  mUpstreams.Avoid(aUpstream, aNow);
   mRefusedAsFull = true;
   if (mUpstreams.MayAskNoOther() && mUpstreams.InFlightCount() == 0 && !mResponseStarted) {
     const upstream_shortage shortage =
--- a/src/dispatch/internal/callupstreams.cpp
+++ b/src/dispatch/internal/callupstreams.cpp
@@ -7,7 +7,7 @@
 
 /// Time for which a call is not sent again to an upstream that accepted no connection or refused
 /// it.
-constexpr duration kPause = 600_ms;
+constexpr duration kAvoidTime = 600_ms;
 
 bool
 Contains(const std::vector<instance_id>& aIds, const instance_id& aId)
@@ -53,9 +53,12 @@
 }
 
 void
-call_upstreams::Pause(const instance_id& aUpstream, time_point aNow)
+call_upstreams::Avoid(const instance_id& aUpstream, time_point aNow)
 {
-  mPauses.push_back({ aUpstream, aNow + kPause });
+  std::erase_if(mAvoided, [&](const avoided_upstream& aEach) {
+    return aEach.upstream == aUpstream || aEach.until <= aNow;
+  });
+  mAvoided.push_back({ aUpstream, aNow + kAvoidTime });
 }
 
 void
@@ -73,9 +76,9 @@
   for (const send& sent : mInFlight) {
     aRequest.excluded.push_back(sent.upstream);
   }
-  for (const pause& paused : mPauses) {
-    if (paused.until > aNow) {
-      aRequest.excluded.push_back(paused.upstream);
+  for (const avoided_upstream& avoided : mAvoided) {
+    if (avoided.until > aNow) {
+      aRequest.excluded.push_back(avoided.upstream);
     }
   }
   if (MayAskNoOther()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -86,6 +86,8 @@
   /// Returns how certain it is that an attempt's group does not continue it; nothing when nothing
   /// speaks against the group.
   [[nodiscard]] std::optional<fleet::fault_evidence> EvidenceAgainst(const attempt& aAttempt) const;
+  /// Returns whether the group that an attempt was sent to is known.
+  [[nodiscard]] bool IsGroupRegistered(const attempt& aAttempt) const;
   /// Returns the first attempt that receives nothing from a group that is proved to be broken;
   /// nullptr when there is none. Marks those whose groups are only silent as stalled.
   attempt* FindAttemptAtBrokenGroup();
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -153,6 +153,14 @@
     mContext.upstreams.BrokenEvidence(aAttempt.group->id, aAttempt.group->epoch));
 }
 
+template<gateway_dialect Dialect>
+bool
+exchange<Dialect>::IsGroupRegistered(const attempt& aAttempt) const
+{
+  return aAttempt.group &&
+         mContext.upstreams.FindGroup(aAttempt.group->id, aAttempt.group->epoch) != nullptr;
+}
+
 template<gateway_dialect Dialect>
 attempt*
 exchange<Dialect>::FindAttemptAtBrokenGroup()
@@ -174,10 +182,8 @@
                  { "silent_ms", std::to_string(silence.ms) },
                  { "attempts", std::to_string(mAttempts.size()) } });
     }
-    const bool hasVanished =
-      current->isStalled && !evidence && current->group &&
-      mContext.upstreams.FindGroup(current->group->id, current->group->epoch) == nullptr;
-    current->RecordEvidence(evidence, !hasVanished);
+    const bool mayBeLifted = current->isStalled && !evidence;
+    current->RecordEvidence(evidence, mayBeLifted && IsGroupRegistered(*current));
   }
   return nullptr;
 }
--- a/src/poison/tests/mocks/promptpartplay.cpp
+++ b/src/poison/tests/mocks/promptpartplay.cpp
@@ -233,7 +233,7 @@
 {
   std::set<std::size_t> crashed;
   for (call& current : mCalls) {
-    if (IsSilent(current.upstream)) {
+    if (IsSilent(current.upstream) || IsCutOff(current.origin.process)) {
       current.headAt = current.headAt + kStep;
       current.nextData = current.nextData + kStep;
       current.end = current.end + kStep;
@@ -254,7 +254,7 @@
     }
   }
   const auto isOver = [this](const call& aCall) {
-    return aCall.end <= mNow && !IsSilent(aCall.upstream);
+    return aCall.end <= mNow && !IsSilent(aCall.upstream) && !IsCutOff(aCall.origin.process);
   };
   for (const call& current : mCalls) {
     if (isOver(current)) {
@@ -308,6 +308,9 @@
       BeginSilence(i, mSetup.allSilentTime);
     }
   }
+  if (mSetup.cutOffTime.ms > 0 && mNow == mSetup.cutOffFrom) {
+    BeginCutOff();
+  }
   if (mSetup.soundSilences.ms > 0 && mNow.ms % mSetup.soundSilences.ms == 0) {
     BeginSilence(mRandom.Below(mUpstreams.size()), mSetup.silenceTime);
   }
@@ -327,12 +330,22 @@
   }
 }
 
+void
+prompt_part_play::BeginCutOff()
+{
+  for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
+    const time_point found = mNow + Milliseconds(kShortestFinding + mRandom.Below(kFindingSpread));
+    mSilencesToFind.insert({ found, { 0, i, mUpstreams[i].life } });
+  }
+}
+
 void
 prompt_part_play::ProgressSilences()
 {
   while (!mSilencesToFind.empty() && mSilencesToFind.begin()->first <= mNow) {
     const finding found = mSilencesToFind.extract(mSilencesToFind.begin()).mapped();
-    if (IsSilent(found.upstream) && mUpstreams[found.upstream].life == found.life) {
+    const bool isSilent = IsSilent(found.upstream) || IsCutOff(found.process);
+    if (isSilent && mUpstreams[found.upstream].life == found.life) {
       OnFoundSilent(found);
     }
   }
@@ -355,7 +368,7 @@
 prompt_part_play::OnFoundSilent(const finding& aFinding)
 {
   upstream& silent = mUpstreams[aFinding.upstream];
-  silent.avoided = true;
+  silent.avoided = silent.avoided || IsSilent(aFinding.upstream);
   const auto heard = mHeardAt.find({ aFinding.process, aFinding.upstream });
   Publish(
     aFinding.process,
@@ -371,8 +384,10 @@
     }
   }
   if (!silent.crashedSilently) {
-    const time_point sign =
-      silent.silentUntil + Milliseconds(kShortestSign + mRandom.Below(kSignSpread));
+    const time_point end =
+      std::max(silent.silentUntil,
+               IsCutOff(aFinding.process) ? mSetup.cutOffFrom + mSetup.cutOffTime : time_point{});
+    const time_point sign = end + Milliseconds(kShortestSign + mRandom.Below(kSignSpread));
     mSignsOfLife.insert({ sign, aFinding });
   }
 }
--- a/src/poison/tests/mocks/promptpartplay.h
+++ b/src/poison/tests/mocks/promptpartplay.h
@@ -61,6 +61,10 @@
   /// Time from which all upstreams are silent for allSilentTime at once; none when zero.
   time_point allSilentFrom{ 12000 };
   duration allSilentTime{};
+  /// Time from which the first process alone reaches no upstream for cutOffTime; none when zero.
+  /// The others hear its news.
+  time_point cutOffFrom{ 12000 };
+  duration cutOffTime{};
   /// Sound requests count from here on, or later.
   time_point soundFrom{};
   /// News reach the other processes after a time between these, and all after the longest with
@@ -181,7 +185,14 @@
   {
     return mNow < mUpstreams[aUpstream].silentUntil;
   }
+  /// Returns whether a process reaches no upstream.
+  [[nodiscard]] bool IsCutOff(std::size_t aProcess) const
+  {
+    return aProcess == 0 && mSetup.cutOffFrom <= mNow &&
+           mNow < mSetup.cutOffFrom + mSetup.cutOffTime;
+  }
   void BeginSilence(std::size_t aUpstream, duration aTime);
+  void BeginCutOff();
   void SilenceOthers();
   /// Tells processes that upstreams are silent or heard again, and starts those that have crashed.
   void ProgressSilences();
--- a/src/poison/tests/promptpartplaytests.cpp
+++ b/src/poison/tests/promptpartplaytests.cpp
@@ -205,6 +205,24 @@
   }
 }
 
+// Guards against one process that alone reaches no upstream, and tells all others that these crash
+// by the parts of its calls.
+TEST(prompt_part_play, CutOffProcessGetsNoSoundPartRefusedForLong)
+{
+  setup.poisonShare = 0;
+  leastCrashes = 0;
+  for (const duration cutOff : { 700_ms, 1500_ms, 3000_ms, 8000_ms }) {
+    setup.cutOffTime = cutOff;
+    setup.soundFrom = setup.cutOffFrom + cutOff + kMaxWrongVerdict;
+    for (const std::size_t processes : { 3, 9, 68, 300 }) {
+      setup.processes = processes;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        Check(seed);
+      }
+    }
+  }
+}
+
 // Guards against sound parts that stay refused after an outage in which each request crashed its
 // upstream, whatever it was: once all with a part are refused, none can prove it sound.
 TEST(prompt_part_play, SoundPartsAreServedAgainAfterAnOutage)
