A call that waits for a start is answered at its deadline

What callers would see (found by reading): a gateway that starts keeps calls for up to 1.5 s, also those whose callers wait for less; their final answer came at the end of the start, up to half a second and more after the callers' time.

--- a/src/gateway/heldcalls.h
+++ b/src/gateway/heldcalls.h
@@ -16,6 +16,8 @@
   entry::server_request request;
   std::shared_ptr<entry::responder> responder;
   time_point arrivedAt;
+  /// Time until which the caller waits.
+  time_point deadline;
 };
 
 /// Calls that may wait, and the memory for their bodies. A start takes at most 1.5 s.
@@ -31,10 +33,14 @@
   bool TryAdd(held_call& aCall);
   /// Returns the calls in the order of their arrival and keeps none of them.
   [[nodiscard]] std::vector<held_call> TakeAll();
+  /// Returns the calls whose deadline has come, in the order of their arrival, and keeps the
+  /// others.
+  [[nodiscard]] std::vector<held_call> TakeExpired(time_point aNow);
   [[nodiscard]] std::size_t Count() const { return mCalls.size(); }
 
 private:
   std::vector<held_call> mCalls;
+  /// Size of their bodies.
   std::size_t mBytes = 0;
 };
 
--- a/src/gateway/incomingcallhandler.h
+++ b/src/gateway/incomingcallhandler.h
@@ -28,6 +28,8 @@
   /// Handles the calls that wait for the end of the start; to be called at that end, and when no
   /// new calls are accepted any more.
   void HandleHeld();
+  /// Refuses the calls whose deadline has come while they wait; to be called often during a start.
+  void RefuseExpiredHeld();
 
 private:
   /// Route and customer of an admitted request, or the status and cause of its refusal.
@@ -164,7 +166,12 @@
 incoming_call_handler<Dialect>::Handle(entry::server_request aRequest,
                                        std::shared_ptr<entry::responder> aResponder)
 {
-  held_call call{ std::move(aRequest), std::move(aResponder), mContext.Now() };
+  const time_point now = mContext.Now();
+  held_call call{ std::move(aRequest), std::move(aResponder), now, {} };
+  if (mContext.starting) {
+    const duration timeout = Dialect::ParseCall(call.request).timeout.value_or(kDefaultTimeout);
+    call.deadline = now + std::min(timeout, kMaxCallerTimeout);
+  }
   const bool waits = mContext.starting && !mContext.rejectsNewCalls && mHeld.TryAdd(call);
   if (!waits) {
     Admit(std::move(call));
@@ -180,6 +187,15 @@
   }
 }
 
+template<gateway_dialect Dialect>
+void
+incoming_call_handler<Dialect>::RefuseExpiredHeld()
+{
+  for (held_call& call : mHeld.TakeExpired(mContext.Now())) {
+    Admit(std::move(call));
+  }
+}
+
 template<gateway_dialect Dialect>
 void
 incoming_call_handler<Dialect>::Admit(held_call aCall)
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -255,6 +255,7 @@
     OnInstancesChanged();
   }
   UpdateStart();
+  mCallHandler.RefuseExpiredHeld();
   mAssembly.Reconcile();
   for (const auto& exchange : mExchanges.Snapshot()) {
     exchange->CheckProgress();
--- a/src/gateway/internal/heldcalls.cpp
+++ b/src/gateway/internal/heldcalls.cpp
@@ -1,5 +1,7 @@
 #include "gateway/heldcalls.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace persimmon::gateway {
@@ -23,4 +25,18 @@
   return std::exchange(mCalls, {});
 }
 
+std::vector<held_call>
+held_calls::TakeExpired(time_point aNow)
+{
+  const auto firstExpired = std::stable_partition(
+    mCalls.begin(), mCalls.end(), [aNow](const held_call& aCall) { return aCall.deadline > aNow; });
+  std::vector<held_call> expired(std::make_move_iterator(firstExpired),
+                                 std::make_move_iterator(mCalls.end()));
+  mCalls.erase(firstExpired, mCalls.end());
+  for (const held_call& call : expired) {
+    mBytes -= call.request.body.size();
+  }
+  return expired;
+}
+
 } // namespace persimmon::gateway
--- a/src/gateway/tests/heldcallstests.cpp
+++ b/src/gateway/tests/heldcallstests.cpp
@@ -61,3 +61,24 @@
   CHECK_FALSE(calls.TryAdd(refused));
   STRCMP_EQUAL("body", refused.request.body.c_str());
 }
+
+// Guards against a caller that is answered long after its deadline since the start goes on.
+TEST(held_calls, CallsAreTakenAtTheirDeadlines)
+{
+  const std::vector<int> deadlines{ 300, 1000, 200, 300 };
+  for (const int deadline : deadlines) {
+    held_call call;
+    call.request.path = std::to_string(deadline);
+    call.request.body = std::string(kMaxHeldBytes / deadlines.size(), 'x');
+    call.deadline = time_point{ deadline };
+    CHECK(calls.TryAdd(call));
+  }
+  CHECK(calls.TakeExpired(time_point{ 199 }).empty());
+  const std::vector<held_call> expired = calls.TakeExpired(time_point{ 300 });
+  UNSIGNED_LONGS_EQUAL(3, expired.size());
+  STRCMP_EQUAL("300", expired[0].request.path.c_str());
+  STRCMP_EQUAL("200", expired[1].request.path.c_str());
+  // What they held is free again.
+  CHECK(Add("large", 3 * kMaxHeldBytes / 4));
+  UNSIGNED_LONGS_EQUAL(2, calls.TakeAll().size());
+}
