--- a/src/dispatch/internal/callupstreams.cpp
+++ b/src/dispatch/internal/callupstreams.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/callupstreams.h"
 
+#include "dispatch/internal/instanceids.h"
+
 #include <algorithm>
 
 namespace persimmon::dispatch {
@@ -9,12 +11,6 @@
 /// it.
 constexpr duration kAvoidTime = 600_ms;
 
-bool
-Contains(const std::vector<instance_id>& aIds, const instance_id& aId)
-{
-  return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
-}
-
 } // namespace
 
 void
--- a/src/dispatch/internal/upstreamselector.cpp
+++ b/src/dispatch/internal/upstreamselector.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/upstreamselector.h"
 
 #include "dispatch/internal/groupcost.h"
+#include "dispatch/internal/instanceids.h"
 #include "dispatch/internal/plaincost.h"
 #include "dispatch/waterfilling.h"
 
@@ -12,12 +13,6 @@
 /// Mean age of a load report when it arrives.
 constexpr duration kMeanLoadReportAge = 200_ms;
 
-bool
-Contains(const std::vector<instance_id>& aIds, const instance_id& aId)
-{
-  return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
-}
-
 bool
 IsExcluded(const selection_request& aRequest, const instance_id& aId)
 {
