--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -7,6 +7,7 @@
 #include "dispatch/retrybudget.h"
 #include "settings/settings.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
   log_level lowestLevel = log_level::info;
   /// Settings file that is read again on SIGHUP; empty for none.
   std::string settingsFile;
+  /// Returns the address at which this process reaches the store or an upstream, where it differs
+  /// from the registered one; empty when none does. No setting: set by tests of links.
+  std::function<endpoint(const endpoint&)> addressTranslation;
 };
 
 /// Settings that differ between a running process and its reloaded settings.
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -38,6 +38,9 @@
     return options;
   }())
 {
+  if (mSettings.addressTranslation) {
+    mUpstreamLoop.SetAddressTranslation(mSettings.addressTranslation);
+  }
   if (mSettings.meshListen.Empty()) {
     mUpstreams.Conditions().Limits().Routers().SetAlone();
   }
--- a/src/upstream/internal/upstreamloop.cpp
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -20,6 +20,8 @@
                     [this](CURL* aHandle, CURLcode aCode) { FinishCall(aHandle, aCode); } };
   /// Last id given to a call or timer.
   std::atomic<std::uint64_t> lastId{ 0 };
+  /// Empty when upstreams are reached at the addresses that calls name.
+  std::function<endpoint(const endpoint&)> translation;
 
   explicit implementation(loop::event_loop& aLoop)
     : loop(aLoop)
@@ -89,9 +91,18 @@
   }
 }
 
+void
+upstream_loop::SetAddressTranslation(std::function<endpoint(const endpoint&)> aTranslation)
+{
+  mImplementation->translation = std::move(aTranslation);
+}
+
 call_id
 upstream_loop::Start(upstream_call aCall, call_handlers aHandlers)
 {
+  if (mImplementation->translation) {
+    aCall.address = mImplementation->translation(aCall.address);
+  }
   const call_id id{ ++mImplementation->lastId };
   auto call = std::make_unique<active_call>(id, std::move(aCall), std::move(aHandlers));
   Post([state = mImplementation.get(), shared = std::make_shared<decltype(call)>(std::move(call))] {
--- a/src/upstream/upstreamloop.h
+++ b/src/upstream/upstreamloop.h
@@ -27,6 +27,9 @@
   upstream_loop(const upstream_loop&) = delete;
   upstream_loop& operator=(const upstream_loop&) = delete;
 
+  /// Sets a function that returns the address at which this process reaches an upstream, where it
+  /// differs from the one that calls name. To be set before the first call.
+  void SetAddressTranslation(std::function<endpoint(const endpoint&)> aTranslation);
   /// Starts a call and returns its id.
   call_id Start(upstream_call aCall, call_handlers aHandlers);
   /// Aborts the call and closes its connection. When called on the loop's thread, no handler of the
