A settings file that is being written is no change

What operators would see: a process that reads its settings again from an empty file, so that its peers are gone for a moment.

Cause: a file is emptied before it is filled. The watch takes a text that it has seen twice in a row, and a writer that pauses for longer than its interval shows it the empty text twice. Found as one failure of settings_file_watch.EachChangeOfTheTextIsReportedOnce (2 changes instead of 1) in 1 of 1 run right behind a build; it failed again (1 of 1) when the machine was busy.

Now an empty text is no text, as a file that is away. settings_file_watch.FileThatIsBeingWrittenIsNoChange fails without the change (1 change, none may be) and passes with it.

--- a/src/settings/internal/settingsfilewatch.cpp
+++ b/src/settings/internal/settingsfilewatch.cpp
@@ -55,7 +55,9 @@
   while (!mStopped.wait_for(
     lock, std::chrono::milliseconds(mInterval.ms), [this] { return mStopping; })) {
     auto text = ReadText(mPath);
-    if (text && *text != mText && text == changed) {
+    // A file that is being written is empty at first, for longer when its writer is slow.
+    const bool isWritten = text && !text->empty();
+    if (isWritten && *text != mText && text == changed) {
       mText = std::move(*text);
       mOnChange();
     }
--- a/src/settings/tests/settingsfilewatchtests.cpp
+++ b/src/settings/tests/settingsfilewatchtests.cpp
@@ -79,3 +79,15 @@
   const settings_file_watch watch("", kInterval, [this] { ++changes; });
   ExpectChanges(0);
 }
+
+// Guards against settings that are lost since the writer of their file pauses between emptying and
+// filling it.
+TEST(settings_file_watch, FileThatIsBeingWrittenIsNoChange)
+{
+  Write("a = 1");
+  const settings_file_watch watch(path, kInterval, [this] { ++changes; });
+  Write("");
+  ExpectChanges(0);
+  Write("a = 1");
+  ExpectChanges(0);
+}
