A gateway that is cut off from upstreams reaches them through its peers

Cause: "I can't reach it" was the end of the road: a call that could not connect was refused as no_upstream, and nothing asked whether another gateway reaches the upstream.

Only the connection differs: the gateway that the caller reached keeps the call, with its identity, retry budget, quotas, quarantine and deadlines, and sees through the tunnel what it sees over its own connection. A relay connects itself, never through another one. - paths::path_table decides: an upstream that this process fails to connect to and a peer reaches has a lost path; three of them, and no own connection since, are a cut from all.

--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -184,7 +184,7 @@
                { "outcome", assembly::OrderOutcomeName(outcome) } });
     aController->HandleOrderOutcome(aAction.id, outcome, mContext.Now());
   };
-  mContext.loop.Start(Dialect::BuildOrderCall(aAction.order, target), std::move(handlers));
+  mContext.calls.Start(Dialect::BuildOrderCall(aAction.order, target), std::move(handlers));
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -23,6 +23,7 @@
   /// Number of the attempt within its exchange, never given again.
   std::uint64_t number = 0;
   instance_id upstream;
+  endpoint address;
   /// Incarnation of the upstream to which the call was sent.
   incarnation incarnationId;
   /// The group that its upstream headed when the call was sent; nothing at a plain service.
--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -3,11 +3,11 @@
 #include "dispatch/permitbucket.h"
 #include "dispatch/upstreamselector.h"
 #include "gateway/crashinvestigator.h"
+#include "gateway/upstreamcaller.h"
 #include "metrics/metrics.h"
 #include "poison/poisontracker.h"
 #include "poison/promptparttracker.h"
 #include "poison/requestidentities.h"
-#include "upstream/upstreamloop.h"
 
 #include <functional>
 #include <map>
@@ -45,7 +45,7 @@
 class crash_monitor
 {
 public:
-  crash_monitor(upstream::upstream_loop& aLoop,
+  crash_monitor(upstream_caller& aCalls,
                 dispatch::upstream_selector& aUpstreams,
                 metrics_registry& aMetrics);
 
@@ -125,7 +125,7 @@
   void Conclude(const crash_finding& aFinding);
   void Announce(const poison::suspicion_changes& aChanges, bool aObservedHere) const;
 
-  upstream::upstream_loop& mLoop;
+  upstream_caller& mCalls;
   dispatch::upstream_selector& mUpstreams;
   metrics_registry& mMetrics;
   poison::poison_tracker mTracker;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -83,6 +83,8 @@
   void OnCallerHasRead();
   void ForwardEvents(attempt& aAttempt, std::string_view aData);
   void OnStreamEnded(attempt& aAttempt);
+  /// Returns whether an attempt is silent on a direct path that was lost since it was sent.
+  [[nodiscard]] bool IsPathLost(const attempt& aAttempt) const;
   /// Returns how certain it is that an attempt's group does not continue it; nothing when nothing
   /// speaks against the group.
   [[nodiscard]] std::optional<fleet::fault_evidence> EvidenceAgainst(const attempt& aAttempt) const;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -10,6 +10,7 @@
 #include "gateway/demandmeter.h"
 #include "gateway/statementmonitor.h"
 #include "gateway/unknownheaderlog.h"
+#include "gateway/upstreamcaller.h"
 #include "metrics/metrics.h"
 #include "upstream/upstreamloop.h"
 
@@ -23,6 +24,7 @@
 struct gateway_context
 {
   upstream::upstream_loop& loop;
+  upstream_caller& calls;
   dispatch::upstream_selector& upstreams;
   metrics_registry& metrics;
   crash_monitor& crashes;
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -85,6 +85,18 @@
 constexpr metric_spec kUnknownHeaders{ "persimmon_gateway_unknown_headers_total",
                                        "Headers of upstreams' responses that have no effect since "
                                        "they are not known" };
+constexpr metric_spec kCutOff{ "persimmon_gateway_cut_off",
+                               "1 while this process is cut off from all upstreams" };
+constexpr metric_spec kLostPaths{ "persimmon_gateway_lost_paths",
+                                  "Upstreams that only other gateways reach" };
+constexpr metric_spec kRelayPeers{ "persimmon_gateway_relay_peers",
+                                   "Live gateways through which upstreams may be reached" };
+constexpr metric_spec kUpstreamConnections{ "persimmon_gateway_upstream_connections_total",
+                                            "Connections to upstreams by path" };
+constexpr metric_spec kRelayFailures{ "persimmon_gateway_relay_failures_total",
+                                      "Tunnels that other gateways did not open, by status" };
+constexpr metric_spec kTunnels{ "persimmon_gateway_tunnels",
+                                "Connections of other gateways that this process passes on" };
 constexpr metric_spec kPeers{ "persimmon_gateway_peers", "Live gateways, this one included" };
 constexpr metric_spec kLinkedPeers{ "persimmon_gateway_linked_peers",
                                     "Gateways that this process has an open link to" };
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -13,6 +13,8 @@
 #include "gateway/storewatch.h"
 #include "gateway/suspicionstore.h"
 #include "loop/eventloop.h"
+#include "relay/relaycredentials.h"
+#include "relay/relayserver.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -20,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -48,7 +51,11 @@
 private:
   using store = typename Dialect::store;
 
+  static relay::relay_options RelayOptions(const gateway_settings& aSettings);
   bool StartListening();
+  /// Starts to pass on bytes of gateways that are cut off, when the settings say where.
+  bool StartRelay();
+  [[nodiscard]] relay::relay_verdict VerdictOnTunnel(const endpoint& aUpstream) const;
   void StartWatches();
   void HandleReadinessRequest(entry::responder& aResponder);
   /// Returns whether a configuration and instances are known.
@@ -58,6 +65,8 @@
   /// Reads everything again when the store has come back from an older copy.
   void OnStoreEra(std::optional<platform::store_era> aFormer, platform::store_era aPresent);
   void OnInstancesChanged();
+  /// Tells mCalls which upstreams and relays there are.
+  void UpdatePaths();
   void OnMeshMessage(const peers::mesh_message& aMessage);
   void OnPresenceMessage(const peers::presence_message& aPresence);
   /// Marks a group as broken; aPublish also reports it to the mesh and the assemblers.
@@ -87,12 +96,21 @@
   loop::event_loop mLoop;
   upstream::upstream_loop mUpstreamLoop{ mLoop };
   dispatch::upstream_selector mUpstreams{ mSettings.zone, mSettings.id };
-  crash_monitor mCrashes{ mUpstreamLoop, mUpstreams, mMetrics };
+  upstream_caller mCalls{ mUpstreamLoop,
+                          mMetrics,
+                          mSettings.zone,
+                          relay::RelayCredentials(mSettings.meshKey) };
+  relay::relay_server mRelay{ mLoop, RelayOptions(mSettings) };
+  crash_monitor mCrashes{ mCalls, mUpstreams, mMetrics };
   statement_monitor mStatements{ mUpstreams, mMetrics };
-  gateway_context mContext{
-    mUpstreamLoop,        mUpstreams, mMetrics, mCrashes, mStatements, random_source(EntropySeed()),
-    mSettings.retryLimits
-  };
+  gateway_context mContext{ mUpstreamLoop,
+                            mCalls,
+                            mUpstreams,
+                            mMetrics,
+                            mCrashes,
+                            mStatements,
+                            random_source(EntropySeed()),
+                            mSettings.retryLimits };
   exchange_registry mExchanges;
   incoming_call_handler<Dialect> mCallHandler{ mContext, mExchanges };
   store mStore{ mUpstreamLoop, mSettings.store };
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -27,6 +27,9 @@
   endpoint metricsListen;
   /// Address for other gateways of the mesh; empty for no mesh.
   endpoint meshListen;
+  /// Address at which this process passes on bytes of gateways that are cut off from upstreams;
+  /// empty to pass nothing on.
+  endpoint relayListen;
   /// Mesh addresses of other gateways.
   std::vector<endpoint> peers;
   /// Key that all members of the mesh share.
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -47,10 +47,10 @@
 
 } // namespace
 
-crash_monitor::crash_monitor(upstream::upstream_loop& aLoop,
+crash_monitor::crash_monitor(upstream_caller& aCalls,
                              dispatch::upstream_selector& aUpstreams,
                              metrics_registry& aMetrics)
-  : mLoop(aLoop)
+  : mCalls(aCalls)
   , mUpstreams(aUpstreams)
   , mMetrics(aMetrics)
 {
@@ -253,7 +253,7 @@
       Conclude(*finding);
     }
   };
-  mLoop.Start(std::move(call), std::move(handlers));
+  mCalls.Start(std::move(call), std::move(handlers));
 }
 
 void
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -110,7 +110,7 @@
   LogSend(aAction, target);
   attempt& added = AddAttempt(target, instance->incarnationId, now);
   added.call =
-    mContext.loop.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
+    mContext.calls.Start(Dialect::BuildUpstreamCall(mRequest, mCall, target), MakeHandlers(added));
 }
 
 template<gateway_dialect Dialect>
@@ -166,6 +166,7 @@
   auto added = std::make_unique<attempt>();
   added->number = ++mLastAttemptNumber;
   added->upstream = aTarget.instance;
+  added->address = aTarget.address;
   added->incarnationId = aIncarnation;
   added->startedAt = aNow;
   added->lastReceivedAt = aNow;
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -72,7 +72,7 @@
   if (!aAttempt.lossReported) {
     mContext.crashes.Ended(aAttempt.monitored);
   }
-  mContext.loop.Cancel(aAttempt.call);
+  mContext.calls.Cancel(aAttempt.call);
   if (mPausedCall == aAttempt.call) {
     mPausedCall.reset();
   }
@@ -140,10 +140,25 @@
   }
 }
 
+template<gateway_dialect Dialect>
+bool
+exchange<Dialect>::IsPathLost(const attempt& aAttempt) const
+{
+  // What was sent over a direct connection may still be answered over it.
+  const duration patience = aAttempt.hasReceivedEvent ? exchange_limits::kMaxEventSilence
+                                                      : exchange_limits::kMaxFirstEventWait;
+  return mContext.calls.PathOf(aAttempt.call) == paths::path_kind::direct &&
+         mContext.calls.DirectLostAt(aAttempt.address) &&
+         mContext.Now() - aAttempt.lastReceivedAt > patience;
+}
+
 template<gateway_dialect Dialect>
 std::optional<fleet::fault_evidence>
 exchange<Dialect>::EvidenceAgainst(const attempt& aAttempt) const
 {
+  if (IsPathLost(aAttempt)) {
+    return fleet::fault_evidence::silence;
+  }
   if (!aAttempt.group) {
     return std::nullopt;
   }
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -113,7 +113,7 @@
   mResponder->Write(aEvents);
   if (!mPausedCall && mResponder->PendingBytes() > exchange_limits::kMaxUnreadBytes) {
     mPausedCall = aAttempt.call;
-    mContext.loop.Pause(aAttempt.call);
+    mContext.calls.Pause(aAttempt.call);
   }
 }
 
@@ -124,7 +124,7 @@
   if (mEnded || !mPausedCall) {
     return;
   }
-  mContext.loop.Resume(*mPausedCall);
+  mContext.calls.Resume(*mPausedCall);
   mPausedCall.reset();
   for (const attempt_ptr& current : mAttempts) {
     current->lastReceivedAt = mContext.Now();
@@ -178,9 +178,12 @@
   const time_point now = mContext.Now();
   aAttempt.failureDetail = aOutcome.detail;
   if (aOutcome.end == upstream::call_end::not_sent) {
-    mContext.upstreams.Stats().AvoidUntil(aAttempt.upstream,
-                                          now + exchange_limits::kUnreachableAvoidance);
-    mContext.upstreams.Stats().RecordOutcome(aAttempt.upstream, false, now);
+    // An upstream that only this process does not reach is none to avoid: a peer reaches it.
+    if (!mContext.calls.DirectLostAt(aAttempt.address)) {
+      mContext.upstreams.Stats().AvoidUntil(aAttempt.upstream,
+                                            now + exchange_limits::kUnreachableAvoidance);
+      mContext.upstreams.Stats().RecordOutcome(aAttempt.upstream, false, now);
+    }
     mContext.onUpstreamStalled(aAttempt.upstream);
     Execute(mStateMachine.OnNotSent(EndAttempt(aAttempt, "not_sent"), now));
     return;
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -84,6 +84,10 @@
     // Not at once: a response of an exchange may be the cause, which this call would change.
     mUpstreamLoop.Post([this] { OnInstancesChanged(); });
   };
+  mCalls.onCutOffChanged = [this] {
+    // Not at once: a handler of an exchange's call may be the cause.
+    mUpstreamLoop.Post([this] { OnInstancesChanged(); });
+  };
   mMesh.SetStartHandler([this] {
     mMeshStartedAt = mContext.Now();
     UpdateStart();
@@ -134,11 +138,49 @@
          (mSettings.metricsListen.Empty() || listen(mSettings.metricsListen, onMetrics));
 }
 
+template<gateway_dialect Dialect>
+relay::relay_options
+gateway_process<Dialect>::RelayOptions(const gateway_settings& aSettings)
+{
+  relay::relay_options options;
+  options.listen = aSettings.relayListen;
+  options.credentials = relay::RelayCredentials(aSettings.meshKey);
+  return options;
+}
+
+template<gateway_dialect Dialect>
+relay::relay_verdict
+gateway_process<Dialect>::VerdictOnTunnel(const endpoint& aUpstream) const
+{
+  if (mContext.stopping || mCalls.IsCutOff()) {
+    return relay::relay_verdict::unavailable;
+  }
+  const bool hasPath = mCalls.IsUpstream(aUpstream) && !mCalls.DirectLostAt(aUpstream);
+  return hasPath ? relay::relay_verdict::accepted : relay::relay_verdict::no_path;
+}
+
+template<gateway_dialect Dialect>
+bool
+gateway_process<Dialect>::StartRelay()
+{
+  if (mSettings.relayListen.Empty()) {
+    return true;
+  }
+  mRelay.onRequest = [this](const endpoint& aUpstream) { return VerdictOnTunnel(aUpstream); };
+  mRelay.onConnected = [this](const endpoint& aUpstream) { mCalls.OnDirectConnected(aUpstream); };
+  mRelay.addressTranslation = mSettings.addressTranslation;
+  if (RunOnLoop([this] { return mRelay.Start(); })) {
+    return true;
+  }
+  mReason = mRelay.LastReason();
+  return false;
+}
+
 template<gateway_dialect Dialect>
 bool
 gateway_process<Dialect>::Start()
 {
-  if (!StartListening()) {
+  if (!StartListening() || !StartRelay()) {
     return false;
   }
   if (!mMesh.Start()) {
@@ -243,6 +285,7 @@
     return;
   }
   mContext.starting = false;
+  UpdatePaths();
   for (const auto& [name, change] : std::exchange(mUnpublished, {})) {
     mMesh.Publish(change);
   }
@@ -254,6 +297,7 @@
 gateway_process<Dialect>::OnFastTick()
 {
   mCrashes.OnFastTick();
+  mCalls.OnFastTick();
   if (mInstances.TakeChangedFlag()) {
     OnInstancesChanged();
   }
@@ -277,6 +321,7 @@
   const dispatch::live_routers& gateways = mUpstreams.Conditions().Limits().Routers();
   mContext.gatewayCount = gateways.HasSettled(now) ? std::optional(gateways.Count()) : std::nullopt;
   mUpstreams.SetRouterCount(liveGateways.size());
+  UpdatePaths();
   mProber.RecheckBrokenGroups();
   // The gateway that forms the groups needs changes of the instances soonest.
   const duration batchDelay = BatchDelay(liveGateways.size(), mSettings.leaveNotice);
@@ -297,6 +342,8 @@
   mMetrics.Set(kGroups,
                static_cast<double>(mUpstreams.AvailableGroups(now).size()),
                { { "state", "serving" } });
+  mCalls.SetGauges();
+  mMetrics.Set(kTunnels, static_cast<double>(mRelay.TunnelCount()));
   mMetrics.Set(kStoreAge, MetricSeconds(now - mInstances.LastResponseAt()));
   mMetrics.Set(kConfigurationAge, MetricSeconds(now - mConfigWatch->LastResponseAt()));
   const std::vector<duration> ages = mMesh.PeerFrameAges();
@@ -325,7 +372,7 @@
     return 0;
   });
   while (steady_clock().Now() < drainDeadline &&
-         RunOnLoop([this] { return mExchanges.Count(); }) > 0) {
+         RunOnLoop([this] { return mExchanges.Count() + mRelay.TunnelCount(); }) > 0) {
     sleep(process_limits::kDrainPollInterval);
   }
   RunOnLoop([this] {
@@ -371,6 +418,7 @@
     mConfigWatch->Stop();
     mInstances.Stop();
     mSuspicions.Stop();
+    mRelay.Stop();
     return 0;
   });
   mMesh.Stop();
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -77,6 +77,18 @@
   mSuspicions.Restart(pause());
 }
 
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::UpdatePaths()
+{
+  std::set<endpoint> addresses;
+  for (const auto& [id, instance] : mUpstreams.Fleet().Instances()) {
+    addresses.insert(instance.address);
+  }
+  mCalls.SetUpstreams(std::move(addresses));
+  mCalls.SetPeers(mMesh.RelayPeers());
+}
+
 template<gateway_dialect Dialect>
 void
 gateway_process<Dialect>::OnInstancesChanged()
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -30,6 +30,8 @@
   aSettings.AddRequired("store", "address of the platform's store, ip:port");
   aSettings.Add("metrics-listen", "", "address for metrics, ip:port");
   aSettings.Add("mesh-listen", "", "address for other gateways, ip:port");
+  aSettings.Add(
+    "relay-listen", "", "address for gateways that do not reach upstreams themselves, ip:port");
   aSettings.Add("peers", "", "mesh addresses of other gateways, ip:port, between commas");
   aSettings.Add("mesh-key", "", "key that all members of the mesh share");
   aSettings.Add("grace-ms", "8000", "time from the signal to stop until the process is killed");
@@ -61,6 +63,7 @@
     compared_setting{ "readiness-listen", aRunning.readinessListen == aReloaded.readinessListen },
     compared_setting{ "metrics-listen", aRunning.metricsListen == aReloaded.metricsListen },
     compared_setting{ "mesh-listen", aRunning.meshListen == aReloaded.meshListen },
+    compared_setting{ "relay-listen", aRunning.relayListen == aReloaded.relayListen },
     compared_setting{ "mesh-key", aRunning.meshKey == aReloaded.meshKey },
     compared_setting{ "store", aRunning.store == aReloaded.store },
     compared_setting{ "grace-ms", aRunning.gracePeriod == aReloaded.gracePeriod },
@@ -93,6 +96,7 @@
   result.store.value = aSettings.Text("store");
   result.metricsListen.value = aSettings.Text("metrics-listen");
   result.meshListen.value = aSettings.Text("mesh-listen");
+  result.relayListen.value = aSettings.Text("relay-listen");
   for (std::string& peer : aSettings.List("peers")) {
     result.peers.push_back({ std::move(peer) });
   }
--- a/src/gateway/internal/meshlink.cpp
+++ b/src/gateway/internal/meshlink.cpp
@@ -17,6 +17,7 @@
   peers::mesh_node_settings settings;
   settings.self = aSettings.id;
   settings.zone = aSettings.zone;
+  settings.relay = aSettings.relayListen;
   settings.listen = aSettings.meshListen;
   settings.seeds = aSettings.peers;
   settings.key = aSettings.meshKey;
@@ -135,6 +136,23 @@
   return live.empty() ? std::vector<router_id>{ mImplementation->self } : live;
 }
 
+std::vector<paths::relay_peer>
+mesh_link::RelayPeers() const
+{
+  std::vector<paths::relay_peer> relays;
+  if (!mImplementation->node) {
+    return relays;
+  }
+  for (const peers::member& member : mImplementation->node->Status().members) {
+    const bool isLivePeer =
+      member.state == peers::member_state::alive && member.id != mImplementation->self;
+    if (isLivePeer && !member.relay.Empty()) {
+      relays.push_back({ member.id, member.zone, member.relay });
+    }
+  }
+  return relays;
+}
+
 std::vector<duration>
 mesh_link::PeerFrameAges() const
 {
--- a/src/gateway/meshlink.h
+++ b/src/gateway/meshlink.h
@@ -4,6 +4,7 @@
 #include "gateway/gatewaysettings.h"
 #include "loop/eventloop.h"
 #include "metrics/metrics.h"
+#include "paths/relaypeers.h"
 #include "peers/messages.h"
 
 #include <functional>
@@ -43,6 +44,8 @@
   void SetStoreAge(bool aNeverRestored);
   /// Returns the live gateways, including this one.
   [[nodiscard]] std::vector<router_id> LiveGateways() const;
+  /// Returns the other live gateways that pass bytes on to upstreams.
+  [[nodiscard]] std::vector<paths::relay_peer> RelayPeers() const;
   /// Returns the time since each linked peer last sent a frame; empty without a mesh.
   [[nodiscard]] std::vector<duration> PeerFrameAges() const;
   /// Reason for which Start() failed.
--- a/src/gateway/reportrequest.h
+++ b/src/gateway/reportrequest.h
@@ -77,7 +77,7 @@
       }
       done({ std::move(report), fleet::report_failure::invalid });
     };
-  aContext.loop.Start(Dialect::BuildReportCall(target), std::move(handlers));
+  aContext.calls.Start(Dialect::BuildReportCall(target), std::move(handlers));
 }
 
 } // namespace persimmon::gateway
--- a/src/gateway/tests/crashmonitortests.cpp
+++ b/src/gateway/tests/crashmonitortests.cpp
@@ -21,7 +21,8 @@
   upstream::upstream_loop loop;
   dispatch::selector_fixture fixture;
   metrics_registry metrics;
-  crash_monitor monitor{ loop, fixture.selector, metrics };
+  upstream_caller calls{ loop, metrics, {}, "" };
+  crash_monitor monitor{ calls, fixture.selector, metrics };
   poison::suspicion_changes told;
 
   void setup() override
--- /dev/null
+++ b/src/paths/internal/pathtable.cpp
@@ -0,0 +1,169 @@
+#include "paths/pathtable.h"
+
+#include <algorithm>
+
+namespace persimmon::paths {
+namespace {
+
+/// Upstreams with a lost path from which a cut of all is concluded, or all when there are fewer.
+constexpr std::size_t kLostForCutOff = 3;
+/// Time between two questions to peers about one upstream.
+constexpr duration kRelayCheckInterval = 300_ms;
+/// Direct connections that are tried at a time, on lost paths and on others: a connection takes a
+/// slot of an upstream for a moment.
+constexpr std::size_t kLostChecks = 8;
+constexpr std::size_t kSoundChecks = 16;
+/// Lost paths from which the others are tried, too.
+constexpr std::size_t kLostForSurvey = 2;
+
+} // namespace
+
+void
+path_table::OnDirectConnected(const endpoint& aUpstream, time_point aNow)
+{
+  mLastDirectAt = aNow;
+  mFailed.erase(aUpstream);
+  mCutOffSince.reset();
+}
+
+void
+path_table::OnDirectFailed(const endpoint& aUpstream, time_point aStartedAt)
+{
+  failed_path added;
+  added.firstFailedAt = aStartedAt;
+  mFailed.try_emplace(aUpstream, added);
+}
+
+void
+path_table::OnRelayConnected(const endpoint& aUpstream, time_point)
+{
+  const auto found = mFailed.find(aUpstream);
+  if (found != mFailed.end() && !found->second.isRelayed) {
+    found->second.isRelayed = true;
+    UpdateCutOff();
+  }
+}
+
+void
+path_table::OnRelayFailed(const endpoint& aUpstream)
+{
+  const auto found = mFailed.find(aUpstream);
+  if (found != mFailed.end()) {
+    found->second.isRelayed = false;
+  }
+}
+
+void
+path_table::UpdateCutOff()
+{
+  if (mCutOffSince) {
+    return;
+  }
+  std::size_t lost = 0;
+  std::optional<time_point> since;
+  for (const auto& [upstream, path] : mFailed) {
+    if (path.isRelayed && (!mLastDirectAt || path.firstFailedAt >= *mLastDirectAt)) {
+      ++lost;
+      since = std::min(since.value_or(path.firstFailedAt), path.firstFailedAt);
+    }
+  }
+  if (lost > 0 && lost >= std::min(kLostForCutOff, std::max<std::size_t>(mUpstreams.size(), 1))) {
+    mCutOffSince = since;
+  }
+}
+
+path_kind
+path_table::PathTo(const endpoint& aUpstream) const
+{
+  return DirectLostAt(aUpstream) ? path_kind::relayed : path_kind::direct;
+}
+
+std::optional<time_point>
+path_table::DirectLostAt(const endpoint& aUpstream) const
+{
+  if (mCutOffSince) {
+    return mCutOffSince;
+  }
+  const auto found = mFailed.find(aUpstream);
+  if (found == mFailed.end() || !found->second.isRelayed) {
+    return std::nullopt;
+  }
+  return found->second.firstFailedAt;
+}
+
+std::size_t
+path_table::LostCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mFailed.begin(), mFailed.end(), [](const auto& aPath) { return aPath.second.isRelayed; }));
+}
+
+bool
+path_table::TakeRelayCheck(const endpoint& aUpstream, time_point aNow)
+{
+  const auto found = mFailed.find(aUpstream);
+  if (found == mFailed.end() || found->second.isRelayed ||
+      aNow - found->second.relayCheckedAt < kRelayCheckInterval) {
+    return false;
+  }
+  found->second.relayCheckedAt = aNow;
+  return true;
+}
+
+std::vector<endpoint>
+path_table::LostPaths() const
+{
+  std::vector<std::pair<time_point, endpoint>> lost;
+  for (const auto& [upstream, path] : mFailed) {
+    if (path.isRelayed) {
+      lost.emplace_back(path.directCheckedAt, upstream);
+    }
+  }
+  std::sort(lost.begin(), lost.end());
+  std::vector<endpoint> upstreams;
+  for (auto& [checkedAt, upstream] : lost) {
+    upstreams.push_back(std::move(upstream));
+  }
+  return upstreams;
+}
+
+void
+path_table::AddSoundPaths(std::vector<endpoint>& aChecks)
+{
+  for (std::size_t i = 0; i < std::min(kSoundChecks, mUpstreams.size()); ++i) {
+    auto next = mUpstreams.upper_bound(mLastChecked);
+    next = next == mUpstreams.end() ? mUpstreams.begin() : next;
+    mLastChecked = *next;
+    if (!mFailed.contains(*next)) {
+      aChecks.push_back(*next);
+    }
+  }
+}
+
+std::vector<endpoint>
+path_table::TakeDirectChecks(time_point aNow)
+{
+  std::vector<endpoint> checks = LostPaths();
+  const bool areSeveralLost = checks.size() >= kLostForSurvey;
+  checks.resize(std::min(checks.size(), kLostChecks));
+  for (const endpoint& upstream : checks) {
+    mFailed.at(upstream).directCheckedAt = aNow;
+  }
+  if (areSeveralLost && !mCutOffSince) {
+    AddSoundPaths(checks);
+  }
+  return checks;
+}
+
+void
+path_table::SetUpstreams(std::set<endpoint> aUpstreams)
+{
+  mUpstreams = std::move(aUpstreams);
+  std::erase_if(mFailed, [this](const auto& aPath) { return !IsUpstream(aPath.first); });
+  // Without an upstream whose direct path can be tried, nothing could end the cut.
+  if (LostCount() == 0) {
+    mCutOffSince.reset();
+  }
+}
+
+} // namespace persimmon::paths
--- a/src/peers/internal/meshcorelinks.cpp
+++ b/src/peers/internal/meshcorelinks.cpp
@@ -32,7 +32,8 @@
            aOptions.leaf ? member_state::dead : member_state::alive,
            aOptions.address,
            aOptions.zone,
-           aNow };
+           aNow,
+           aOptions.relay };
 }
 
 } // namespace
--- a/src/peers/internal/meshnode.cpp
+++ b/src/peers/internal/meshnode.cpp
@@ -147,6 +147,7 @@
   options.startedAtMs = static_cast<std::uint64_t>(wall_clock{}.Now().ms);
   options.address = address;
   options.zone = settings.zone;
+  options.relay = settings.relay;
   options.leaf = settings.leaf;
   options.pullDelay = settings.pullDelay;
   options.seeds = settings.seeds;
--- a/src/peers/internal/recordcodec.cpp
+++ b/src/peers/internal/recordcodec.cpp
@@ -326,7 +326,8 @@
              self.refutationNumber,
              self.zone.value,
              self.address.value,
-             aRecord.leaf ? 1ULL : 0ULL } };
+             aRecord.leaf ? 1ULL : 0ULL,
+             self.relay.value } };
 }
 
 wire_record
@@ -338,7 +339,8 @@
              aRecord.refutationNumber,
              static_cast<std::uint64_t>(aRecord.state),
              mWriter.Intern(aRecord.zone.value, aFrame),
-             mWriter.Intern(aRecord.address.value, aFrame) } };
+             mWriter.Intern(aRecord.address.value, aFrame),
+             mWriter.Intern(aRecord.relay.value, aFrame) } };
 }
 
 wire_record
@@ -391,6 +393,8 @@
   parsed.self.zone = { fields.Text(kMaxNameBytes) };
   parsed.self.address = { fields.Text(kMaxNameBytes) };
   parsed.leaf = fields.Number() != 0;
+  // Routers of an older version do not send this field.
+  parsed.self.relay = { fields.HasMore() ? fields.Text(kMaxNameBytes) : std::string() };
   if (parsed.self.id.Empty()) {
     return std::nullopt;
   }
@@ -409,6 +413,8 @@
     static_cast<member_state>(fields.Number(static_cast<std::uint64_t>(member_state::dead)));
   parsed.zone = { fields.NameOrEmpty() };
   parsed.address = { fields.NameOrEmpty() };
+  // Routers of an older version do not send this field.
+  parsed.relay = { fields.HasMore() ? fields.NameOrEmpty() : std::string() };
   return IfValid(fields, parsed);
 }
 
--- a/src/peers/member.h
+++ b/src/peers/member.h
@@ -31,6 +31,8 @@
   zone_name zone;
   /// Time at which this process recorded the state, on its own clock.
   time_point stateChangedAt;
+  /// Address at which the router passes bytes on to upstreams; empty when it does not.
+  endpoint relay{};
 
   bool operator==(const member&) const = default;
 };
--- a/src/peers/meshnode.h
+++ b/src/peers/meshnode.h
@@ -29,6 +29,8 @@
   /// Time that the store's watch has to deliver a version that a peer announced before the version
   /// is requested from a peer.
   duration pullDelay = mesh_options{}.pullDelay;
+  /// Address at which this process passes bytes on to upstreams; empty when it does not.
+  endpoint relay{};
 };
 
 /// Connects a process to the mesh: runs a mesh_core on its own thread over websocketpp. All
--- a/src/peers/meshoptions.h
+++ b/src/peers/meshoptions.h
@@ -18,6 +18,8 @@
   /// Address at which other processes reach this router; empty for a leaf.
   endpoint address;
   zone_name zone;
+  /// Address at which this router passes bytes on to upstreams; empty when it does not.
+  endpoint relay{};
   /// True for a placer, which links only to its seeds and is not a member.
   bool leaf = false;
   /// Addresses of routers from the settings.
--- a/src/upstream/calloutcome.h
+++ b/src/upstream/calloutcome.h
@@ -21,6 +21,8 @@
   call_end end = call_end::whole;
   /// With not_sent: the host refused the connection because nothing listens on the port.
   bool refused = false;
+  /// Status with which the relay answered the request for a tunnel; 0 when there was none.
+  int relayStatus = 0;
   /// Error text for logs; empty on success.
   std::string detail;
 };
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -77,6 +77,7 @@
   curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_NOPROXY, "");
   curl_easy_setopt(handle, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBufferBytes);
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(mCall.connectTimeout.ms));
@@ -102,6 +103,25 @@
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
+  if (mCall.tunnel) {
+    SetTunnelOptions();
+  }
+}
+
+void
+active_call::SetTunnelOptions()
+{
+  CURL* handle = mHandle.get();
+  curl_slist* list = nullptr;
+  list = curl_slist_append(list, ("Proxy-Authorization: " + mCall.tunnel->credentials).c_str());
+  list = curl_slist_append(list, "Proxy-Connection:");
+  mTunnelHeaders.reset(list);
+  curl_easy_setopt(handle, CURLOPT_PROXY, ("http://" + mCall.tunnel->relay.value).c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPPROXYTUNNEL, 1L);
+  curl_easy_setopt(handle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+  // The request's own headers are for the upstream alone.
+  curl_easy_setopt(handle, CURLOPT_HEADEROPT, static_cast<long>(CURLHEADER_SEPARATE));
+  curl_easy_setopt(handle, CURLOPT_PROXYHEADER, mTunnelHeaders.get());
 }
 
 int
@@ -135,6 +155,9 @@
   // the resend is aborted.
   const bool isResend = self.mRequestStarted;
   self.mRequestStarted = true;
+  if (!isResend && !self.mHandlersSuppressed && self.mHandlers.onConnected) {
+    self.mHandlers.onConnected();
+  }
   return isResend ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
@@ -197,13 +220,16 @@
     return {};
   }
   // CURLINFO_REQUEST_SIZE counts the bytes of all attempts, including a resend over a second
-  // connection.
+  // connection, and the request for a tunnel.
   long sent = 0;
   curl_easy_getinfo(mHandle.get(), CURLINFO_REQUEST_SIZE, &sent);
   long error = 0;
   curl_easy_getinfo(mHandle.get(), CURLINFO_OS_ERRNO, &error);
-  return { sent > 0 ? call_end::maybe_sent : call_end::not_sent,
+  long relayStatus = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_HTTP_CONNECTCODE, &relayStatus);
+  return { mRequestStarted && sent > 0 ? call_end::maybe_sent : call_end::not_sent,
            error == ECONNREFUSED,
+           static_cast<int>(relayStatus),
            curl_easy_strerror(aCode) };
 }
 
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -43,6 +43,7 @@
   static int OnSocket(void*, curl_socket_t aSocket, curlsocktype);
   static int OnSend(void* aSelf, char*, char*, int, int);
   void SetOptions();
+  void SetTunnelOptions();
   void BuildHeaders();
   void ReadHeaderLine(std::string_view aLine);
   [[nodiscard]] call_outcome MakeOutcome(CURLcode aCode) const;
@@ -52,6 +53,8 @@
   call_handlers mHandlers;
   std::string mUrl;
   std::unique_ptr<curl_slist, curl_list_closer> mHeaders;
+  /// Headers of the request for a tunnel.
+  std::unique_ptr<curl_slist, curl_list_closer> mTunnelHeaders;
   std::unique_ptr<CURL, curl_handle_closer> mHandle;
   response_head mHead;
   std::size_t mHeadBytes = 0;
--- a/src/upstream/internal/upstreamloop.cpp
+++ b/src/upstream/internal/upstreamloop.cpp
@@ -100,7 +100,8 @@
 call_id
 upstream_loop::Start(upstream_call aCall, call_handlers aHandlers)
 {
-  if (mImplementation->translation) {
+  // A relay reaches the upstream by addresses of its own.
+  if (mImplementation->translation && !aCall.tunnel) {
     aCall.address = mImplementation->translation(aCall.address);
   }
   const call_id id{ ++mImplementation->lastId };
--- a/src/upstream/tests/mocks/rawserver.h
+++ b/src/upstream/tests/mocks/rawserver.h
@@ -16,6 +16,8 @@
 {
   keep,
   close,
+  /// Resets the connection.
+  reset,
   /// Stops listening, then closes.
   stop_listening
 };
@@ -107,6 +109,11 @@
     if (response.end == raw_end::stop_listening) {
       mAcceptor.close(ignored);
     }
+    if (response.end == raw_end::reset) {
+      // The destructor would end the connection in order.
+      aConnection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      aConnection->socket.close(ignored);
+    }
     if (response.end == raw_end::keep) {
       Read(aConnection);
     }
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -5,6 +5,7 @@
 #include "upstream/upstreamheader.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,14 @@
 /// maybe_sent. Usual heads have less than a kilobyte.
 constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
 
+/// A relay through which a connection is opened.
+struct call_tunnel
+{
+  endpoint relay;
+  /// Value of Proxy-Authorization.
+  std::string credentials;
+};
+
 /// An HTTP request to an upstream, with its connection options.
 struct upstream_call
 {
@@ -37,6 +46,9 @@
   /// Only connects, without sending a request. The call ends as `whole` when the connection is
   /// established.
   bool connectOnly = false;
+  /// The relay that passes the bytes on; nothing for a connection of this process's own. The call
+  /// must use a fresh connection.
+  std::optional<call_tunnel> tunnel;
 };
 
 } // namespace persimmon::upstream
--- a/src/upstream/upstreamloop.h
+++ b/src/upstream/upstreamloop.h
@@ -13,8 +13,8 @@
 namespace persimmon::upstream {
 
 /// Executes concurrent HTTP calls with libcurl's multi interface on an event loop. All functions
-/// are thread-safe; all handlers run on the loop's thread. Redirects are not followed and proxies
-/// are not used.
+/// are thread-safe; all handlers run on the loop's thread. Redirects are not followed, and proxies
+/// are not used but for the tunnels that calls name.
 class upstream_loop
 {
 public:
