Plays of cuts without network, and tests of what comes beside a cut; peers are found soon

upstream_caller is a template of its loop and clock, so that tests/mocks/cutplay plays the code itself at 3, 9, 68 and 300 gateways in simulated time: one, a third, two thirds, all but one cut off, hanging or refusing; some upstreams only; a path that comes and goes; relays that end, of which the others hear 1.5 s later; all upstreams away.

What it found, each seen as a failed play before: - equal peers were not taken equally often: the last ones in order got nearly all (300 gateways, a third cut off: 11 of 1,405 first attempts served). relay_peers.EqualPeersAreTakenEquallyOften. - with 299 of 300 cut off, the only sound one was not found in time (1,446 of 3,264): a peer that failed comes last for 5 s, the one that failed first is tried first, and a peer that may be cut off itself says so at once instead of letting others wait. - two questions about one upstream could go to the same peer.

--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -99,7 +99,8 @@
   upstream_caller mCalls{ mUpstreamLoop,
                           mMetrics,
                           mSettings.zone,
-                          relay::RelayCredentials(mSettings.meshKey) };
+                          relay::RelayCredentials(mSettings.meshKey),
+                          EntropySeed() };
   relay::relay_server mRelay{ mLoop, RelayOptions(mSettings) };
   crash_monitor mCrashes{ mCalls, mUpstreams, mMetrics };
   statement_monitor mStatements{ mUpstreams, mMetrics };
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -152,7 +152,7 @@
 relay::relay_verdict
 gateway_process<Dialect>::VerdictOnTunnel(const endpoint& aUpstream) const
 {
-  if (mContext.stopping || mCalls.IsCutOff()) {
+  if (mContext.stopping || !mCalls.MayRelay()) {
     return relay::relay_verdict::unavailable;
   }
   const bool hasPath = mCalls.IsUpstream(aUpstream) && !mCalls.DirectLostAt(aUpstream);
--- a/src/gateway/upstreamcaller.h
+++ b/src/gateway/upstreamcaller.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/random.h"
 #include "metrics/metrics.h"
 #include "paths/pathtable.h"
 #include "paths/relaypeers.h"
 #include "upstream/upstreamloop.h"
 
+#include <concepts>
 #include <functional>
 #include <set>
 #include <string>
@@ -14,18 +16,44 @@
 
 namespace persimmon::gateway {
 
+/// Executes calls, as upstream::upstream_loop does.
+template<typename L>
+concept call_loop = requires(L& aLoop,
+                             upstream::upstream_call aCall,
+                             upstream::call_handlers aHandlers,
+                             upstream::call_id aId)
+{
+  {
+    aLoop.Start(aCall, aHandlers)
+    } -> std::same_as<upstream::call_id>;
+  aLoop.Cancel(aId);
+  aLoop.Pause(aId);
+  aLoop.Resume(aId);
+};
+
 /// Opens the connections of all calls to upstreams, directly or through the relay of a peer. A call
 /// is sent a second time only when no byte of it can have left, so that a relayed call keeps the
 /// promises of a direct one: `not_sent` says that neither this process nor the peers that were
 /// asked reached the upstream. For use on the event loop's thread only.
-class upstream_caller
+template<call_loop Loop, clock_source Clock>
+class basic_upstream_caller
 {
 public:
   /// aCredentials are those that relays ask for.
-  upstream_caller(upstream::upstream_loop& aLoop,
-                  metrics_registry& aMetrics,
-                  zone_name aZone,
-                  std::string aCredentials);
+  basic_upstream_caller(Loop& aLoop,
+                        metrics_registry& aMetrics,
+                        zone_name aZone,
+                        std::string aCredentials,
+                        std::uint64_t aSeed,
+                        Clock aClock = {})
+    : mLoop(aLoop)
+    , mMetrics(aMetrics)
+    , mCredentials(std::move(aCredentials))
+    , mPeers(std::move(aZone))
+    , mRandom(aSeed)
+    , mClock(std::move(aClock))
+  {
+  }
 
   /// Called when this process finds that it is cut off from all upstreams, or no longer is.
   std::function<void()> onCutOffChanged;
@@ -45,6 +73,9 @@
     return mPaths.DirectLostAt(aUpstream);
   }
   [[nodiscard]] bool IsCutOff() const { return mPaths.CutOffSince().has_value(); }
+  /// Returns whether this process is in a position to relay for peers: it does not know, and has no
+  /// reason to suspect, that it is cut off itself.
+  [[nodiscard]] bool MayRelay() const { return !IsCutOff() && !mPaths.MayBeCutOff(); }
   /// Returns whether an upstream is registered at an address.
   [[nodiscard]] bool IsUpstream(const endpoint& aAddress) const
   {
@@ -92,24 +123,32 @@
   bool TryAgain(upstream::call_id aId, active_call& aCall, const upstream::call_outcome& aOutcome);
   bool TryAgainAfterDirect(active_call& aCall, const upstream::call_outcome& aOutcome);
   bool TryAgainAfterRelay(active_call& aCall, const upstream::call_outcome& aOutcome);
+  /// Returns what is left of the time to establish a connection.
+  [[nodiscard]] duration TimeToConnect(const active_call& aCall) const;
+  [[nodiscard]] bool HasTimeToConnect(const active_call& aCall) const;
   /// Records what a peer's failure to open a tunnel tells. Returns whether the upstream is at
   /// fault.
   bool RecordRelayFailure(const router_id& aPeer, int aStatus);
   /// Asks peers whether they reach an upstream that this process does not reach.
   void AskPeers(const endpoint& aUpstream);
-  void AskPeer(const endpoint& aUpstream, std::set<router_id> aTried, std::size_t aLeft);
+  /// Asks one peer, and another that is not in aAsked, up to aLeft in all, when it relays nothing.
+  void AskPeer(const endpoint& aUpstream,
+               const paths::relay_peer& aPeer,
+               const std::set<router_id>& aAsked,
+               std::size_t aLeft);
   void TryDirect(const endpoint& aUpstream);
   void OnRelayConnected(const endpoint& aUpstream, const router_id& aPeer);
   [[nodiscard]] std::optional<paths::relay_peer> SelectPeer(const std::set<router_id>& aTried);
   /// Logs and reports that this process is cut off, or no longer is.
   void NotifyChange();
 
-  upstream::upstream_loop& mLoop;
+  Loop& mLoop;
   metrics_registry& mMetrics;
   std::string mCredentials;
   paths::path_table mPaths;
   paths::relay_peers mPeers;
   random_source mRandom;
+  Clock mClock;
   std::unordered_map<upstream::call_id, active_call> mCalls;
   std::uint64_t mLastCall = 0;
   time_point mDirectTriedAt;
@@ -117,4 +156,16 @@
   std::optional<time_point> mReportedCutOff;
 };
 
+/// The one of the gateway.
+using upstream_caller = basic_upstream_caller<upstream::upstream_loop, steady_clock>;
+
+} // namespace persimmon::gateway
+
+#include "gateway/internal/upstreamcallerimpl.h"
+
+namespace persimmon::gateway {
+
+// Compiled once, in upstreamcaller.cpp.
+extern template class basic_upstream_caller<upstream::upstream_loop, steady_clock>;
+
 } // namespace persimmon::gateway
--- a/src/paths/internal/pathtable.cpp
+++ b/src/paths/internal/pathtable.cpp
@@ -62,16 +62,32 @@
   std::size_t lost = 0;
   std::optional<time_point> since;
   for (const auto& [upstream, path] : mFailed) {
-    if (path.isRelayed && (!mLastDirectAt || path.firstFailedAt >= *mLastDirectAt)) {
+    if (path.isRelayed && IsSinceLastDirect(path)) {
       ++lost;
       since = std::min(since.value_or(path.firstFailedAt), path.firstFailedAt);
     }
   }
-  if (lost > 0 && lost >= std::min(kLostForCutOff, std::max<std::size_t>(mUpstreams.size(), 1))) {
+  if (SufficeForCutOff(lost)) {
     mCutOffSince = since;
   }
 }
 
+bool
+path_table::SufficeForCutOff(std::size_t aPaths) const
+{
+  return aPaths > 0 &&
+         aPaths >= std::min(kLostForCutOff, std::max<std::size_t>(mUpstreams.size(), 1));
+}
+
+bool
+path_table::MayBeCutOff() const
+{
+  const auto failed = std::count_if(mFailed.begin(), mFailed.end(), [this](const auto& aPath) {
+    return IsSinceLastDirect(aPath.second);
+  });
+  return SufficeForCutOff(static_cast<std::size_t>(failed));
+}
+
 path_kind
 path_table::PathTo(const endpoint& aUpstream) const
 {
@@ -149,7 +165,9 @@
   for (const endpoint& upstream : checks) {
     mFailed.at(upstream).directCheckedAt = aNow;
   }
-  if (areSeveralLost && !mCutOffSince) {
+  const bool isCutOff = mCutOffSince.has_value();
+  // A cut ends by a connection: without a lost path to try, to any upstream.
+  if (isCutOff ? checks.empty() : areSeveralLost) {
     AddSoundPaths(checks);
   }
   return checks;
@@ -160,8 +178,7 @@
 {
   mUpstreams = std::move(aUpstreams);
   std::erase_if(mFailed, [this](const auto& aPath) { return !IsUpstream(aPath.first); });
-  // Without an upstream whose direct path can be tried, nothing could end the cut.
-  if (LostCount() == 0) {
+  if (mUpstreams.empty()) {
     mCutOffSince.reset();
   }
 }
--- a/src/paths/internal/relaypeers.cpp
+++ b/src/paths/internal/relaypeers.cpp
@@ -7,8 +7,8 @@
 namespace persimmon::paths {
 namespace {
 
-/// Time for which a peer that relays nothing comes last.
-constexpr duration kFailureMemory = 1_s;
+/// Time for which a peer that relays nothing comes last: in it, all others are tried.
+constexpr duration kFailureMemory = 5_s;
 /// Time for which a peer that has connected to an upstream comes first.
 constexpr duration kSuccessMemory = 5_s;
 
@@ -16,7 +16,8 @@
 constexpr std::size_t kMaxMisses = 2;
 
 // Costs are compared with calls in flight.
-/// Cost of a peer that failed lately: taken only when all others have failed, too.
+/// Cost of a peer that failed just now; less by one for each ms since, so that the one that failed
+/// first is tried again first, once all others have failed, too.
 constexpr std::size_t kFailedCost = 100000;
 /// Cost of a peer of which it is not known whether it reaches any upstream.
 constexpr std::size_t kUnknownCost = 16;
@@ -44,7 +45,10 @@
 relay_peers::Cost(const peer_state& aState, time_point aNow) const
 {
   std::size_t cost = aState.inFlight;
-  cost += aNow - aState.failedAt < kFailureMemory ? kFailedCost : 0;
+  const duration sinceFailure = aNow - aState.failedAt;
+  if (sinceFailure < kFailureMemory) {
+    cost += kFailedCost - static_cast<std::size_t>(std::max<std::int64_t>(sinceFailure.ms, 0));
+  }
   cost += aNow - aState.connectedAt < kSuccessMemory ? 0 : kUnknownCost;
   cost += aState.peer.zone == mZone ? 0 : kZoneCost;
   return cost;
@@ -62,11 +66,12 @@
       continue;
     }
     const std::size_t cost = Cost(state, aNow);
-    equals = best != nullptr && cost == lowest ? equals + 1 : 1;
-    const bool isLower = best == nullptr || cost < lowest;
-    if (isLower || (cost == lowest && random.Below(equals) == 0)) {
+    if (best == nullptr || cost < lowest) {
       best = &state;
       lowest = cost;
+      equals = 1;
+    } else if (cost == lowest && random.Below(++equals) == 0) {
+      best = &state;
     }
   }
   return best == nullptr ? std::nullopt : std::optional(best->peer);
--- a/src/paths/pathtable.h
+++ b/src/paths/pathtable.h
@@ -38,6 +38,9 @@
   [[nodiscard]] std::optional<time_point> DirectLostAt(const endpoint& aUpstream) const;
   /// Returns since when this process has been cut off from all upstreams; nothing when it is not.
   [[nodiscard]] std::optional<time_point> CutOffSince() const { return mCutOffSince; }
+  /// Returns whether this process may be cut off from all upstreams: it has failed to connect to
+  /// several, and to none successfully since. Whether peers reach them is not known yet.
+  [[nodiscard]] bool MayBeCutOff() const;
   /// Returns when a direct connection was last established; nothing before the first.
   [[nodiscard]] std::optional<time_point> LastDirectAt() const { return mLastDirectAt; }
   /// Returns the number of upstreams that are reached through peers only.
@@ -71,6 +74,13 @@
   };
 
   void UpdateCutOff();
+  /// Returns whether nothing was connected directly since a path failed.
+  [[nodiscard]] bool IsSinceLastDirect(const failed_path& aPath) const
+  {
+    return !mLastDirectAt || aPath.firstFailedAt >= *mLastDirectAt;
+  }
+  /// Returns whether so many paths speak for a cut from all.
+  [[nodiscard]] bool SufficeForCutOff(std::size_t aPaths) const;
   /// Returns lost paths, those first that were not tried for longest.
   [[nodiscard]] std::vector<endpoint> LostPaths() const;
   /// Adds upstreams without a failure to aChecks, in turn.
