The lease is released once no order of a stopping gateway is under way

What callers would see (looked for after a report of operators of similar systems): around a planned stop two gateways order at the same moment, so that orders go out twice or meet; where engines don't check fencing tokens, groups of both are formed.

Cause: the stopping holder released the lease at once, while its last orders were on their way for up to 0.6 s. And, since calls may use relays, an order could have been sent once more with a whole timeout of its own, beyond the 0.7 s that a holder leaves before its lease expires.

Now it stops acting at once and releases the lease when its orders have their outcomes, after 0.7 s at most; the drain loses no time by it. A call's timeout holds for all its connections together.

Engines that carry an order out late without having answered are met by the fencing token, as before.

--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -37,6 +37,8 @@
   void StartLeading(fencing_token aToken);
   /// Stops forming groups.
   void StopLeading();
+  /// Number of orders that were sent and have no outcome yet.
+  [[nodiscard]] std::size_t OrdersInFlight() const { return mOrdersInFlight; }
   /// Reports a group that may be broken to all controllers.
   void SuspectGroup(const group_id& aGroup, generation aEpoch);
   /// Reconciles the groups of every leading controller and executes the resulting actions. Call it
@@ -58,6 +60,7 @@
   std::map<service_name, controller_ptr> mControllers;
   /// True while this process holds the assembly lease.
   bool mIsLeader = false;
+  std::size_t mOrdersInFlight = 0;
   fencing_token mToken;
 };
 
@@ -164,6 +167,7 @@
   handlers.onData = [](std::string_view) {};
   handlers.onDone = [this, status, aController, aAction](const upstream::call_outcome& aOutcome) {
     using assembly::order_outcome;
+    --mOrdersInFlight;
     order_outcome outcome = order_outcome::unknown;
     if (aOutcome.end == upstream::call_end::not_sent) {
       outcome = order_outcome::not_sent;
@@ -184,6 +188,7 @@
                { "outcome", assembly::OrderOutcomeName(outcome) } });
     aController->HandleOrderOutcome(aAction.id, outcome, mContext.Now());
   };
+  ++mOrdersInFlight;
   mContext.calls.Start(Dialect::BuildOrderCall(aAction.order, target), std::move(handlers));
 }
 
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -84,8 +84,15 @@
   void OnSlowTick();
   /// Sets the metrics that tell a present state.
   void SetGauges(std::size_t aLiveGateways);
-  /// Waits for the exchanges in progress, then ends the remaining ones.
-  void Drain();
+  /// Releases the lease once no order of this process is under way.
+  void ReleaseLease();
+  /// Waits for the exchanges in progress, then ends the remaining ones. aStartedAt is when the stop
+  /// began.
+  void Drain(time_point aStartedAt);
+  static void Sleep(duration aTime)
+  {
+    std::this_thread::sleep_for(std::chrono::milliseconds(aTime.ms));
+  }
   /// Runs a function on the event loop and returns its result.
   template<typename Function>
   auto RunOnLoop(Function aFunction);
--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -16,6 +16,8 @@
 /// Part of the grace period that is left for the shutdown after the drain.
 constexpr duration kExitReserve = 900_ms;
 constexpr duration kDrainPollInterval = 20_ms;
+/// Longest time that the lease is kept for the outcomes of orders, which have a timeout of 0.6 s.
+constexpr duration kMaxOrderTime = 700_ms;
 /// Longest wait for the configuration and the instances at a start when no peer has told them.
 constexpr duration kMaxWaitForFirstLists = 100_ms;
 /// How many times the configured time a head may take: links hold bytes up for a while.
@@ -357,15 +359,29 @@
 
 template<gateway_dialect Dialect>
 void
-gateway_process<Dialect>::Drain()
+gateway_process<Dialect>::ReleaseLease()
 {
-  const time_point startedAt = steady_clock().Now();
-  const time_point drainDeadline = startedAt + mSettings.gracePeriod - process_limits::kExitReserve;
-  const auto sleep = [](duration aSpan) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(aSpan.ms));
-  };
-  sleep(std::min(process_limits::kStopNotice,
-                 mSettings.gracePeriod / process_limits::kStopNoticeDivisor));
+  // The next holder would order beside this process otherwise.
+  const time_point latest = steady_clock().Now() + process_limits::kMaxOrderTime;
+  while (steady_clock().Now() < latest &&
+         RunOnLoop([this] { return mAssembly.OrdersInFlight(); }) > 0) {
+    Sleep(process_limits::kDrainPollInterval);
+  }
+  RunOnLoop([this] {
+    mLease.Release();
+    return 0;
+  });
+}
+
+template<gateway_dialect Dialect>
+void
+gateway_process<Dialect>::Drain(time_point aStartedAt)
+{
+  const time_point drainDeadline =
+    aStartedAt + mSettings.gracePeriod - process_limits::kExitReserve;
+  const duration notice = std::min(process_limits::kStopNotice,
+                                   mSettings.gracePeriod / process_limits::kStopNoticeDivisor);
+  Sleep(std::max(aStartedAt + notice - steady_clock().Now(), duration{}));
   RunOnLoop([this] {
     mContext.rejectsNewCalls = true;
     mCallHandler.HandleHeld();
@@ -373,7 +389,7 @@
   });
   while (steady_clock().Now() < drainDeadline &&
          RunOnLoop([this] { return mExchanges.Count() + mRelay.TunnelCount(); }) > 0) {
-    sleep(process_limits::kDrainPollInterval);
+    Sleep(process_limits::kDrainPollInterval);
   }
   RunOnLoop([this] {
     for (const auto& exchange : mExchanges.Snapshot()) {
@@ -381,7 +397,7 @@
     }
     return 0;
   });
-  sleep(process_limits::kFinalFlushTime);
+  Sleep(process_limits::kFinalFlushTime);
 }
 
 template<gateway_dialect Dialect>
@@ -407,13 +423,15 @@
 void
 gateway_process<Dialect>::Stop()
 {
+  const time_point startedAt = steady_clock().Now();
   const std::size_t inFlight = RunOnLoop([this] {
     mContext.stopping = true;
-    mLease.Stop();
+    mLease.StopActing();
     return mExchanges.Count();
   });
   WriteLog(kGatewayStopping, { { "in_flight", std::to_string(inFlight) } });
-  Drain();
+  ReleaseLease();
+  Drain(startedAt);
   RunOnLoop([this] {
     mConfigWatch->Stop();
     mInstances.Stop();
--- a/src/gateway/internal/upstreamcallerimpl.h
+++ b/src/gateway/internal/upstreamcallerimpl.h
@@ -6,6 +6,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "relay/relaystatus.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmon::gateway {
@@ -92,8 +93,11 @@
   handlers.onConnected = [this, aId] { OnConnected(aId); };
   handlers.onDone = [this, aId](const upstream::call_outcome& aOutcome) { OnDone(aId, aOutcome); };
   aCall.connectingAt = mClock.Now();
-  // The time to connect holds for all connections of a call together.
+  // The times of a call hold for all its connections together.
   call.connectTimeout = TimeToConnect(aCall);
+  if (call.timeout.ms > 0) {
+    call.timeout = std::max(call.timeout - (aCall.connectingAt - aCall.startedAt), duration{ 1 });
+  }
   aCall.loopCall = mLoop.Start(std::move(call), std::move(handlers));
 }
 
--- a/src/gateway/leasemanager.h
+++ b/src/gateway/leasemanager.h
@@ -33,10 +33,13 @@
     mState.OnEra(aEra, boot_clock().Now());
     NotifyChange();
   }
-  /// Releases the lease and stops trying to acquire it.
-  void Stop();
+  /// Stops acting as the holder and trying to acquire the lease, and keeps it from others.
+  void StopActing();
+  /// Releases the lease, so that another process may act at once; to be called after StopActing(),
+  /// when nothing that this process has ordered is under way any more.
+  void Release();
   /// Returns whether this process may act as the holder now.
-  [[nodiscard]] bool IsHolder() const { return mState.IsHolder(boot_clock().Now()); }
+  [[nodiscard]] bool IsHolder() const { return !mStopped && mState.IsHolder(boot_clock().Now()); }
   /// Fencing token of the lease as last read or written.
   [[nodiscard]] fencing_token Token() const { return mState.Token(); }
 
@@ -150,16 +153,22 @@
 
 template<typename Store>
 void
-lease_manager<Store>::Stop()
+lease_manager<Store>::StopActing()
 {
   mStopped = true;
+  NotifyChange();
+}
+
+template<typename Store>
+void
+lease_manager<Store>::Release()
+{
   if (const auto last = mState.Release(boot_clock().Now())) {
     mStore.Put({ kLeaseKind, kLeaseName },
                SerializeLease(last->value),
                { last->expected },
                [](const auto&, const auto&) {});
   }
-  NotifyChange();
 }
 
 } // namespace persimmon::gateway
