A stopping gateway accepts no connection in its last moments

Cause: the gateway listened until its event loop stopped, so that a connection could be accepted and its request read between the last turns of the loop.

--- a/src/gateway/internal/gatewayprocessimpl.h
+++ b/src/gateway/internal/gatewayprocessimpl.h
@@ -391,6 +391,8 @@
          RunOnLoop([this] { return mExchanges.Count() + mRelay.TunnelCount(); }) > 0) {
     Sleep(process_limits::kDrainPollInterval);
   }
+  // What is accepted from now on could be read and not be answered before the process ends.
+  mServer.Close(mSettings.listen);
   RunOnLoop([this] {
     for (const auto& exchange : mExchanges.Snapshot()) {
       exchange->OnShutdown();
