Peers are asked rarely about upstreams that are gone, and not about addresses of none

Cause: each failed connection to a dead host asked peers again after 0.3 s, and an instance that was no longer registered was asked for at each report that its group's leader requested.

Now the time between two questions doubles up to 5 s while other upstreams are reached directly, and addresses of no upstream are no paths. Tests: path_table.QuestionsAboutOneUpstreamGetRarer, ...AreAskedOftenWhenAllMayBeCutOff, ...AddressOfNoUpstreamIsNoLostPath; the first and the last failed before.

--- a/src/paths/internal/pathtable.cpp
+++ b/src/paths/internal/pathtable.cpp
@@ -7,8 +7,9 @@
 
 /// Upstreams with a lost path from which a cut of all is concluded, or all when there are fewer.
 constexpr std::size_t kLostForCutOff = 3;
-/// Time between two questions to peers about one upstream.
-constexpr duration kRelayCheckInterval = 300_ms;
+/// Time between two questions to peers about one upstream: at first, and at most.
+constexpr duration kMinRelayCheckInterval = 300_ms;
+constexpr duration kMaxRelayCheckInterval = 5_s;
 /// Direct connections that are tried at a time, on lost paths and on others: a connection takes a
 /// slot of an upstream for a moment.
 constexpr std::size_t kLostChecks = 8;
@@ -29,8 +30,12 @@
 void
 path_table::OnDirectFailed(const endpoint& aUpstream, time_point aStartedAt)
 {
+  if (!IsUpstream(aUpstream)) {
+    return;
+  }
   failed_path added;
   added.firstFailedAt = aStartedAt;
+  added.relayCheckInterval = kMinRelayCheckInterval;
   mFailed.try_emplace(aUpstream, added);
 }
 
@@ -118,11 +123,18 @@
 path_table::TakeRelayCheck(const endpoint& aUpstream, time_point aNow)
 {
   const auto found = mFailed.find(aUpstream);
-  if (found == mFailed.end() || found->second.isRelayed ||
-      aNow - found->second.relayCheckedAt < kRelayCheckInterval) {
+  if (found == mFailed.end() || found->second.isRelayed) {
+    return false;
+  }
+  failed_path& path = found->second;
+  const duration interval = MayBeCutOff() ? kMinRelayCheckInterval : path.relayCheckInterval;
+  const bool isFirst = path.relayCheckedAt < path.firstFailedAt;
+  if (!isFirst && aNow - path.relayCheckedAt < interval) {
     return false;
   }
-  found->second.relayCheckedAt = aNow;
+  path.relayCheckInterval =
+    isFirst ? kMinRelayCheckInterval : std::min(interval * 2, kMaxRelayCheckInterval);
+  path.relayCheckedAt = aNow;
   return true;
 }
 
--- a/src/paths/pathtable.h
+++ b/src/paths/pathtable.h
@@ -47,7 +47,8 @@
   [[nodiscard]] std::size_t LostCount() const;
 
   /// Returns whether a peer is to be asked whether it reaches an upstream that was not reached
-  /// directly; the caller asks then.
+  /// directly; the caller asks then. While others are reached directly, the upstream is likely to
+  /// be gone, and the questions about it get rarer.
   bool TakeRelayCheck(const endpoint& aUpstream, time_point aNow);
   /// Returns the upstreams whose direct path is to be tried now: those with a lost path, and when
   /// there are several, the others as well, so that calls need not find out. To be called every
@@ -68,6 +69,8 @@
   {
     time_point firstFailedAt;
     time_point relayCheckedAt{ INT64_MIN / 2 };
+    /// Time from the last question to peers to the next one.
+    duration relayCheckInterval;
     time_point directCheckedAt{ INT64_MIN / 2 };
     /// A peer reaches the upstream.
     bool isRelayed = false;
--- a/src/paths/tests/pathtabletests.cpp
+++ b/src/paths/tests/pathtabletests.cpp
@@ -50,6 +50,43 @@
   CHECK(!table.TakeRelayCheck(kSecond, kNow));
 }
 
+// Guards against peers that are asked again and again about an upstream that is gone.
+TEST(path_table, QuestionsAboutOneUpstreamGetRarer)
+{
+  constexpr duration kAsked = 60_s;
+  table.OnDirectFailed(kFirst, kNow);
+  std::size_t asked = 0;
+  for (duration since; since < kAsked; since = since + 10_ms) {
+    asked += table.TakeRelayCheck(kFirst, kNow + since) ? 1 : 0;
+  }
+  CHECK(asked <= 18);
+  CHECK(asked >= 12);
+}
+
+// Guards against a cut that is found late since the questions have become rare.
+TEST(path_table, QuestionsAreAskedOftenWhenAllMayBeCutOff)
+{
+  constexpr duration kAsked = 3_s;
+  for (const endpoint& upstream : { kFirst, kSecond, kThird }) {
+    table.OnDirectFailed(upstream, kNow);
+  }
+  std::size_t asked = 0;
+  for (duration since; since < kAsked; since = since + 10_ms) {
+    asked += table.TakeRelayCheck(kFirst, kNow + since) ? 1 : 0;
+  }
+  CHECK_EQUAL(10, asked);
+}
+
+// Guards against peers that are asked about an instance that has left.
+TEST(path_table, AddressOfNoUpstreamIsNoLostPath)
+{
+  const endpoint former{ "10.0.0.9:80" };
+  table.OnDirectFailed(former, kNow);
+  CHECK(!table.TakeRelayCheck(former, kNow));
+  table.OnRelayConnected(former, kNow);
+  CHECK(table.PathTo(former) == path_kind::direct);
+}
+
 TEST(path_table, UpstreamThatAPeerReachesIsRelayed)
 {
   Lose(kFirst, kNow);
