Survivors of a lost group join the next one as soon as they have left

The 0.6 s between the answered leaves and the next group are waste: an engine's reports lag by 0.2 s, the first one after the leave still names the former group, and the next one was asked for 0.45 s later.

Now the answer to the order counts: an instance is no longer bound to the group of the epoch that it has left. unreachable_members.SurvivorsJoinAtOnceThoughTheirReportsLag failed before (no order to join within 150 ms), passes now. TWO is kept: the member itself has left (property tests of the simulator pass). It doesn't bring the whole fall back.

--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -40,6 +40,9 @@
   bool stallSuspected = false;
   /// Model of the last group in which the instance was ready; empty when there is none.
   routes::model_name lastGroupModel;
+  /// Epoch of the group that the instance has left by an order, as its answer says; its entry and
+  /// reports show the group for a while longer. Empty when it has left none.
+  std::optional<generation> leftEpoch;
   /// Model whose weights are being staged; empty when there is none.
   routes::model_name stagingModel;
   /// When the staging is given up.
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -394,6 +394,9 @@
   if (found != mInstanceStates.end()) {
     found->second.nextProbeAt =
       std::min(found->second.nextProbeAt, aNow + mOptions.formingProbeInterval);
+    if (order.kind == order_kind::leave && IsSuccess(aOutcome)) {
+      found->second.leftEpoch = order.epoch;
+    }
     if (order.kind == order_kind::stage && !IsSuccess(aOutcome)) {
       found->second.stagingModel = {};
       found->second.ineligibleUntil = aNow + mOptions.orderRetryInterval;
--- a/src/assembly/internal/groupplanning.cpp
+++ b/src/assembly/internal/groupplanning.cpp
@@ -87,7 +87,11 @@
                                  const fleet::fleet_view& aFleet) const
 {
   const auto membership = MembershipOf(aInstance.id, aFleet);
-  return membership && mEndedGroups.count({ membership->group, membership->epoch }) == 0;
+  if (!membership || mEndedGroups.count({ membership->group, membership->epoch }) > 0) {
+    return false;
+  }
+  const auto found = mInstanceStates.find(aInstance.id);
+  return found == mInstanceStates.end() || found->second.leftEpoch != membership->epoch;
 }
 
 bool
--- a/src/assembly/tests/mocks/enginesimulator.h
+++ b/src/assembly/tests/mocks/enginesimulator.h
@@ -44,6 +44,9 @@
     std::uint64_t highestEpoch = 0;
     std::uint64_t highestToken = 0;
     routes::model_name lastGroupModel;
+    /// The membership that it last left, which its entry and reports show until a time.
+    std::optional<fleet::group_membership> formerMembership;
+    time_point formerShownUntil{};
   };
 
   engine_simulator()
@@ -88,7 +91,9 @@
     fleet::fleet_view view;
     for (const auto& [id, target] : engines) {
       if (target.registered) {
-        view.Upsert(target.entry);
+        fleet::instance shown = target.entry;
+        shown.membership = ShownMembership(target);
+        view.Upsert(shown);
       }
     }
     return view;
@@ -110,7 +115,7 @@
     report.incarnationId = target.entry.incarnationId;
     report.model = target.entry.model;
     report.stagedModels = target.entry.stagedModels;
-    report.membership = target.entry.membership;
+    report.membership = ShownMembership(target);
     report.acceptedOrders = target.entry.acceptedOrders;
     report.running = target.running;
     return { report, {} };
@@ -158,6 +163,7 @@
   /// Performs the phase changes that are due.
   void Advance(time_point aNow)
   {
+    mNow = aNow;
     for (auto& [id, target] : engines) {
       if (!target.entry.membership) {
         continue;
@@ -205,6 +211,8 @@
   std::size_t leavesOfOpenHeads = 0;
   /// Start times of the loads from the weight store.
   std::vector<time_point> loadStarts;
+  /// Time for which an engine still shows the group that it has left.
+  duration reportLag;
 
 private:
   using ready_member = std::tuple<instance_id, group_id, generation>;
@@ -215,6 +223,11 @@
            aEngine.entry.membership->epoch == aOrder.epoch;
   }
 
+  [[nodiscard]] std::optional<fleet::group_membership> ShownMembership(const engine& aEngine) const
+  {
+    return mNow < aEngine.formerShownUntil ? aEngine.formerMembership : aEngine.entry.membership;
+  }
+
   /// Returns true when the head of an engine's group is alive and open or closing.
   [[nodiscard]] bool HeadIsServing(const engine& aEngine) const
   {
@@ -307,11 +320,14 @@
       return order_outcome::conflict;
     }
     leavesOfOpenHeads += aEngine.entry.membership->phase == fleet::member_phase::open ? 1 : 0;
+    aEngine.formerMembership = aEngine.entry.membership;
+    aEngine.formerShownUntil = mNow + reportLag;
     aEngine.entry.membership.reset();
     aEngine.openAt = {};
     return order_outcome::begun;
   }
 
+  time_point mNow;
   std::uint64_t mLastIncarnation = 0;
   /// Model of the latest order to join of each engine.
   std::map<instance_id, routes::model_name> mModelToLoad;
--- a/src/assembly/tests/unreachablemembertests.cpp
+++ b/src/assembly/tests/unreachablemembertests.cpp
@@ -135,3 +135,20 @@
   fixture.RunFor(2500_ms);
   CHECK(!HasOrderedToLeave());
 }
+
+// Guards against survivors that wait for their reports to say what their answer to the order has
+// said already.
+TEST(unreachable_members, SurvivorsJoinAtOnceThoughTheirReportsLag)
+{
+  fixture.simulator.reportLag = 200_ms;
+  CutOff(true, 0);
+  while (!HasOrderedToLeave()) {
+    fixture.RunFor(50_ms);
+  }
+  fixture.sentOrders.clear();
+  fixture.RunFor(150_ms);
+  CHECK(std::any_of(fixture.sentOrders.begin(),
+                    fixture.sentOrders.end(),
+                    [](const engine_order& aOrder) { return aOrder.kind == order_kind::join; }));
+  CHECK(fixture.simulator.violations.empty());
+}
