--- a/src/gateway/internal/upstreamcallerimpl.h
+++ b/src/gateway/internal/upstreamcallerimpl.h
@@ -52,8 +52,8 @@
 
 template<call_loop Loop, clock_source Clock>
 upstream::call_id
-basic_upstream_caller<Loop, Clock>::Start(upstream::upstream_call aCall,
-                                          upstream::call_handlers aHandlers)
+basic_upstream_caller<Loop, Clock>::Start(upstream::upstream_call&& aCall,
+                                          upstream::call_handlers&& aHandlers)
 {
   const upstream::call_id id{ ++mLastCall };
   active_call& added = mCalls[id];
--- a/src/gateway/tests/mocks/cutplay.cpp
+++ b/src/gateway/tests/mocks/cutplay.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 upstream::call_id
-play_loop::Start(const upstream::upstream_call& aCall, upstream::call_handlers aHandlers)
+play_loop::Start(const upstream::upstream_call& aCall, const upstream::call_handlers& aHandlers)
 {
   const upstream::call_id id{ ++mLastCall };
   const auto result = mPlay.Connect(mGateway, aCall);
--- a/src/gateway/tests/mocks/cutplay.h
+++ b/src/gateway/tests/mocks/cutplay.h
@@ -57,7 +57,8 @@
   {
   }
 
-  upstream::call_id Start(const upstream::upstream_call& aCall, upstream::call_handlers aHandlers);
+  upstream::call_id Start(const upstream::upstream_call& aCall,
+                          const upstream::call_handlers& aHandlers);
   void Cancel(upstream::call_id aCall) { mCancelled.insert(aCall); }
   void Pause(upstream::call_id) {}
   void Resume(upstream::call_id) {}
--- a/src/gateway/upstreamcaller.h
+++ b/src/gateway/upstreamcaller.h
@@ -59,7 +59,7 @@
   std::function<void()> onCutOffChanged;
 
   /// Starts a call, as upstream_loop::Start() does. Only the connection differs.
-  upstream::call_id Start(upstream::upstream_call aCall, upstream::call_handlers aHandlers);
+  upstream::call_id Start(upstream::upstream_call&& aCall, upstream::call_handlers&& aHandlers);
   void Cancel(upstream::call_id aCall);
   void Pause(upstream::call_id aCall);
   void Resume(upstream::call_id aCall);
--- a/src/paths/internal/pathtable.cpp
+++ b/src/paths/internal/pathtable.cpp
@@ -149,6 +149,7 @@
   }
   std::sort(lost.begin(), lost.end());
   std::vector<endpoint> upstreams;
+  upstreams.reserve(lost.size());
   for (auto& [checkedAt, upstream] : lost) {
     upstreams.push_back(std::move(upstream));
   }
