A call whose connection was established is not tried again

What callers could have seen (found by reading the change): a call whose connection breaks between its establishment and the first byte ended as not sent, and was tried again through a peer although its request had been dropped from memory: an empty request would have been sent in its name.

--- a/src/gateway/internal/upstreamcallerimpl.h
+++ b/src/gateway/internal/upstreamcallerimpl.h
@@ -111,6 +111,7 @@
   }
   active_call& call = found->second;
   call.call = {};
+  call.isConnected = true;
   mMetrics.Count(kUpstreamConnections, { { "path", PathName(call.path) } });
   if (call.path == paths::path_kind::relayed) {
     OnRelayConnected(call.upstream, call.peer);
@@ -155,7 +156,8 @@
   if (aOutcome.end == upstream::call_end::whole && wasConnectOnly) {
     OnConnected(aId);
   }
-  if (aOutcome.end == upstream::call_end::not_sent && TryAgain(aId, call, aOutcome)) {
+  const bool mayTryAgain = aOutcome.end == upstream::call_end::not_sent && !call.isConnected;
+  if (mayTryAgain && TryAgain(aId, call, aOutcome)) {
     return;
   }
   upstream::call_outcome outcome = aOutcome;
--- a/src/gateway/upstreamcaller.h
+++ b/src/gateway/upstreamcaller.h
@@ -99,6 +99,8 @@
   {
     /// Emptied once a connection is established.
     upstream::upstream_call call;
+    /// True once a connection was established; then the call is not tried again.
+    bool isConnected = false;
     upstream::call_handlers handlers;
     endpoint upstream;
     time_point startedAt;
