--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -22,7 +22,7 @@
 BEAT_S = 1.2
 FORM_S = 0.3
 REJOIN_S = 0.2
-REPORT_LAG_S = 0.2
+RETENTION_S = 20
 
 
 class Record:
@@ -111,11 +111,20 @@
 class Server:
     """Base of the HTTP servers: serves one request at a time on a connection."""
 
+    writers = silent = ()
+
     async def listen(self, port=0):
+        # The open connections, and those that have gone silent: nothing is sent on them any more.
+        self.writers, self.silent = set(), set()
         self.server = await asyncio.start_server(self._serve, HOST, port, backlog=512)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
+    def silence_connections(self):
+        """Lets the open connections go silent for good; new ones work."""
+        self.silent |= self.writers
+
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -127,6 +136,8 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
 
@@ -137,6 +148,8 @@
         self.revision = 100
         self.objects = {}
         self.events = []
+        # Changes up to this revision are no longer kept.
+        self.forgotten = 0
         self.changed = asyncio.Event()
 
     def _notify(self):
@@ -154,32 +167,44 @@
             "metadata": {"name": name, "revision": self.revision, "created": created,
                          "finalizers": [], "deleting": False},
             "spec": json.loads(json.dumps(spec)), "status": None}
-        self.events.append((self.revision, kind, False, self.objects[kind, name]))
-        self._notify()
+        self._add_event(kind, False, self.objects[kind, name])
         return self.objects[kind, name]
 
     def delete(self, kind, name):
         known = self.objects.pop((kind, name), None)
         if known:
             self.revision += 1
-            self.events.append((self.revision, kind, True, known))
-            self._notify()
+            self._add_event(kind, True, known)
+
+    def _add_event(self, kind, deleted, item):
+        """Keeps a change for the retention time."""
+        now = time.monotonic()
+        self.events.append((self.revision, kind, deleted, item, now))
+        while now - self.events[0][-1] > RETENTION_S:
+            self.forgotten = self.events.pop(0)[0]
+        self._notify()
 
     async def handle(self, request, writer):
         parts = request.path.split("/")[3:]
         kind = parts[0]
         name = urllib.parse.unquote(parts[1]) if len(parts) > 1 else None
         if request.method == "GET" and name is None and "watch" in request.query:
-            writer.write(await self._watch(kind, request))
+            answer = await self._watch(kind, request)
         elif request.method == "GET" and name is None:
-            writer.write(self._list(kind, request))
+            answer = self._list(kind, request)
         elif request.method == "GET":
             found = self.objects.get((kind, name))
-            writer.write(json_response(200, found) if found else json_response(404, {}))
+            answer = json_response(200, found) if found else json_response(404, {})
         else:
-            writer.write(self._write(kind, name, request))
+            answer = self._write(kind, name, request)
+        if writer not in self.silent:
+            self.on_answer(request, len(answer))
+            writer.write(answer)
         return True
 
+    def on_answer(self, request, size):
+        """Called with the size of each answer that is sent."""
+
     def _list(self, kind, request):
         names = sorted(name for each, name in self.objects if each == kind)
         names = [name for name in names if name > request.query.get("after", "")]
@@ -191,7 +216,9 @@
         since, wait = int(request.query["watch"]), int(request.query.get("wait-ms", "0")) / 1000
         until = time.monotonic() + wait
         while True:
-            news = [(deleted, item) for at, each, deleted, item in self.events
+            if since < self.forgotten:
+                return json_response(410, {})
+            news = [(deleted, item) for at, each, deleted, item, _ in self.events
                     if at > since and each == kind]
             left = until - time.monotonic()
             if news or left <= 0:
