--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -2,14 +2,16 @@
 servers, plain servers, clients and the processes of the system. It speaks PROTOCOL.md over loopback
 and keeps a record of what was sent, answered and run. Only the standard library is used."""
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
-import random
+import resource
 import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -18,6 +20,7 @@
 # What deploy/system.toml builds.
 GATEWAY = ROOT / "target" / "bin" / "persimmon-gateway"
 HOST = "127.0.0.1"
+PR_SET_PDEATHSIG = 1
 # Figures of a small deployment, as on the pages.
 BEAT_S = 1.2
 FORM_S = 0.3
@@ -602,12 +605,12 @@
             "PATH": os.environ.get("PATH", ""), "PERSIMMON_MESH_KEY": "persimmonhook",
             "PERSIMMON_METRICS_LISTEN": self.metrics, "PERSIMMON_RELAY_LISTEN": self.relay,
             "PERSIMMON_PROCESSOR_QUOTA": "0.25", "PERSIMMON_SETTINGS_FILE": str(self.settings)}
-        limit = None
-        if fds:
-            import resource
-
-            def limit():
+        def limit():
+            # Ends with this script, however the script ends.
+            ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+            if fds:
                 resource.setrlimit(resource.RLIMIT_NOFILE, (fds, fds))
+
         self.process = subprocess.Popen(
             [str(GATEWAY), "--id", self.name, "--zone", self.zone, "--listen", self.listen,
              "--readiness-listen", self.ready, "--mesh-listen", self.mesh,
@@ -779,7 +782,6 @@
 def main(case):
     """Runs a case: an async function of the fleet and whether the disruption happens. The exit code
     is 1 when a rule was broken, 0 when none was, 2 when the case could not run."""
-    import sys
     folder = pathlib.Path(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
