--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import resource
 import shutil
 import signal
@@ -40,16 +41,17 @@
 
 
 def free_ports(count):
-    """Returns ports that are free now."""
-    held = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        held.append(probe)
-    ports = [probe.getsockname()[1] for probe in held]
-    for probe in held:
-        probe.close()
+    """Returns ports that are free now, below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
