--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -40,19 +40,33 @@
         self.file.write(f"{time.monotonic() - self.start:8.3f} {text}\n")
 
 
-def free_ports(count):
-    """Returns ports that are free now, below those that the system gives to outgoing connections."""
-    ports = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(10000, 32000)
-        with socket.socket() as probe:
+class PortBlock:
+    """A block of free ports below those that the system gives to outgoing connections. Its first
+    port is held as long as the block, so that another script takes another block."""
+
+    SIZE = 40
+
+    def __init__(self):
+        while True:
+            self.next = random.SystemRandom().randrange(10000, 31000, self.SIZE)
+            self.guard = socket.socket()
             try:
-                probe.bind((HOST, port))
+                self.guard.bind((HOST, self.next))
+                self.guard.listen(1)
+                return
             except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
+                self.guard.close()
+
+    def take(self):
+        """Returns a port that nobody uses now and that was not taken before."""
+        while True:
+            self.next += 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind((HOST, self.next))
+                    return self.next
+                except OSError:
+                    continue
 
 
 class Request:
@@ -595,9 +609,8 @@
 
     def __init__(self, fleet, number, zone, folder):
         self.fleet, self.zone, self.name = fleet, zone, f"edge-{zone}-{number}"
-        ports = free_ports(5)
         self.listen, self.ready, self.mesh, self.metrics, self.relay = (
-            f"{HOST}:{port}" for port in ports)
+            f"{HOST}:{fleet.ports.take()}" for _ in range(5))
         self.settings = folder / f"{self.name}.conf"
         self.log = open(folder / f"{self.name}.log", "w")
         self.process = None
@@ -636,7 +649,7 @@
         self.record = Record(self.folder / "record.txt")
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="persimmon-review-"))
         self.store, self.gateways, self.instances = Store(), [], {}
-        self.tasks, self.configuration = set(), None
+        self.tasks, self.configuration, self.ports = set(), None, PortBlock()
         self.faults, self.runs, self.been_ready = [], {}, set()
         self.has_traffic, self.attempts = False, 0
 
@@ -794,6 +807,11 @@
             await asyncio.wait_for(case(fleet, trouble), 115)
         except (CannotRun, asyncio.TimeoutError, OSError) as error:
             fleet.record(f"could not run: {error!r}")
+            for gateway in fleet.gateways:
+                gateway.log.flush()
+                lines = (fleet.temporary / f"{gateway.name}.log").read_text().splitlines()
+                fleet.record(f"{gateway.name}: exit code {gateway.process.poll()}, last line: "
+                             f"{lines[-1] if lines else 'none'}")
             return 2
         finally:
             fleet.stop()
