--- a/src/assembly/assemblyaction.h
+++ b/src/assembly/assemblyaction.h
@@ -47,6 +47,8 @@
     kept,
     /// The group has ended and its members are free.
     freed,
+    /// No member is registered any more. The group is adopted again when one is.
+    forgotten,
     /// The group of a former leader was taken over.
     adopted
   };
--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -152,6 +152,12 @@
                 const std::string& aCause,
                 time_point aNow,
                 actions& aActions);
+  /// Removes all members of a group of which nothing is known any more. It is adopted again when
+  /// one of them is back.
+  void ForgetGroup(managed_group& aGroup,
+                   const std::string& aCause,
+                   time_point aNow,
+                   actions& aActions);
   /// Updates the state of an instance whose membership has ended.
   void FreeMember(const managed_group& aGroup, const managed_member& aMember, time_point aNow);
   /// Returns true when an instance has itself confirmed that it left a group, or has restarted.
--- a/src/assembly/internal/enumnames.cpp
+++ b/src/assembly/internal/enumnames.cpp
@@ -66,6 +66,8 @@
       return "kept";
     case record_decision::decision_kind::freed:
       return "freed";
+    case record_decision::decision_kind::forgotten:
+      return "forgotten";
     case record_decision::decision_kind::adopted:
       return "adopted";
   }
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -343,7 +343,7 @@
     }
   }
   if (!anyRegistered && aNow - aGroup.stageStartedAt > kUnregisteredGroupTimeout) {
-    EndGroup(aGroup, "no member is registered", aNow, aActions);
+    ForgetGroup(aGroup, "no member is registered", aNow, aActions);
   }
 }
 
@@ -418,6 +418,19 @@
   aGroup.members.clear();
 }
 
+void
+group_controller::ForgetGroup(managed_group& aGroup,
+                              const std::string& aCause,
+                              time_point aNow,
+                              actions& aActions)
+{
+  RecordDecision(record_decision::decision_kind::forgotten, aGroup, aCause, aActions);
+  for (const managed_member& member : aGroup.members) {
+    FreeMember(aGroup, member, aNow);
+  }
+  aGroup.members.clear();
+}
+
 void
 group_controller::FreeMember(const managed_group& aGroup,
                              const managed_member& aMember,
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -12,6 +12,15 @@
 constexpr duration kLeastLateness{ 2000 };
 constexpr duration kMostLateness{ 12000 };
 
+/// Returns how late an order is carried out; empty for each second one, which is answered.
+std::optional<duration>
+DrawLateness(random_source& aRandom)
+{
+  const auto span = static_cast<std::uint64_t>((kMostLateness - kLeastLateness).ms);
+  const duration late{ kLeastLateness.ms + static_cast<std::int64_t>(aRandom.Below(span)) };
+  return aRandom.Below(2) == 0 ? std::optional(late) : std::nullopt;
+}
+
 } // namespace
 
 // Each test has orders that get no answer and are carried out seconds later, after newer ones.
@@ -67,6 +76,18 @@
     fixture.simulator.Add("new-" + std::to_string(++added), "d0");
   }
 
+  /// Returns the instances of a domain.
+  std::vector<engine_simulator::engine*> MembersOfDomain(const std::string& aDomain)
+  {
+    std::vector<engine_simulator::engine*> found;
+    for (auto& [id, engine] : fixture.simulator.engines) {
+      if (engine.entry.domain.value == aDomain) {
+        found.push_back(&engine);
+      }
+    }
+    return found;
+  }
+
   /// Another process takes the lease over; orders of the former one are on their way still.
   void TakeOver()
   {
@@ -163,11 +184,7 @@
     random_source random(seed);
     fixture = {};
     fixture.simulator.enforcesTokens = seed % 2 == 0;
-    fixture.lateness = [&random](const engine_order&) {
-      const auto span = static_cast<std::uint64_t>((kMostLateness - kLeastLateness).ms);
-      const duration late{ kLeastLateness.ms + static_cast<std::int64_t>(random.Below(span)) };
-      return random.Below(2) == 0 ? std::optional(late) : std::nullopt;
-    };
+    fixture.lateness = [&random](const engine_order&) { return DrawLateness(random); };
     Start(2, 8);
     for (int round = 0; round < 12; ++round) {
       fixture.RunFor(4_s);
@@ -184,3 +201,28 @@
     CheckNoViolation();
   }
 }
+
+// Guards against members of a group whose entries all lapsed that are ordered to join others when
+// they are back, while its head, which nobody has asked to leave, serves still.
+TEST(late_orders, MembersOfALapsedGroupAreBoundUntilItsHeadHasLeft)
+{
+  fixture.simulator.service.engine->models.resize(1);
+  fixture.controller.Configure(fixture.simulator.service);
+  Start(3, 4);
+  fixture.RunFor(8_s);
+  UNSIGNED_LONGS_EQUAL(3, fixture.simulator.CountOpenGroups());
+  const std::vector<engine_simulator::engine*> lapsed = MembersOfDomain("d0");
+  for (engine_simulator::engine* engine : lapsed) {
+    engine->registered = false;
+    engine->reachable = false;
+  }
+  fixture.RunFor(60_s);
+  for (engine_simulator::engine* engine : lapsed) {
+    const bool isHead = engine->entry.membership && engine->entry.membership->rank == 0;
+    engine->registered = !isHead;
+    engine->reachable = !isHead;
+  }
+  fixture.simulator.Add("h0-new", "d0");
+  fixture.RunFor(30_s);
+  CheckNoViolation();
+}
