--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -140,8 +140,11 @@
                       const std::string& aCause,
                       time_point aNow,
                       actions& aActions);
-  /// Finds ended groups whose heads serve nevertheless, and orders these heads to leave.
-  void CloseReopenedGroups(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
+  /// Finds ended groups whose heads are members of them nevertheless, and orders these heads to
+  /// leave: late orders, also to a former life of the head, may let it serve.
+  void ReleaseHeadsOfEndedGroups(const fleet::fleet_view& aFleet,
+                                 time_point aNow,
+                                 actions& aActions);
   /// Enters the stage releasing.
   void StartReleasing(managed_group& aGroup,
                       const std::string& aCause,
@@ -164,6 +167,8 @@
   [[nodiscard]] bool HasLeft(const managed_group& aGroup,
                              const managed_member& aMember,
                              const fleet::fleet_view& aFleet) const;
+  /// Returns true when an instance is known to have restarted since it was ordered to join.
+  [[nodiscard]] bool HasRestarted(const managed_member& aMember) const;
   /// Returns what proves that a member is lost; empty when nothing does.
   [[nodiscard]] std::string ProvedLossCause(const managed_group& aGroup,
                                             const managed_member& aMember,
@@ -353,8 +358,8 @@
   std::vector<managed_group> mGroups;
   /// Groups that have ended. Instances that are still reported as their members count as free.
   std::set<std::pair<group_id, generation>> mEndedGroups;
-  /// Those of them whose heads report to serve. Their members are not free.
-  std::set<std::pair<group_id, generation>> mReopenedGroups;
+  /// Those of them whose heads report that they are members still. Their members are not free.
+  std::set<std::pair<group_id, generation>> mEndedGroupsWithHead;
   std::map<order_id, pending_order> mPendingOrders;
   domain_assignment mDomainAssignment;
   time_point mDomainsAssignedAt{ INT64_MIN / 2 };
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -50,7 +50,7 @@
   std::optional<std::uint64_t> acceptedOrders;
   /// True when it has rejected an order since its latest report: it may have accepted another one.
   bool mustReportOrders = false;
-  /// When the head of an ended group that serves again was last ordered to leave.
+  /// When the head of an ended group, as whose member it reports, was last ordered to leave.
   std::optional<time_point> strayLeaveSentAt;
   /// Model whose weights are being staged; empty when there is none.
   routes::model_name stagingModel;
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -33,7 +33,7 @@
   mInstanceStates.clear();
   mGroups.clear();
   mEndedGroups.clear();
-  mReopenedGroups.clear();
+  mEndedGroupsWithHead.clear();
   mDomainAssignment.Clear();
   mMovedDomains.clear();
   mRebalancedAt = aNow;
@@ -103,7 +103,7 @@
     }
     std::erase_if(mGroups,
                   [](const managed_group& aCandidate) { return aCandidate.members.empty(); });
-    CloseReopenedGroups(aFleet, aNow, result);
+    ReleaseHeadsOfEndedGroups(aFleet, aNow, result);
     Rebalance(aFleet, aNow, result);
     FormGroups(aFleet, aNow, result);
   }
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -271,7 +271,7 @@
   if (aMember.hasLeft || found == mInstanceStates.end()) {
     return aMember.hasLeft;
   }
-  if (found->second.incarnationId > aMember.incarnationId) {
+  if (HasRestarted(aMember)) {
     return true;
   }
   const bool reportCurrent =
@@ -279,6 +279,13 @@
   return reportCurrent && !IsMemberOf(aGroup.id, aGroup.epoch, aMember.instance, aFleet);
 }
 
+bool
+group_controller::HasRestarted(const managed_member& aMember) const
+{
+  const auto found = mInstanceStates.find(aMember.instance);
+  return found != mInstanceStates.end() && found->second.incarnationId > aMember.incarnationId;
+}
+
 bool
 group_controller::IsWhole(const managed_group& aGroup, const fleet::fleet_view& aFleet) const
 {
@@ -311,12 +318,15 @@
     RecordDecision(record_decision::decision_kind::kept, aGroup, "all members answer", aActions);
     return;
   }
-  if (aGroup.Head().hasLeft) {
+  const bool hasHeadRestarted = HasRestarted(aGroup.Head());
+  const bool isHeadAlone = aGroup.members.size() == 1;
+  if (aGroup.Head().hasLeft && (!hasHeadRestarted || isHeadAlone)) {
     EndGroup(aGroup, "head left the group", aNow, aActions);
     return;
   }
-  // An unreachable head may still be alive. Members that have confirmed to have left are free
-  // nevertheless.
+  // An unreachable head may still be alive, and one that restarted may be brought back into the
+  // group by orders to its former life that are late. Members that have confirmed to have left are
+  // free nevertheless.
   const instance_id head = aGroup.Head().instance;
   std::erase_if(aGroup.members, [&](const managed_member& aMember) {
     const bool isFree = aMember.hasLeft && aMember.instance != head;
@@ -334,7 +344,8 @@
     if (aGroup.isReleasedForSilence && isSilent) {
       continue;
     }
-    const bool mustLeave = member.instance == head || IsUnresponsive(head);
+    const bool mustLeave =
+      !member.hasLeft && (member.instance == head || hasHeadRestarted || IsUnresponsive(head));
     if (!mustLeave || !IsDue(member.leaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
@@ -362,23 +373,21 @@
 }
 
 void
-group_controller::CloseReopenedGroups(const fleet::fleet_view& aFleet,
-                                      time_point aNow,
-                                      actions& aActions)
+group_controller::ReleaseHeadsOfEndedGroups(const fleet::fleet_view& aFleet,
+                                            time_point aNow,
+                                            actions& aActions)
 {
-  mReopenedGroups.clear();
+  mEndedGroupsWithHead.clear();
   for (auto& [id, state] : mInstanceStates) {
     const auto membership = MembershipOf(id, aFleet);
-    const bool serves = membership && membership->rank == 0 &&
-                        (membership->phase == fleet::member_phase::open ||
-                         membership->phase == fleet::member_phase::closing);
-    if (!serves || mEndedGroups.count({ membership->group, membership->epoch }) == 0) {
+    const bool isHead = membership && membership->rank == 0;
+    if (!isHead || mEndedGroups.count({ membership->group, membership->epoch }) == 0) {
       continue;
     }
     if (state.leftEpoch == membership->epoch && state.lastReportAt < state.leftAt + kMaxLeaveLag) {
       continue;
     }
-    mReopenedGroups.emplace(membership->group, membership->epoch);
+    mEndedGroupsWithHead.emplace(membership->group, membership->epoch);
     if (!IsDue(state.strayLeaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
--- a/src/assembly/internal/groupplanning.cpp
+++ b/src/assembly/internal/groupplanning.cpp
@@ -97,7 +97,7 @@
   }
   const std::pair group(membership->group, membership->epoch);
   if (mEndedGroups.count(group) > 0) {
-    return mReopenedGroups.count(group) > 0;
+    return mEndedGroupsWithHead.count(group) > 0;
   }
   const auto found = mInstanceStates.find(aInstance.id);
   return found == mInstanceStates.end() || found->second.leftEpoch != membership->epoch;
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -47,6 +47,17 @@
     };
   }
 
+  /// The same for the first orders to join and to open.
+  void DelayFirstJoinAndOpen(duration aLateness)
+  {
+    DelayFirst(order_kind::join, aLateness);
+    const auto delayJoin = fixture.lateness;
+    DelayFirst(order_kind::open, aLateness);
+    fixture.lateness = [delayJoin, delayOpen = fixture.lateness](const engine_order& aOrder) {
+      return aOrder.kind == order_kind::join ? delayJoin(aOrder) : delayOpen(aOrder);
+    };
+  }
+
   void CheckNoViolation()
   {
     STRCMP_EQUAL("", fixture.simulator.violations.empty() ? "" : fixture.simulator.violations.front().c_str());
@@ -76,6 +87,22 @@
     fixture.simulator.Add("new-" + std::to_string(++added), "d0");
   }
 
+  /// The entries of instances lapse, and all but some come back later.
+  void Lapse(const std::vector<engine_simulator::engine*>& aEngines, random_source& aRandom)
+  {
+    const bool isCut = aRandom.Below(2) == 0;
+    for (engine_simulator::engine* engine : aEngines) {
+      engine->registered = false;
+      engine->reachable = !isCut;
+    }
+    fixture.RunFor(duration{ 2000 + 1000 * static_cast<std::int64_t>(aRandom.Below(40)) });
+    for (engine_simulator::engine* engine : aEngines) {
+      const bool isBack = aRandom.Below(4) != 0;
+      engine->registered = isBack;
+      engine->reachable = engine->reachable || isBack;
+    }
+  }
+
   /// Returns the instances of a domain.
   std::vector<engine_simulator::engine*> MembersOfDomain(const std::string& aDomain)
   {
@@ -226,3 +253,51 @@
   fixture.RunFor(30_s);
   CheckNoViolation();
 }
+
+// Guards against a head that restarts and by two late orders, to join and to open, serves the group
+// again that ended with its former life, while its members are ordered to join the next one.
+TEST(late_orders, RestartedHeadDoesNotServeItsFormerGroup)
+{
+  for (duration added{ 0 }; added < 4_s; added = added + 50_ms) {
+    fixture = {};
+    fixture.simulator.reportLag = 300_ms;
+    DelayFirstJoinAndOpen(9_s);
+    fixture.simulator.service.engine->models.resize(1);
+    fixture.controller.Configure(fixture.simulator.service);
+    Start(1, 4);
+    fixture.RunFor(6_s);
+    UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+    // Too few are left for the next group, so that the restarted head joins none meanwhile.
+    fixture.FindMember(false)->entry.draining = true;
+    fixture.simulator.Restart(*fixture.FindMember(true));
+    fixture.RunFor(3_s + added);
+    fixture.simulator.Add("h-new", "d0");
+    fixture.RunFor(30_s);
+    CheckNoViolation();
+  }
+}
+
+// As NoOrderOfAnyKindTakesEffectAfterNewerDecisions, with reports that lag behind and with domains
+// whose entries all lapse for a while. Guards against members of a group that count as free
+// although nothing shows that its head has left.
+TEST(late_orders, NoOrderTakesEffectAfterNewerDecisionsBesideLapses)
+{
+  for (std::uint64_t seed = 1; seed <= 130; ++seed) {
+    random_source random(seed);
+    fixture = {};
+    fixture.simulator.reportLag = duration{ 50 * static_cast<std::int64_t>(random.Below(14)) };
+    fixture.lateness = [&random](const engine_order&) { return DrawLateness(random); };
+    Start(2, 8);
+    for (int round = 0; round < 16; ++round) {
+      fixture.RunFor(3_s);
+      Disturb(random);
+      if (random.Below(4) == 0) {
+        Lapse(MembersOfDomain(random.Below(2) == 0 ? "d0" : "d1"), random);
+      }
+      if (random.Below(6) == 0) {
+        TakeOver();
+      }
+    }
+    CheckNoViolation();
+  }
+}
--- a/src/assembly/tests/mocks/enginesimulator.h
+++ b/src/assembly/tests/mocks/enginesimulator.h
@@ -7,6 +7,7 @@
 #include "routes/serviceprofile.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,9 +47,8 @@
     std::uint64_t highestEpoch = 0;
     std::uint64_t highestToken = 0;
     routes::model_name lastGroupModel;
-    /// The membership that it last left, which its entry and reports show until a time.
-    std::optional<fleet::group_membership> formerMembership;
-    time_point formerShownUntil{};
+    /// Its states of the last reportLag, in the order of time, with the time of each.
+    std::deque<std::pair<time_point, fleet::instance>> formerStates;
   };
 
   engine_simulator()
@@ -94,7 +94,7 @@
     for (const auto& [id, target] : engines) {
       if (target.registered) {
         fleet::instance shown = target.entry;
-        shown.membership = ShownMembership(target);
+        shown.membership = ShownState(target).membership;
         view.Upsert(shown);
       }
     }
@@ -116,12 +116,13 @@
     if (!target.alive) {
       return { std::nullopt, fleet::report_failure::refused };
     }
+    const fleet::instance& shown = ShownState(target);
     fleet::engine_report report;
     report.incarnationId = target.entry.incarnationId;
-    report.model = target.entry.model;
-    report.stagedModels = target.entry.stagedModels;
-    report.membership = ShownMembership(target);
-    report.acceptedOrders = target.entry.acceptedOrders;
+    report.model = shown.model;
+    report.stagedModels = shown.stagedModels;
+    report.membership = shown.membership;
+    report.acceptedOrders = shown.acceptedOrders;
     report.running = target.running;
     return { report, {} };
   }
@@ -174,6 +175,7 @@
   {
     mNow = aNow;
     for (auto& [id, target] : engines) {
+      KeepState(target);
       if (!target.entry.membership) {
         continue;
       }
@@ -222,7 +224,7 @@
   std::vector<time_point> loadStarts;
   /// False for engines that do not check the tokens of orders.
   bool enforcesTokens = true;
-  /// Time for which an engine still shows the group that it has left.
+  /// Time for which reports lag behind, and for which entries still show a former membership.
   duration reportLag;
 
 private:
@@ -234,9 +236,21 @@
            aEngine.entry.membership->epoch == aOrder.epoch;
   }
 
-  [[nodiscard]] std::optional<fleet::group_membership> ShownMembership(const engine& aEngine) const
+  /// Returns the state that reports show now.
+  [[nodiscard]] const fleet::instance& ShownState(const engine& aEngine) const
   {
-    return mNow < aEngine.formerShownUntil ? aEngine.formerMembership : aEngine.entry.membership;
+    const bool isCurrent = reportLag.ms == 0 || aEngine.formerStates.empty();
+    return isCurrent ? aEngine.entry : aEngine.formerStates.front().second;
+  }
+
+  /// Records the state of an engine at this time, and forgets what reports show no longer.
+  void KeepState(engine& aEngine) const
+  {
+    auto& states = aEngine.formerStates;
+    states.emplace_back(mNow, aEngine.entry);
+    while (states.size() > 1 && states[1].first <= mNow - reportLag) {
+      states.pop_front();
+    }
   }
 
   /// Returns true when the head of an engine's group is alive and open or closing.
@@ -337,8 +351,6 @@
     }
     ++aEngine.entry.acceptedOrders;
     leavesOfOpenHeads += aEngine.entry.membership->phase == fleet::member_phase::open ? 1 : 0;
-    aEngine.formerMembership = aEngine.entry.membership;
-    aEngine.formerShownUntil = mNow + reportLag;
     aEngine.entry.membership.reset();
     aEngine.openAt = {};
     return order_outcome::begun;
