--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -161,6 +161,13 @@
       member.hasBeenReady = membership->phase != fleet::member_phase::joining;
     }
     allReady = allReady && member.hasBeenReady;
+    // A late order may have made it a member of another group since it was selected.
+    const fleet::instance* entry = aFleet.Find(member.instance);
+    if (!member.joinAccepted && entry != nullptr && IsBoundToGroup(*entry, aFleet)) {
+      AbandonForming(
+        aGroup, "instance " + member.instance.value + " is in another group", aNow, aActions);
+      return;
+    }
     if (!member.joinAccepted && IsDue(member.joinSentAt, mOptions.orderRetryInterval, aNow)) {
       engine_order order = MakeOrder(aGroup, member.instance, order_kind::join);
       order.model = aGroup.model;
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -277,6 +277,36 @@
   }
 }
 
+// Guards against an instance that is ordered to join a group although a late order to its former life
+// has made it a member of another one, whose head serves still.
+TEST(late_orders, InstanceThatALateOrderBroughtBackIsNotOrderedToJoinAnotherGroup)
+{
+  for (duration restarted{ 0 }; restarted < 4_s; restarted = restarted + 50_ms) {
+    fixture = {};
+    fixture.simulator.reportLag = 300_ms;
+    fixture.simulator.service.engine->models.resize(1);
+    fixture.controller.Configure(fixture.simulator.service);
+    instance_id late;
+    fixture.lateness = [&late](const engine_order& aOrder) {
+      const bool isLate = late.Empty() && aOrder.kind == order_kind::join &&
+                          aOrder.members.front() != aOrder.instance;
+      late = isLate ? aOrder.instance : late;
+      return isLate ? std::optional(9_s) : std::nullopt;
+    };
+    Start(1, 4);
+    fixture.RunFor(5_s + restarted);
+    UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+    fixture.FindMember(true)->running = 1;
+    fixture.simulator.Restart(fixture.simulator.engines.at(late));
+    TakeOver();
+    for (const char* id : { "h-new-1", "h-new-2", "h-new-3" }) {
+      fixture.simulator.Add(id, "d0");
+    }
+    fixture.RunFor(30_s);
+    CheckNoViolation();
+  }
+}
+
 // As NoOrderOfAnyKindTakesEffectAfterNewerDecisions, with reports that lag behind and with domains
 // whose entries all lapse for a while. Guards against members of a group that count as free
 // although nothing shows that its head has left.
