Heads of responses have a bound of lines, and every response of a member one of bytes

Report of other operators: a server's bytes without end, kept until memory ran out; others ended with the process. Callers: calls at a faulty upstream that sends a head of short lines and stops held some megabytes each until their time was over (the bound of 64 KiB was of bytes alone; a line of 4 bytes is an object of some 200); at own routers and placers a response to GET /state had no bound, or that of the platform's largest list. Cause: bounds of what is received, not of what is kept; and a client whose caller did not name a bound. Now a head has 64 KiB and 512 lines, counted in one place for both clients; responses of members have 256 KiB. Evidence: upstream_loop.HeadOfManyShortLinesEndsTheCall, http_client.HeadAboveTheLargestFailsTheRequest, http_client.BodyAboveTheRequestsLargestFailsTheRequest fail before, pass now. Ruled out: a head without end at http_client; the library bounds that itself here (at some 300 KB, by version). The bounds of /state at routers have no test of their own.

--- a/src/app/placershell.cpp
+++ b/src/app/placershell.cpp
@@ -294,6 +294,7 @@
       platform::http_request request;
       request.url = "http://" + read->address.value + "/state";
       request.timeout = kReadTimeout;
+      request.maxBodyBytes = kMaxMemberResponseBytes;
       const auto response = client.Send(request);
       member_read event{ read->instance, std::nullopt, false };
       if (response && response->status == kOk) {
@@ -333,6 +334,7 @@
     request.headers = { { "Content-Type", "application/json" } };
     request.body = RenderOrder(aOrder.order);
     request.timeout = options.core.longestOrder;
+    request.maxBodyBytes = kMaxMemberResponseBytes;
     // A reused connection could make the client library send the order a second time later.
     request.freshConnection = true;
     // The lease is looked at last, right before the send.
--- a/src/app/router/internal/deathprober.cpp
+++ b/src/app/router/internal/deathprober.cpp
@@ -1,6 +1,7 @@
 #include "app/router/deathprober.h"
 
 #include "app/router/headstate.h"
+#include "placement/memberstate.h"
 
 #include <algorithm>
 #include <memory>
@@ -45,6 +46,7 @@
   call.target = "/state";
   call.connectTimeout = kProbeTimeout;
   call.timeout = kProbeTimeout;
+  call.maxBodyBytes = placement::kMaxMemberResponseBytes;
   call.freshConnection = true;
   // A plain service would take the question for a call of a customer.
   call.connectOnly = aUpstream.group.Empty();
--- a/src/app/router/internal/presenceobserver.cpp
+++ b/src/app/router/internal/presenceobserver.cpp
@@ -2,6 +2,7 @@
 
 #include "app/router/headstate.h"
 #include "app/router/routerevents.h"
+#include "placement/memberstate.h"
 
 namespace persimmon::router {
 namespace {
@@ -49,6 +50,7 @@
   call.target = "/state";
   call.connectTimeout = kPollTimeout;
   call.timeout = kPollTimeout;
+  call.maxBodyBytes = placement::kMaxMemberResponseBytes;
   const auto state = std::make_shared<std::string>();
   mLoop.Start(std::move(call),
               { [](const upstream::response_head&) {},
--- a/src/placement/memberstate.h
+++ b/src/placement/memberstate.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "document/modelspec.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace persimmon::placement {
 
+/// Largest response of an instance to GET /state or to an order, in bytes.
+constexpr std::size_t kMaxMemberResponseBytes = 256U << 10U;
+
 enum class engine_state
 {
   idle,
--- a/src/platform/httpclient.h
+++ b/src/platform/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,10 @@
   std::string value;
 };
 
+/// Largest body of a response that is kept if a request names no other bound: a list of the
+/// platform.
+constexpr std::size_t kMaxHttpBodyBytes = 64U << 20U;
+
 /// An HTTP request of http_client.
 struct http_request
 {
@@ -24,6 +29,8 @@
   std::string url;
   std::vector<http_header> headers;
   std::string body;
+  /// Largest body of the response, in bytes; the request fails above it.
+  std::size_t maxBodyBytes = kMaxHttpBodyBytes;
   /// Covers the whole call, from connecting to the last byte of the response.
   duration timeout{ 5000 };
   /// Sends over a new connection, which is closed afterwards. libcurl silently repeats a request
@@ -63,8 +70,8 @@
   http_client(http_client&&) noexcept;
   http_client& operator=(http_client&&) noexcept;
 
-  /// Sends a request and waits for the whole response. Returns nothing when the request fails; see
-  /// LastFailure().
+  /// Sends a request and waits for the whole response. Returns nothing when the request fails, also
+  /// when the response is too large to be kept; see LastFailure().
   std::optional<http_response> Send(const http_request& aRequest);
   /// Aborts the call in progress within about a second and every later call at once. May be called
   /// from any thread, to stop a thread that waits for a response.
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/httpclient.h"
 
 #include "base/headerlookup.h"
+#include "base/responseheadsize.h"
 #include "base/text.h"
 
 #include <atomic>
@@ -9,8 +10,6 @@
 namespace persimmon::platform {
 namespace {
 
-constexpr std::size_t kMaxBodyBytes = 64U << 20U;
-
 struct curl_handle_deleter
 {
   void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
@@ -23,28 +22,41 @@
 
 using header_list = std::unique_ptr<curl_slist, curl_slist_deleter>;
 
-/// libcurl write callback; returns 0, which fails the call, when the body exceeds kMaxBodyBytes.
+/// A response that is being received.
+struct incoming_response
+{
+  http_response response;
+  response_head_size headSize;
+  std::size_t maxBodyBytes = 0;
+};
+
+/// libcurl write callback; returns 0, which fails the call, when the body is too large.
 std::size_t
 AppendBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
 {
-  auto& body = *static_cast<std::string*>(aTarget);
+  auto& incoming = *static_cast<incoming_response*>(aTarget);
+  std::string& body = incoming.response.body;
   const std::size_t bytes = aSize * aCount;
-  if (body.size() + bytes > kMaxBodyBytes) {
+  if (body.size() + bytes > incoming.maxBodyBytes) {
     return 0;
   }
   body.append(aData, bytes);
   return bytes;
 }
 
-/// libcurl header callback; ignores the status line and the empty line after the headers.
+/// libcurl header callback; ignores the status line and the empty line after the headers. Returns
+/// 0, which fails the call, when the head is too large.
 std::size_t
 AppendHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
 {
-  auto& headers = *static_cast<std::vector<http_header>*>(aTarget);
+  auto& incoming = *static_cast<incoming_response*>(aTarget);
   const std::string_view line(aData, aSize * aCount);
+  if (!incoming.headSize.Add(line.size())) {
+    return 0;
+  }
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
-    headers.push_back(
+    incoming.response.headers.push_back(
       { std::string(line.substr(0, colon)), std::string(Trimmed(line.substr(colon + 1))) });
   }
   return aSize * aCount;
@@ -122,7 +134,8 @@
 {
   CURL* handle = mImplementation->handle.get();
   curl_easy_reset(handle);
-  http_response response;
+  incoming_response incoming;
+  incoming.maxBodyBytes = aRequest.maxBodyBytes;
   const header_list headers = BuildHeaders(aRequest);
   curl_easy_setopt(handle, CURLOPT_URL, aRequest.url.c_str());
   curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
@@ -131,9 +144,9 @@
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.ms));
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
-  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &incoming);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
-  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &incoming);
   curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, CheckCancelled);
   curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &mImplementation->cancelled);
@@ -156,9 +169,9 @@
   }
   long status = 0;
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-  response.status = static_cast<int>(status);
+  incoming.response.status = static_cast<int>(status);
   mImplementation->failure = http_failure::none;
-  return response;
+  return std::move(incoming.response);
 }
 
 void
--- a/src/platform/tests/httpclienttests.cpp
+++ b/src/platform/tests/httpclienttests.cpp
@@ -1,5 +1,8 @@
 #include "platform/httpclient.h"
 
+#include "base/clock.h"
+#include "base/responseheadsize.h"
+
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,6 +15,68 @@
 
 namespace {
 
+/// Answers one connection with a head, and then with a piece again and again up to a limit. Then it
+/// waits until the client closes.
+class endless_server
+{
+public:
+  endless_server(std::string aHead, std::string aPiece, std::size_t aLimit)
+    : mSocket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* genericAddress = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof(address);
+    const bool isListening = bind(mSocket, genericAddress, size) == 0 && listen(mSocket, 1) == 0;
+    CHECK(isListening);
+    getsockname(mSocket, genericAddress, &size);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this, head = std::move(aHead), piece = std::move(aPiece), aLimit] {
+      const int accepted = accept(mSocket, nullptr, nullptr);
+      std::string next = head;
+      std::size_t sent = 0;
+      while (sent <= aLimit && SendAll(accepted, next)) {
+        sent += next.size();
+        next = piece;
+      }
+      char request[4096];
+      while (recv(accepted, request, sizeof request, 0) > 0) {
+      }
+      close(accepted);
+    });
+  }
+  ~endless_server()
+  {
+    mThread.join();
+    close(mSocket);
+  }
+  endless_server(const endless_server&) = delete;
+  endless_server& operator=(const endless_server&) = delete;
+  [[nodiscard]] std::string Url() const
+  {
+    return "http://127.0.0.1:" + std::to_string(mPort) + "/";
+  }
+
+private:
+  static bool SendAll(int aSocket, const std::string& aBytes)
+  {
+    std::size_t sent = 0;
+    while (sent < aBytes.size()) {
+      const ssize_t count = send(aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+      if (count <= 0) {
+        return false;
+      }
+      sent += static_cast<std::size_t>(count);
+    }
+    return true;
+  }
+
+  int mSocket;
+  std::uint16_t mPort = 0;
+  std::thread mThread;
+};
+
 /// Accepts connections into the kernel's backlog and never responds.
 class unresponsive_server
 {
@@ -78,3 +143,29 @@
   CHECK_FALSE(client.Send(request).has_value());
   CHECK(client.LastFailure() == http_failure::not_sent);
 }
+
+// Guards against a head without end: what is kept of it must not depend on the library's own bound,
+// which differs from version to version.
+TEST(http_client, HeadAboveTheLargestFailsTheRequest)
+{
+  const endless_server endless(
+    "HTTP/1.1 200 OK\r\n", "X-Fill: " + std::string(4096, 'x') + "\r\n", kMaxResponseHeadBytes);
+  http_request request;
+  request.url = endless.Url();
+  const time_point start = steady_clock().Now();
+  CHECK_FALSE(client.Send(request).has_value());
+  CHECK(client.LastFailure() == http_failure::maybe_sent);
+  CHECK(steady_clock().Now() - start < request.timeout);
+}
+
+// Guards against a response to a small question that is kept up to the size of a list.
+TEST(http_client, BodyAboveTheRequestsLargestFailsTheRequest)
+{
+  const endless_server endless("HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x'), 200000);
+  http_request request;
+  request.url = endless.Url();
+  request.maxBodyBytes = 100000;
+  const time_point start = steady_clock().Now();
+  CHECK_FALSE(client.Send(request).has_value());
+  CHECK(steady_clock().Now() - start < request.timeout);
+}
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -173,8 +173,7 @@
 active_call::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
   auto& self = *static_cast<active_call*>(aSelf);
-  self.mHeadBytes += aSize * aCount;
-  if (self.mHeadBytes > kMaxResponseHeadBytes) {
+  if (!self.mHeadSize.Add(aSize * aCount)) {
     return 0;
   }
   self.ReadHeaderLine({ aData, aSize * aCount });
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/responseheadsize.h"
 #include "upstream/callhandlers.h"
 #include "upstream/callid.h"
 #include "upstream/upstreamcall.h"
@@ -61,7 +62,7 @@
   response_head mHead;
   /// True once the empty line behind the head of the final response was read.
   bool mHeadComplete = false;
-  std::size_t mHeadBytes = 0;
+  response_head_size mHeadSize;
   std::size_t mBodyBytes = 0;
   bool mBodyTooLarge = false;
   bool mHandlersSuppressed = false;
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -1,5 +1,6 @@
 #include "upstream/upstreamloop.h"
 
+#include "base/responseheadsize.h"
 #include "upstream/tests/mocks/rawserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -293,3 +294,33 @@
   CHECK(wasConnected);
   CHECK_EQUAL(0, server.RequestCount());
 }
+
+// Guards against heads of very many short lines, each of which is kept as an object of its own:
+// such calls, held until their time is over, took megabytes each.
+TEST(upstream_loop, HeadOfManyShortLinesEndsTheCall)
+{
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  for (std::size_t line = 0; line <= kMaxResponseHeadLines; ++line) {
+    head += "a:\r\n";
+  }
+  const raw_server server({ { head, raw_end::keep } });
+  upstream_call call = CallTo(server.Address(), true);
+  call.timeout = 5_s;
+  const time_point start = steady_clock().Now();
+  CHECK(Run(loop, std::move(call)).outcome.end == call_end::maybe_sent);
+  CHECK(steady_clock().Now() - start < 4_s);
+}
+
+// Guards against a body without end that is kept as a whole.
+TEST(upstream_loop, BodyAboveTheLargestEndsTheCall)
+{
+  const raw_server server(
+    { { "HTTP/1.1 200 OK\r\n\r\n" + std::string(2000, 'x'), raw_end::keep } });
+  upstream_call call = CallTo(server.Address(), true);
+  call.timeout = 5_s;
+  call.maxBodyBytes = 1000;
+  const recorded_call recorded = Run(loop, std::move(call));
+  CHECK(recorded.outcome.end == call_end::maybe_sent);
+  CHECK(recorded.outcome.bodyTooLarge);
+  CHECK(recorded.body.size() <= 1000);
+}
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -12,10 +12,6 @@
 
 namespace persimmon::upstream {
 
-/// Largest head of a response with all interim responses and trailers, after which the call ends as
-/// maybe_sent. Usual heads have less than a kilobyte.
-constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
-
 /// A relay through which a connection is opened.
 struct call_tunnel
 {
@@ -24,7 +20,8 @@
   std::string credentials;
 };
 
-/// An HTTP request to an upstream, with its connection options.
+/// An HTTP request to an upstream, with its connection options. The call ends as maybe_sent when
+/// the head of the response is too large (base/responseheadsize.h).
 struct upstream_call
 {
   endpoint address;
