Incomplete events of all calls share one memory with incomplete bodies

Callers: 600 calls at one faulty upstream, each with an event of up to 256 KiB that does not end, took 185 MB of a process that may have 260 MB; the calls of others end with it. Cause: one event was bounded, their sum was not; bodies had a budget of all calls together.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -7,19 +7,28 @@
 #include "gateway/eventframer.h"
 #include "gateway/responseinfo.h"
 #include "gateway/sentgroup.h"
+#include "upstream/bodybudget.h"
 #include "upstream/callid.h"
 #include "upstream/responsehead.h"
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace persimmon::gateway {
 
 /// One call to one upstream on behalf of an exchange.
 struct attempt
 {
+  /// Without a budget, what it keeps of its response is not bounded.
+  explicit attempt(std::shared_ptr<upstream::body_budget> aBudget = nullptr)
+    : kept(std::move(aBudget))
+  {
+  }
+
   /// Number of the attempt within its exchange, never given again.
   std::uint64_t number = 0;
   instance_id upstream;
@@ -48,6 +57,8 @@
   /// Body received so far of a response that is not streamed.
   std::string responseBody;
   event_framer framer;
+  /// The body, or the incomplete event of a stream.
+  upstream::kept_bytes kept;
   /// True once a complete event of a stream has arrived from this upstream.
   bool hasReceivedEvent = false;
   /// Prompt tokens that still count as pending at the upstream; zero after its first event.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,7 +7,6 @@
 #include "dispatch/callattributes.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/upstreamselector.h"
-#include "gateway/bodybudget.h"
 #include "gateway/crashmonitor.h"
 #include "gateway/demandmeter.h"
 #include "gateway/durationestimate.h"
@@ -16,10 +15,12 @@
 #include "gateway/unknownheaderlog.h"
 #include "gateway/upstreamcaller.h"
 #include "metrics/metrics.h"
+#include "upstream/bodybudget.h"
 #include "upstream/upstreamloop.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -45,7 +46,7 @@
   demand_meter demandMeter{};
   admission::caller_patience callerPatience{};
   unknown_header_log unknownHeaders{ metrics };
-  body_budget bodies{};
+  std::shared_ptr<upstream::body_budget> bodies = std::make_shared<upstream::body_budget>();
   loop_watch watch{ kFastTickInterval };
   /// Start of this process.
   time_point startedAt = Now();
--- a/src/gateway/internal/exchangeactions.h
+++ b/src/gateway/internal/exchangeactions.h
@@ -210,7 +210,7 @@
                               incarnation aIncarnation,
                               time_point aNow)
 {
-  auto added = std::make_unique<attempt>();
+  auto added = std::make_unique<attempt>(mContext.bodies);
   added->number = ++mLastAttemptNumber;
   added->upstream = aTarget.instance;
   added->address = aTarget.address;
--- a/src/gateway/internal/exchangeattempts.h
+++ b/src/gateway/internal/exchangeattempts.h
@@ -77,7 +77,6 @@
   if (mPausedCall == aAttempt.call) {
     mPausedCall.reset();
   }
-  mContext.bodies.Release(aAttempt.responseBody.size());
   mContext.metrics.Count(kAttempts, { { "result", aResult } });
   WriteLog(
     kAttemptEnded,
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -12,8 +12,6 @@
 /// Time for which an upstream that answered 421 receives no new calls: by then the registry shows
 /// that its address belongs to another instance.
 constexpr duration kMisdirectedAvoidance = 1_s;
-/// Largest event of a stream.
-constexpr std::size_t kMaxEventBytes = 256U << 10U;
 /// Bytes of a stream that may wait for the caller to read.
 constexpr std::size_t kMaxUnreadBytes = 256U << 10U;
 
@@ -99,7 +97,7 @@
 exchange<Dialect>::KeepBody(attempt& aAttempt, std::string_view aData)
 {
   aAttempt.OnReceived(mContext.Now());
-  if (!mContext.bodies.TryAdd(aAttempt.responseBody.size(), aData.size())) {
+  if (!aAttempt.kept.Resize(aAttempt.responseBody.size() + aData.size())) {
     OnAttemptLost(aAttempt, "body_too_large", true);
     return;
   }
@@ -151,7 +149,8 @@
     OnAttemptLost(aAttempt, "not_of_the_stream", true);
     return;
   }
-  if (aAttempt.framer.PartialBytes() > exchange_limits::kMaxEventBytes) {
+  const std::size_t incomplete = aAttempt.framer.PartialBytes();
+  if (incomplete > upstream::kMaxEventBytes || !aAttempt.kept.Resize(incomplete)) {
     OnAttemptLost(aAttempt, "event_too_large", true);
     return;
   }
@@ -315,11 +314,9 @@
     mContext.crashes.Completed(aAttempt.monitored);
   }
   RecordDelivery();
-  std::string body = std::exchange(aAttempt.responseBody, {});
-  mContext.bodies.Release(body.size());
   SendResponse(aAttempt.responseInfo->status,
                Dialect::EndToEndHeaders(aAttempt.responseHead),
-               std::move(body));
+               std::move(aAttempt.responseBody));
   EndAttempt(aAttempt, "whole");
   Finish("answered");
 }
--- a/src/gateway/tests/bodybudgettests.cpp
+++ b/src/upstream/tests/bodybudgettests.cpp
@@ -1,8 +1,8 @@
-#include "gateway/bodybudget.h"
+#include "upstream/bodybudget.h"
 
 #include <CppUTest/TestHarness.h>
 
-using namespace persimmon::gateway;
+using namespace persimmon::upstream;
 
 namespace {
 
@@ -49,3 +49,18 @@
   CHECK_EQUAL(0, budget.Used());
   CHECK_EQUAL(kept, Fill());
 }
+
+// Guards against what a call that has ended kept, and never gives back.
+TEST(body_budget, WhatACallKeepsIsFreeOnceItIsDestroyed)
+{
+  const auto shared = std::make_shared<body_budget>(kTotal);
+  {
+    kept_bytes kept(shared);
+    CHECK(kept.Resize(1000));
+    CHECK(kept.Resize(300));
+    CHECK_EQUAL(300, shared->Used());
+    CHECK_FALSE(kept.Resize(kTotal + 1));
+    CHECK_EQUAL(300, shared->Used());
+  }
+  CHECK_EQUAL(0, shared->Used());
+}
