Own routers keep no event without end

Callers: a member whose event never ends filled the router's memory (sse_framer kept all of it, and looked through all of it for each piece); the calls of others end with the process. Answers had 16 MiB each and no bound together. Now an event above 256 KiB counts as a lost upstream, so that the stream goes on elsewhere, and what is kept of incomplete answers and events has 64 MiB of all requests together.

--- a/src/app/router/exchange.h
+++ b/src/app/router/exchange.h
@@ -80,6 +80,8 @@
   void OnData(routing::attempt_number aAttempt, std::string_view aBytes);
   void OnDone(routing::attempt_number aAttempt, const upstream::call_outcome& aOutcome);
   void OnStreamData(std::string_view aBytes);
+  /// Counts what is held of the attempt's answer. Returns false when that is too much.
+  bool KeepHeld();
   /// Tells the choice of upstreams how far the stream has come, at most twice a second.
   void TellProgress();
   void Write(std::string_view aBytes);
@@ -106,6 +108,8 @@
   time_point mDeadline;
   routing::request_flow mFlow;
   attempt mAttempt;
+  /// What is held of the attempt's answer, with the event that has not come whole.
+  upstream::kept_bytes mKept{ mContext.answers };
   std::vector<upstream_id> mTried;
   /// The intent that the ledger granted, until it is closed.
   std::optional<ledger::dispatch_permit> mTicket;
--- a/src/app/router/internal/exchangeattempts.cpp
+++ b/src/app/router/internal/exchangeattempts.cpp
@@ -56,6 +56,7 @@
   mNextProgress = {};
   mTried.push_back(target.id);
   mFramer.DropPartial();
+  mKept.Resize(0);
   mBroken = false;
   RecordAttempt(aAction.resumeAfter);
   mContext.suspects.Started({ mAttempt.id, mCall.fingerprint, target.id, UpstreamRun(target) },
@@ -128,13 +129,21 @@
     OnStreamData(aBytes);
     return;
   }
-  if (mAttempt.held.size() + aBytes.size() > kMaxAnswerBytes) {
+  const std::size_t size = mAttempt.held.size() + aBytes.size();
+  if (size > kMaxAnswerBytes || !mKept.Resize(size)) {
     Handle(routing::flow_answer_too_large{ aAttempt });
     return;
   }
   mAttempt.held.append(aBytes);
 }
 
+bool
+exchange::KeepHeld()
+{
+  const std::size_t incomplete = mFramer.PartialBytes();
+  return incomplete <= upstream::kMaxEventBytes && mKept.Resize(mAttempt.held.size() + incomplete);
+}
+
 void
 exchange::OnStreamData(std::string_view aBytes)
 {
@@ -147,6 +156,9 @@
   }
   if (mFramer.SawEnd()) {
     EndAttempt(true, {});
+  } else if (!KeepHeld()) {
+    mLoop.Cancel(mAttempt.call);
+    EndAttempt(false, { upstream::call_end::maybe_sent, false, 0, true, "event too large" });
   } else {
     TellProgress();
   }
--- a/src/app/router/sseframer.h
+++ b/src/app/router/sseframer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -17,6 +18,8 @@
   /// Forgets an event that has not come whole.
   void DropPartial();
 
+  /// Bytes of an event that has not come whole.
+  [[nodiscard]] std::size_t PartialBytes() const { return mPartial.size(); }
   /// Data events returned so far; an engine sends one for each token.
   [[nodiscard]] std::uint64_t Events() const { return mEvents; }
   /// The event that marks the end, `data: [DONE]`, has come.
