--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -277,8 +277,8 @@
   }
 }
 
-// Guards against an instance that is ordered to join a group although a late order to its former life
-// has made it a member of another one, whose head serves still.
+// Guards against an instance that is ordered to join a group although a late order to its former
+// life has made it a member of another one, whose head serves still.
 TEST(late_orders, InstanceThatALateOrderBroughtBackIsNotOrderedToJoinAnotherGroup)
 {
   for (duration restarted{ 0 }; restarted < 4_s; restarted = restarted + 50_ms) {
