Orders after a leave count it

Callers: groups that were formed anew of members that had left served 0.4 s later than they could. Cause: leaving takes effect at once and is answered 200, done, where other orders are answered 202. Only 202 counted as an accepted order, so that the next order, to join, named the former count and was rejected with 409. Ruled out: the lag of reports (the count of a report is never too high, and the accepted join before each was counted). Not counted: a second order to leave, which may find nothing to do; the next report tells.

--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -81,6 +81,9 @@
   {
     engine_order order;
     time_point sentAt;
+    /// True for the first order to leave a group to an instance that reported to be its member:
+    /// done, it has ended the membership.
+    bool endsMembership = false;
   };
   using actions = std::vector<assembly_action>;
 
@@ -326,9 +329,13 @@
   /// Sends an order with the current fencing token. Returns false when it may not be sent now.
   bool SendOrder(engine_order aOrder, time_point aNow, actions& aActions);
   /// Updates what is known of the orders that an instance has accepted.
-  static void RecordAcceptance(const engine_order& aOrder,
+  static void RecordAcceptance(const pending_order& aPending,
                                order_outcome aOutcome,
                                instance_state& aState);
+  /// Returns whether an order is the first to leave a group to an instance that reported to be its
+  /// member.
+  [[nodiscard]] static bool EndsMembership(const engine_order& aOrder,
+                                           const instance_state& aState);
   /// Requests a log record of a decision about a group.
   void RecordDecision(record_decision::decision_kind aDecision,
                       const managed_group& aGroup,
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -46,6 +46,8 @@
   std::optional<generation> leftEpoch;
   /// When its answer said so.
   time_point leftAt{ INT64_MIN / 2 };
+  /// Epoch of the group that it was last ordered to leave; empty when there is none.
+  std::optional<generation> leaveOrderedEpoch;
   /// Number of orders that it has accepted; empty while it is not known.
   std::optional<std::uint64_t> acceptedOrders;
   /// True when it has rejected an order since its latest report: it may have accepted another one.
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -394,26 +394,42 @@
   if (!MaySendOrder(aOrder.instance, aOrder.kind)) {
     return false;
   }
-  const instance_state& state = mInstanceStates.at(aOrder.instance);
+  instance_state& state = mInstanceStates.at(aOrder.instance);
   const order_id id{ ++mLastOrderId };
   aOrder.token = mToken;
   aOrder.incarnationId = state.incarnationId;
   aOrder.expectedOrders = state.acceptedOrders;
-  mPendingOrders[id] = { aOrder, aNow };
+  mPendingOrders[id] = { aOrder, aNow, EndsMembership(aOrder, state) };
+  if (aOrder.kind == order_kind::leave) {
+    state.leaveOrderedEpoch = aOrder.epoch;
+  }
   aActions.push_back(send_order{ id, state.address, std::move(aOrder) });
   return true;
 }
 
+bool
+group_controller::EndsMembership(const engine_order& aOrder, const instance_state& aState)
+{
+  const auto membership = aState.report ? aState.report->membership : std::nullopt;
+  return aOrder.kind == order_kind::leave && aState.leaveOrderedEpoch != aOrder.epoch &&
+         membership && membership->group == aOrder.group && membership->epoch == aOrder.epoch;
+}
+
 void
-group_controller::RecordAcceptance(const engine_order& aOrder,
+group_controller::RecordAcceptance(const pending_order& aPending,
                                    order_outcome aOutcome,
                                    instance_state& aState)
 {
-  if (aOrder.incarnationId != aState.incarnationId) {
+  const engine_order& order = aPending.order;
+  if (order.incarnationId != aState.incarnationId) {
     return;
   }
-  if (aOutcome == order_outcome::begun && aOrder.expectedOrders) {
-    aState.acceptedOrders = std::max(aState.acceptedOrders.value_or(0), *aOrder.expectedOrders + 1);
+  // Leaving takes effect at once, so that it is done and has counted; otherwise what is done was so
+  // before and has not.
+  const bool hasCounted = aOutcome == order_outcome::begun ||
+                          (aOutcome == order_outcome::done && aPending.endsMembership);
+  if (hasCounted && order.expectedOrders) {
+    aState.acceptedOrders = std::max(aState.acceptedOrders.value_or(0), *order.expectedOrders + 1);
   }
   aState.mustReportOrders = aState.mustReportOrders || aOutcome == order_outcome::conflict;
 }
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -469,11 +469,12 @@
   if (pending == mPendingOrders.end()) {
     return;
   }
-  const engine_order order = pending->second.order;
+  const pending_order answered = pending->second;
+  const engine_order& order = answered.order;
   mPendingOrders.erase(pending);
   const auto found = mInstanceStates.find(order.instance);
   if (found != mInstanceStates.end()) {
-    RecordAcceptance(order, aOutcome, found->second);
+    RecordAcceptance(answered, aOutcome, found->second);
     found->second.nextProbeAt =
       std::min(found->second.nextProbeAt, aNow + mOptions.formingProbeInterval);
     if (order.kind == order_kind::leave && IsSuccess(aOutcome)) {
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -194,6 +194,25 @@
   CheckNoViolation();
 }
 
+// Guards against an order that is rejected since it does not count the leaving before it, which
+// takes effect at once and is answered as done: each such order cost another 400 ms and a report.
+TEST(late_orders, OrderAfterALeaveCountsIt)
+{
+  fixture.simulator.reportLag = 300_ms;
+  fixture.simulator.service.engine->models.resize(1);
+  fixture.controller.Configure(fixture.simulator.service);
+  Start(1, 4);
+  fixture.RunFor(6_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+  // A spare instance holds the weights, so that the members join again at once.
+  fixture.simulator.Add("h-new", "d0");
+  fixture.RunFor(5_s);
+  fixture.FindMember(false)->entry.draining = true;
+  fixture.RunFor(5_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+  UNSIGNED_LONGS_EQUAL(0, fixture.conflictCount);
+}
+
 // Guards against a longer way to a group: with all orders answered, the groups serve as soon as
 // before. A load before the first call takes 1.2 s here, the opening 0.3 s.
 TEST(late_orders, GroupsServeWithoutFurtherExchanges)
