A head that has accepted the order to open is not ordered again while it opens

Now an accepted order is due again after the time to open and 700 ms for the report; one without an answer as before. Evidence: late_orders.HeadThatOpensIsNotOrderedToOpenAgain (2 orders before, 1 now).

--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -12,6 +12,9 @@
 /// A releasing group with no registered instance is ended after this time.
 constexpr duration kUnregisteredGroupTimeout = 20_s;
 
+/// Longest time until a report shows that the head is open, from the time at which it is.
+constexpr duration kMaxShowTime = 700_ms;
+
 /// Longest time for which reports show a group that their instance has left.
 constexpr duration kMaxLeaveLag = 1_s;
 
@@ -205,6 +208,7 @@
     return;
   }
   if (phase == fleet::member_phase::open) {
+    aGroup.isOpenAccepted = false;
     if (aGroup.currentStage != managed_group::stage::serving) {
       aGroup.currentStage = managed_group::stage::serving;
       RecordDecision(record_decision::decision_kind::opened, aGroup, "", aActions);
@@ -229,7 +233,9 @@
     StartReleasing(aGroup, "head did not open in time", aNow, aActions);
     return;
   }
-  if (IsDue(aGroup.openSentAt, mOptions.orderRetryInterval, aNow) &&
+  const duration interval =
+    aGroup.isOpenAccepted ? mService.engine->openTime + kMaxShowTime : mOptions.orderRetryInterval;
+  if (IsDue(aGroup.openSentAt, interval, aNow) &&
       SendOrder(MakeOrder(aGroup, head, order_kind::open), aNow, aActions)) {
     aGroup.openSentAt = aNow;
   }
@@ -490,6 +496,9 @@
   if (group == nullptr || group->members.empty()) {
     return;
   }
+  if (order.kind == order_kind::open && IsSuccess(aOutcome)) {
+    group->isOpenAccepted = true;
+  }
   for (managed_member& member : group->members) {
     if (member.instance != order.instance) {
       continue;
--- a/src/assembly/managedgroup.h
+++ b/src/assembly/managedgroup.h
@@ -62,6 +62,8 @@
   time_point stageStartedAt;
   /// When the latest order to open was sent.
   std::optional<time_point> openSentAt;
+  /// True once the head has accepted an order to open, until it is seen to be open.
+  bool isOpenAccepted = false;
   /// When the latest order to close was sent.
   std::optional<time_point> closeSentAt;
   [[nodiscard]] managed_member& Head() { return members.front(); }
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -213,6 +213,20 @@
   UNSIGNED_LONGS_EQUAL(0, fixture.conflictCount);
 }
 
+// Guards against an order to open that is repeated while the head opens as it was told, and while
+// its report lags behind.
+TEST(late_orders, HeadThatOpensIsNotOrderedToOpenAgain)
+{
+  fixture.simulator.reportLag = 300_ms;
+  fixture.simulator.service.engine->models.resize(1);
+  fixture.controller.Configure(fixture.simulator.service);
+  Start(1, 4);
+  fixture.RunFor(6_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+  const auto isOpen = [](const engine_order& aOrder) { return aOrder.kind == order_kind::open; };
+  LONGS_EQUAL(1, std::count_if(fixture.sentOrders.begin(), fixture.sentOrders.end(), isOpen));
+}
+
 // Guards against a longer way to a group: with all orders answered, the groups serve as soon as
 // before. A load before the first call takes 1.2 s here, the opening 0.3 s.
 TEST(late_orders, GroupsServeWithoutFurtherExchanges)
