Two things named caller_patience get the names of what they are

admission::caller_patience recognises callers who come back: returning_callers. routes/callerpatience held the longest wait for an event of a stream: longesteventwait. Names and files only.

--- a/src/admission/internal/callerpatience.cpp
+++ b/src/admission/internal/returningcallers.cpp
@@ -1,4 +1,4 @@
-#include "admission/callerpatience.h"
+#include "admission/returningcallers.h"
 
 namespace persimmon::admission {
 namespace {
@@ -15,7 +15,7 @@
 } // namespace
 
 bool
-caller_patience::IsReturning(const std::string& aRoute, duration aTimeout, time_point aNow)
+returning_callers::IsReturning(const std::string& aRoute, duration aTimeout, time_point aNow)
 {
   if (mByRoute.size() >= kMaxRoutes) {
     std::erase_if(mByRoute,
--- a/src/admission/callerpatience.h
+++ b/src/admission/returningcallers.h
@@ -11,7 +11,7 @@
 /// the same route have at first. Such a call cannot be in time any more, since its target counts
 /// from its caller's first attempt, and has been told once to come back. Does no I/O and reads no
 /// clock.
-class caller_patience
+class returning_callers
 {
 public:
   /// Records how long the caller of a call waits, and returns whether it has probably waited
--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -4,7 +4,7 @@
 #include "gateway/gatewaycontext.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/reportrequest.h"
-#include "routes/callerpatience.h"
+#include "routes/longesteventwait.h"
 
 #include <fmt/format.h>
 #include <functional>
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/callerpatience.h"
+#include "admission/returningcallers.h"
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/random.h"
@@ -44,7 +44,7 @@
   dispatch::retry_limits retryLimits;
   std::unordered_map<service_name, dispatch::retry_budget> retryBudgets{};
   demand_meter demandMeter{};
-  admission::caller_patience callerPatience{};
+  admission::returning_callers returningCallers{};
   unknown_header_log unknownHeaders{ metrics };
   std::shared_ptr<upstream::body_budget> bodies = std::make_shared<upstream::body_budget>();
   loop_watch watch{ kFastTickInterval };
--- a/src/gateway/incomingcallhandler.h
+++ b/src/gateway/incomingcallhandler.h
@@ -139,7 +139,7 @@
   attributes.rank = mContext.upstreams.Routes()->RankOf(aResult.priority);
   attributes.needsSlot = mContext.sharesSlots;
   attributes.isReturning =
-    mContext.callerPatience.IsReturning(route.host + route.pathPrefix, callerTimeout, aArrivedAt);
+    mContext.returningCallers.IsReturning(route.host + route.pathPrefix, callerTimeout, aArrivedAt);
   return attributes;
 }
 
--- a/src/routes/internal/callerpatience.cpp
+++ b/src/routes/internal/longesteventwait.cpp
@@ -1,4 +1,4 @@
-#include "routes/callerpatience.h"
+#include "routes/longesteventwait.h"
 
 #include <algorithm>
 
--- a/src/routes/tests/callerpatiencetests.cpp
+++ b/src/routes/tests/longesteventwaittests.cpp
@@ -1,4 +1,4 @@
-#include "routes/callerpatience.h"
+#include "routes/longesteventwait.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,13 +23,13 @@
 } // namespace
 
 // clang-format off
-TEST_GROUP(caller_patience)
+TEST_GROUP(longest_event_wait)
 {
   configuration declared;
 };
 // clang-format on
 
-TEST(caller_patience, CallersWaitForMultiplesOfTheTargetsAndTwoSecondsAtLeast)
+TEST(longest_event_wait, CallersWaitForMultiplesOfTheTargetsAndTwoSecondsAtLeast)
 {
   declared.routes = { Stream(100_ms, 100_ms) };
   CHECK(LongestEventWait(declared, kService) == 2_s);
@@ -39,13 +39,13 @@
   CHECK(LongestEventWait(declared, kService) == 2400_ms);
 }
 
-TEST(caller_patience, RouteWithTheMostPatientCallersCounts)
+TEST(longest_event_wait, RouteWithTheMostPatientCallersCounts)
 {
   declared.routes = { Stream(100_ms, 100_ms), Stream(1_s, 100_ms), Stream(400_ms, 100_ms) };
   CHECK(LongestEventWait(declared, kService) == 4_s);
 }
 
-TEST(caller_patience, RoutesToOtherServicesAndWithoutStreamsDoNotCount)
+TEST(longest_event_wait, RoutesToOtherServicesAndWithoutStreamsDoNotCount)
 {
   declared.routes = { Stream(1_s, 1_s) };
   declared.routes.front().kind = call_kind::idempotent;
