--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -9,7 +9,7 @@
 constexpr duration kBaseFormingTimeout = 5_s;
 /// Longest time from the stage change to opening until the head accepts requests.
 constexpr duration kOpeningTimeout = 5_s;
-/// A releasing group with no registered instance is ended after this time.
+/// A releasing group with no registered instance is forgotten after this time.
 constexpr duration kUnregisteredGroupTimeout = 20_s;
 
 /// Longest time until a report shows that the head is open, from the time at which it is.
