--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -301,11 +301,6 @@
   /// Returns the responsive instances that are in no group and are neither draining nor ineligible.
   [[nodiscard]] std::vector<const fleet::instance*> FreeInstances(const fleet::fleet_view& aFleet,
                                                                   time_point aNow) const;
-  /// Returns true when there is no traffic yet, an instance has not reported to this leader and its
-  /// entry shows no trace of an order. Its first order names that it has accepted none, so that it
-  /// has no effect otherwise.
-  [[nodiscard]] bool IsUntouched(const fleet::instance& aInstance,
-                                 const instance_state& aState) const;
   /// Returns true when an instance is a member of a group that is not known to have ended.
   [[nodiscard]] bool IsBoundToGroup(const fleet::instance& aInstance,
                                     const fleet::fleet_view& aFleet) const;
@@ -328,11 +323,6 @@
   /// Takes aCount tokens from the bucket; its content may become negative.
   void TakeLoadTokens(std::size_t aCount, time_point aNow);
 
-  /// Returns the number of orders that an instance has accepted, as an order of a kind names it:
-  /// none for one that has never reported, unless the order ends something. Empty when it is not
-  /// known.
-  [[nodiscard]] static std::optional<std::uint64_t> ExpectedOrders(const instance_state& aState,
-                                                                   order_kind aKind);
   /// Returns whether an order to an instance may be sent now: the instance is known, and what it
   /// has accepted as far as the order depends on it.
   [[nodiscard]] bool MaySendOrder(const instance_id& aInstance, order_kind aKind) const;
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -367,13 +367,6 @@
   mGroups.push_back(std::move(adoptedGroup));
 }
 
-std::optional<std::uint64_t>
-group_controller::ExpectedOrders(const instance_state& aState, order_kind aKind)
-{
-  const bool begins = aKind == order_kind::join || aKind == order_kind::stage;
-  return begins && !aState.report ? aState.acceptedOrders.value_or(0) : aState.acceptedOrders;
-}
-
 bool
 group_controller::MaySendOrder(const instance_id& aInstance, order_kind aKind) const
 {
@@ -386,7 +379,7 @@
     return true;
   }
   // Of two orders that name the same number, the instance accepts the first that it gets.
-  const auto accepted = ExpectedOrders(found->second, aKind);
+  const auto& accepted = found->second.acceptedOrders;
   return accepted &&
          std::none_of(mPendingOrders.begin(), mPendingOrders.end(), [&](const auto& aEntry) {
            const engine_order& pending = aEntry.second.order;
@@ -405,7 +398,7 @@
   const order_id id{ ++mLastOrderId };
   aOrder.token = mToken;
   aOrder.incarnationId = state.incarnationId;
-  aOrder.expectedOrders = ExpectedOrders(state, aOrder.kind);
+  aOrder.expectedOrders = state.acceptedOrders;
   mPendingOrders[id] = { aOrder, aNow, EndsMembership(aOrder, state) };
   if (aOrder.kind == order_kind::leave) {
     state.leaveOrderedEpoch = aOrder.epoch;
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -55,23 +55,16 @@
   if (found == mInstanceStates.end() || !found->second.report) {
     return registeredMembership;
   }
-  // A report is newer than the registry entry, which lags behind. The exceptions are an entry that
-  // shows a later phase of the same membership, and one that shows a later group than a report from
-  // before an order that was accepted.
+  // A report is newer than the registry entry, which lags behind. The exception is an entry that
+  // shows a later phase of the same membership.
   const auto& reportedMembership = found->second.report->membership;
   const bool sameMembership = reportedMembership && registeredMembership &&
                               reportedMembership->group == registeredMembership->group &&
                               reportedMembership->epoch == registeredMembership->epoch &&
                               entry->incarnationId == found->second.incarnationId;
-  const bool isReportOutdated =
-    found->second.acceptedOrders.value_or(0) > found->second.report->acceptedOrders;
-  const bool laterGroup =
-    isReportOutdated && registeredMembership &&
-    entry->incarnationId == found->second.incarnationId &&
-    registeredMembership->epoch != found->second.leftEpoch &&
-    (!reportedMembership || registeredMembership->epoch > reportedMembership->epoch);
-  const bool laterPhase = sameMembership && registeredMembership->phase > reportedMembership->phase;
-  return laterGroup || laterPhase ? registeredMembership : reportedMembership;
+  return sameMembership && registeredMembership->phase > reportedMembership->phase
+           ? registeredMembership
+           : reportedMembership;
 }
 
 bool
--- a/src/assembly/internal/groupplanning.cpp
+++ b/src/assembly/internal/groupplanning.cpp
@@ -80,24 +80,13 @@
     const bool responsive = state.missedReports == 0 && state.lastReportAt > mLeadingSince &&
                             aNow - state.lastReportAt < kMaxReportAge &&
                             state.incarnationId == instance->incarnationId;
-    const bool isUsable = responsive || IsUntouched(*instance, state);
-    if (isUsable && FindGroupOf(instance->id) == nullptr && state.ineligibleUntil <= aNow) {
+    if (responsive && FindGroupOf(instance->id) == nullptr && state.ineligibleUntil <= aNow) {
       freeInstances.push_back(instance);
     }
   }
   return freeInstances;
 }
 
-bool
-group_controller::IsUntouched(const fleet::instance& aInstance, const instance_state& aState) const
-{
-  // With callers, an instance that does not answer would hold up others for longer than its report.
-  const bool isBeforeTraffic = mDemandByModel.empty() && !mHasTraffic;
-  return isBeforeTraffic && !aState.report && aState.missedReports == 0 &&
-         aState.incarnationId == aInstance.incarnationId && !aInstance.membership &&
-         aInstance.stagedModels.empty();
-}
-
 bool
 group_controller::IsBoundToGroup(const fleet::instance& aInstance,
                                  const fleet::fleet_view& aFleet) const
