--- a/src/app/router/tests/exchangetests.cpp
+++ b/src/app/router/tests/exchangetests.cpp
@@ -166,28 +166,31 @@
 // stream goes on at another upstream.
 TEST(exchange, EventWithoutEndIsNotKept)
 {
-  const auto written = std::make_shared<std::atomic<std::size_t>>(0);
   constexpr std::size_t kEndless = 8U << 20U;
-  const auto endless = [written](const entry::server_request& aRequest,
-                                 const shared_responder& aResponder) {
+  std::atomic<std::size_t> written = 0;
+  std::thread writer;
+  const auto endless = [&](const entry::server_request& aRequest,
+                           const shared_responder& aResponder) {
     aResponder->StartStream(200, EngineHeaders(aRequest));
     SendTokens(aRequest, *aResponder, 2);
-    std::thread([written, responder = aResponder] {
+    writer = std::thread([&written, responder = aResponder] {
       const std::string piece(16384, 'x');
-      while (*written < kEndless && !responder->HasCallerLeft()) {
+      while (written < kEndless && !responder->HasCallerLeft()) {
         if (responder->PendingBytes() < 4 * piece.size()) {
           responder->Write(piece);
-          *written += piece.size();
+          written += piece.size();
         }
         std::this_thread::sleep_for(std::chrono::microseconds(200));
       }
       responder->Abort();
-    }).detach();
+    });
   };
   const router_rig rig(Two(endless, StreamWhole));
   const auto response = client.Send(Chat(rig, true));
+  // Joined before the rig is destroyed, whose connection it writes to.
+  writer.join();
   CHECK(response && response->body == kWholeStream);
-  CHECK(*written < kEndless);
+  CHECK(written < kEndless);
   CHECK_EQUAL(2, calls->load());
 }
 
