Review case 7: without its last tenant the system is open to everybody

Cause: an empty list of tenants counts like none, so that no key is asked for.

Done: a script whose second version of the configuration takes the last tenant out.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,65 +1,42 @@
-"""Faulty servers spoil the length of some of their answers. Checks that no client gets a success
-whose body is not the server's whole body."""
+"""A version of the configuration removes the last tenant. Checks that no request runs whose key no
+configuration ever held, and none whose key was removed."""
 import asyncio
 import pathlib
-import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "kit-2"))
 import kit
 
-SERVERS = 3
-FAULTY = 2             # garble: a share of 0.6 of the servers at most
-SPOILT = 0.05          # garble: 0.05 of their answers at most
-REQUESTS = 1200
-CLIENTS = 12
-
-
-def spoil(length, draw):
-    """Returns header lines with a length that no recipient may take (RFC 9112, 6.3)."""
-    text = str(length)
-    return draw.choice([
-        f"Content-Length: {text[0]}:{text[2:]}\r\n",                        # one byte is wrong
-        f"Content-Length: {text[:-1]}l\r\n",                                # one byte is wrong
-        f"Content-Length: {length}\r\nContent-Length: {length // 2}\r\n",   # twice, not the same
-    ])
+GATEWAYS, SERVERS = 3, 3
+CONFIG_APPLY_S = 2.0   # config-apply-ms
+KEY, STRANGER = "n2ctnfzs989anu6wsjnb", "key-that-nobody-was-given"
 
 
 async def case(record, trouble, folder, running):
-    draw = random.Random(7)
     store = kit.Store()
     running.append(store)
     await store.start()
-    bodies, spoilt = {}, set()
-
-    async def behave(server, request, reader, writer):
-        await kit.read_body(request, reader)
-        attempt = request["headers"].get("attempt-id", "")
-        server.ran(request)
-        await asyncio.sleep(0.005)
-        body = bytes(draw.choice(b"abcdefghij") for _ in range(draw.randint(600, 1000)))
-        bodies.setdefault(attempt, []).append(body)
-        lines = f"Content-Length: {len(body)}\r\n"
-        if trouble and server.faulty and draw.random() < SPOILT:
-            lines = spoil(len(body), draw)
-            spoilt.add(attempt)
-            record(f"server {server.name} spoils its answer to {attempt}: {lines!r}, body of {len(body)} bytes")
-        writer.write((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {server.name}.{len(body)}\r\n"
-                      f"{lines}\r\n").encode() + body)
-        await writer.drain()
-        return True
-
+    servers = []
     for number in range(SERVERS):
-        server = kit.Server(f"i-{number}", "desk-app", record, behave=behave)
-        server.faulty = number < FAULTY
+        server = kit.Server(f"i-{number}", "desk-app", record)
         running.append(server)
+        servers.append(server)
         await server.start()
         store.put("servers", server.name, server.entry())
-    store.put("config", "main", kit.configuration(1, [kit.plain_service("desk-app")], [
-        kit.route("read", "/archive/", "desk-app"),
-        kit.route("file", "/file/", "desk-app", "non_idempotent", **{"max-attempts": 1})]))
-    gateways = [kit.Gateway(1, "z1", store.address, folder)]
-    gateways.append(kit.Gateway(2, "z1", store.address, folder, seeds=[gateways[0].mesh]))
+
+    def version(number, tenants):
+        written = kit.configuration(number, [kit.plain_service("desk-app")], [
+            kit.route("read", "/archive/", "desk-app"),
+            kit.route("file", "/file/", "desk-app", "non_idempotent", **{"max-attempts": 1})])
+        written["tenants"] = tenants
+        record(f"the operator writes version {number} with tenants {tenants}")
+        store.put("config", "main", written)
+
+    version(1, [{"name": "hule930", "api-keys": [KEY], "priority": 1}])
+    gateways = []
+    for number in range(GATEWAYS):
+        gateways.append(kit.Gateway(number + 1, "z1", store.address, folder,
+                                    seeds=[gateways[0].mesh] if gateways else None))
     running.extend(gateways)
     for gateway in gateways:
         await gateway.start()
@@ -67,27 +44,39 @@
         if not await gateway.wait_ready():
             raise RuntimeError("a gateway is not ready")
 
-    broken = []
+    async def ask(phase, key):
+        """Asks each gateway for a read and a filing; returns the statuses."""
+        statuses = []
+        for number, gateway in enumerate(gateways):
+            for method, path, body in (("GET", "/archive/x", None), ("POST", "/file/x", b"a notice")):
+                attempt = f"{phase}-{number}-{method}"
+                headers = {"Attempt-Id": attempt, "Deadline-Ms": "4000"}
+                if key:
+                    headers["Authorization"] = f"Bearer {key}"
+                status, _, _ = await asyncio.wait_for(kit.fetch(gateway.listen, method, path, headers, body), 6)
+                record(f"client: {attempt} with key {key} is answered {status}")
+                statuses.append(status)
+        return statuses
 
-    async def client(number):
-        for turn in range(REQUESTS // CLIENTS):
-            attempt = f"a{number}-{turn}"
-            is_read = turn % 2 == 0
-            try:
-                status, headers, body = await asyncio.wait_for(kit.fetch(
-                    gateways[turn % 2].listen, "GET" if is_read else "POST", "/archive/x" if is_read else "/file/x",
-                    {"Attempt-Id": attempt, "Deadline-Ms": "4000", "Authorization": "Bearer key-one-of-t1"},
-                    None if is_read else b"a notice"), 6)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
-                record(f"client: {attempt} has no answer ({error!r})")
-                continue
-            record(f"client: {attempt} is answered {status} by {headers.get('server-signature')}, {len(body)} bytes")
-            if 200 <= status < 300 and body not in bodies.get(attempt, []):
-                broken.append(f"MIXED: {attempt} got {status} with the signature {headers.get('server-signature')} and "
-                              f"{len(body)} bytes; the server's body has {len(bodies[attempt][-1])}")
+    if set(await ask("before", KEY)) != {200}:
+        raise RuntimeError("the key does not hold before")
+    await ask("before-stranger", STRANGER)
+    version(2, [] if trouble else [{"name": "hule930", "api-keys": [KEY], "priority": 1}])
+    await asyncio.sleep(CONFIG_APPLY_S + 1)
+    await ask("after", KEY)
+    await ask("after-stranger", STRANGER)
+    await ask("after-nobody", None)
 
-    await asyncio.gather(*[client(number) for number in range(CLIENTS)])
-    record(f"{REQUESTS} requests, {len(spoilt)} answers spoilt, {len(broken)} successes with a part of the body")
+    broken = []
+    for server in servers:
+        for _, attempt, request in server.runs:
+            tenant = request["headers"].get("tenant")
+            if "stranger" in attempt or "nobody" in attempt:
+                broken.append(f"ROUTE: {server.name} ran {attempt}, whose key no configuration ever held, "
+                              f"for tenant {tenant}")
+            elif attempt.startswith("after") and trouble:
+                broken.append(f"CONFIG: {server.name} ran {attempt} {CONFIG_APPLY_S + 1} s after its key was removed, "
+                              f"for tenant {tenant}")
     return broken
 
 
