--- a/review/kit-2/engines.py
+++ b/review/kit-2/engines.py
@@ -35,6 +35,7 @@
         self.engines = {}
         self.partial, self.two = [], []
         self.has_traffic = False
+        self.been_ready = set()  # (engine, group, epoch, members); a former life's count: it is lost then
 
     async def add(self, name):
         engine = Engine(name, self)
@@ -76,7 +77,6 @@
         self.members, self.model = [], ""
         self.last_model, self.staged = "", []
         self.running = 0
-        self.been_ready = set()  # (group, epoch, members) in which this life has been ready
         self.alive = True
         self.refuses_orders = None  # async function(order) for trouble
         self.beating = None
@@ -112,7 +112,7 @@
         self.group["phase"] = phase
         self.fleet.record(f"engine {self.name} is {phase} in {self.group['name']} epoch {self.group['epoch']}")
         if phase == "ready":
-            self.been_ready.add((self.group["name"], self.group["epoch"], tuple(self.members)))
+            self.fleet.been_ready.add((self.name, self.group["name"], self.group["epoch"], tuple(self.members)))
         self.write()
 
     def carry_out(self, order):
@@ -250,8 +250,7 @@
         if len(self.members) != self.fleet.models[self.model][0]:
             self.fleet.partial.append(f"{self.name} runs {attempt} in a group of {len(self.members)}")
         for member in self.members:
-            other = self.fleet.engines.get(member)
-            if other is None or key not in other.been_ready:
+            if (member, *key) not in self.fleet.been_ready:
                 self.fleet.partial.append(f"{self.name} runs {attempt} in {key}, in which {member} was never ready")
         self.running += 1
         self.fleet.record(f"engine {self.name} runs {attempt}")
