--- a/review/kit-2/engines.py
+++ b/review/kit-2/engines.py
@@ -34,11 +34,15 @@
         self.models = {m: (size, load, warm) for m, size, load, warm in models}
         self.engines = {}
         self.partial, self.two = [], []
+        self.orders = 0
+        self.is_late = lambda engine, order: False  # whether an order gets no answer and waits in `held`
+        self.held = []  # (when it came, name of the engine, order)
         self.has_traffic = False
         self.been_ready = set()  # (engine, group, epoch, members); a former life's count: it is lost then
 
-    async def add(self, name):
+    async def add(self, name, domain=None):
         engine = Engine(name, self)
+        engine.domain = domain or self.domain
         self.engines[name] = engine
         await engine.start()
         engine.write()
@@ -46,19 +50,20 @@
         return engine
 
     async def crash(self, name, down_s):
-        """A server crashes and comes back empty under its id; its host keeps what is staged."""
+        """A server ends and comes back empty under its id; its host keeps what is staged."""
         old = self.engines[name]
         port = int(old.address.rsplit(":", 1)[1])
-        self.record(f"engine {name} crashes")
+        self.record(f"engine {name} ends")
         old.close()
         await asyncio.sleep(down_s)
         new = Engine(name, self)
-        new.staged = list(old.staged)
+        new.staged, new.domain = list(old.staged), old.domain
         self.engines[name] = new
         await new.start(port=port)
         new.write()
         new.beating = asyncio.create_task(new.beat())
         self.record(f"engine {name} is back, empty")
+        return new
 
     def close(self):
         for engine in self.engines.values():
@@ -77,8 +82,9 @@
         self.members, self.model = [], ""
         self.last_model, self.staged = "", []
         self.running = 0
+        self.is_draining = False
+        self.domain = fleet.domain
         self.alive = True
-        self.refuses_orders = None  # async function(order) for trouble
         self.beating = None
 
     def close(self):
@@ -92,14 +98,15 @@
     def state(self):
         group = dict(self.group) if self.group else None
         return {"stage": "combined", "models": [{"name": self.model, "version": 1, "adapters": []}] if group else [],
-                "domain": self.fleet.domain, "staged": list(self.staged), "born": self.born,
+                "domain": self.domain, "staged": list(self.staged), "born": self.born,
                 **({"group": group} if group else {})}
 
     def write(self):
         self.beats += 1
         self.fleet.store.put("servers", self.name, {
             "service": self.fleet.service, "address": self.address, "zone": "z1", "version": "v1", "batch-slots": 17,
-            "phase": "ready", "warmup-left-ms": 0, "sequence": self.beats, **self.state()})
+            "phase": "draining" if self.is_draining else "ready", "warmup-left-ms": 0, "sequence": self.beats,
+            **self.state()})
 
     async def beat(self):
         while True:
@@ -125,7 +132,7 @@
         if operation not in ("join", "open", "close", "leave", "stage"):
             return 400
         self.token = max(self.token, token if token is not None else self.token)
-        return getattr(self, operation)(order)
+        return getattr(self, "close_head" if operation == "close" else operation)(order)
 
     def holds(self, order):
         return self.group and self.group["name"] == order["group"] and self.group["epoch"] == order["epoch"]
@@ -171,6 +178,14 @@
         if self.alive and self.group == group:
             self.set_phase("open")
 
+    def close_head(self, order):
+        if not self.holds(order) or self.group["phase"] != "open":
+            return 200
+        self.sequence += 1
+        self.set_phase("closing")
+        self.close_group()
+        return 202
+
     def close_group(self):
         if self.group and self.group["phase"] == "closing" and self.running == 0:
             self.set_phase("ready")
@@ -218,15 +233,13 @@
                 "kv-used": 0, "kv-total": 1860000, "kv-handles": 0, "pace": 1.0}).encode())
         elif request["path"] == "/v1/order":
             order = json.loads(body)
-            if order.get("operation") == "close":
-                status = 200
-                if self.holds(order) and self.group["phase"] == "open":
-                    self.sequence += 1
-                    self.set_phase("closing")
-                    self.close_group()
-                    status = 202
-            else:
-                status = self.carry_out(order)
+            self.fleet.orders += 1
+            if self.fleet.is_late(self, order):
+                self.fleet.held.append((time.monotonic(), self.name, order))
+                self.fleet.record(f"engine {self.name} leaves unanswered {json.dumps(order)}")
+                await asyncio.sleep(3)
+                return False
+            status = self.carry_out(order)
             self.fleet.record(f"engine {self.name} is ordered {json.dumps(order)}: {status}")
             answer = kit.response(status)
         else:
