--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -15,10 +16,20 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
 
+# Below the ports that the system gives to outgoing connections: those could take a gateway's port
+# while it is down.
+FIRST_PORT, LAST_PORT = 10000, 32000
+
+
 def free_port(ip="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        return port
 
 
 def render(text, values):
