Review kit: a run that is told to end ends what it started

Cause: SIGTERM ended the script's own process at once; three gateways of runs that were ended by hand while a case was written stayed behind. Done: SIGTERM cancels the case, which ends its processes, removes its folder and exits with 2.

--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -391,6 +391,8 @@
     running = []
 
     async def all_of_it():
+        # A run that is told to end ends what it started, and counts as not run.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(record, trouble, temporary, running), limit_s)
         finally:
@@ -407,7 +409,7 @@
             record("BROKEN " + line)
             print("BROKEN", line)
         status = BROKEN if broken else HELD
-    except Exception as error:  # whatever keeps the case from running is reported as such
+    except (Exception, asyncio.CancelledError) as error:  # whatever keeps the case from running is reported as such
         record(f"could not run: {error!r}")
         print("could not run:", repr(error))
     finally:
