Review cases: each script reads TROUBLE itself

Cause: only the shared kit read TROUBLE; the folders of the cases did not show it. Done: each case.py reads it and hands it to the kit. What is played is the same.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Faulty servers spoil the length of some of their answers. Checks that no client gets a success
 whose body is not the server's whole body."""
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -91,4 +92,5 @@
     return broken
 
 
-kit.play(__file__, case)
+# TROUBLE=0 plays the same without the disruption.
+kit.play(__file__, case, os.environ.get("TROUBLE", "1") != "0")
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -110,4 +110,5 @@
     return []
 
 
-kit.play(__file__, case)
+# TROUBLE=0 plays the same without the disruption.
+kit.play(__file__, case, os.environ.get("TROUBLE", "1") != "0")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A version of the configuration removes the last tenant. Checks that no request runs whose key no
 configuration ever held, and none whose key was removed."""
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -80,4 +81,5 @@
     return broken
 
 
-kit.play(__file__, case)
+# TROUBLE=0 plays the same without the disruption.
+kit.play(__file__, case, os.environ.get("TROUBLE", "1") != "0")
--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -382,11 +382,10 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
-def play(case_file, case, limit_s=110):
+def play(case_file, case, trouble, limit_s=110):
     """Runs `case(record, trouble, folder, running)`, which returns the list of what broke the rule.
     It adds what it starts to `running`. Ends the process with the status that the issue names."""
     record = Record(pathlib.Path(case_file).resolve().parent / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     temporary = folder()
     running = []
 
