Responses get the strict reader of framing that requests have

Cause: responses were framed as libcurl reads them, a length up to its first wrong byte, the last of several, unknown lines passed over. Ruled out: the gateway's own passing on, as the head already had the spoilt length there.

The mend: base/response_head_reader and base/message_framing, one rule for both directions, used by both clients (upstream, platform); the library's reading no longer decides. Why it works: a response whose framing is in doubt never gets as far as its first body byte, and ends as maybe_sent, so that the attempt's known rules apply (502, the other attempt, a mark).

Same cause nearby: http_client took a connection that ended within a head for a whole response, and trailers for headers of the head. Three header structs became one.

--- a/src/entry/serverrequest.h
+++ b/src/entry/serverrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/headerfield.h"
 #include "base/sharedtext.h"
 
 #include <cstddef>
@@ -10,12 +11,8 @@
 
 namespace persimmon::entry {
 
-/// Name and value of an HTTP header.
-struct server_header
-{
-  std::string name;
-  std::string value;
-};
+/// Header of a caller's request or of the response to it.
+using server_header = header_field;
 
 /// A completely received HTTP request.
 struct server_request
--- a/src/platform/httpclient.h
+++ b/src/platform/httpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/headerfield.h"
 
 #include <cstddef>
 #include <memory>
@@ -10,12 +11,8 @@
 
 namespace persimmon::platform {
 
-/// Name and value of an HTTP header.
-struct http_header
-{
-  std::string name;
-  std::string value;
-};
+/// Header of a request or response of http_client.
+using http_header = header_field;
 
 /// Largest body of a response that is kept if a request names no other bound: a list of the
 /// platform.
--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -1,8 +1,7 @@
 #include "platform/httpclient.h"
 
 #include "base/headerlookup.h"
-#include "base/responseheadsize.h"
-#include "base/text.h"
+#include "base/responseheadreader.h"
 
 #include <atomic>
 #include <curl/curl.h>
@@ -26,7 +25,7 @@
 struct incoming_response
 {
   http_response response;
-  response_head_size headSize;
+  response_head_reader head;
   std::size_t maxBodyBytes = 0;
 };
 
@@ -37,29 +36,19 @@
   auto& incoming = *static_cast<incoming_response*>(aTarget);
   std::string& body = incoming.response.body;
   const std::size_t bytes = aSize * aCount;
-  if (body.size() + bytes > incoming.maxBodyBytes) {
+  if (!incoming.head.IsComplete() || body.size() + bytes > incoming.maxBodyBytes) {
     return 0;
   }
   body.append(aData, bytes);
   return bytes;
 }
 
-/// libcurl header callback; ignores the status line and the empty line after the headers. Returns
-/// 0, which fails the call, when the head is too large.
+/// libcurl header callback; returns 0, which fails the call, when the response must not be used.
 std::size_t
-AppendHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
+ReadHeadLine(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
 {
   auto& incoming = *static_cast<incoming_response*>(aTarget);
-  const std::string_view line(aData, aSize * aCount);
-  if (!incoming.headSize.Add(line.size())) {
-    return 0;
-  }
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    incoming.response.headers.push_back(
-      { std::string(line.substr(0, colon)), std::string(Trimmed(line.substr(colon + 1))) });
-  }
-  return aSize * aCount;
+  return incoming.head.Add({ aData, aSize * aCount }) ? aSize * aCount : 0;
 }
 
 header_list
@@ -101,6 +90,16 @@
   return sent > 0 ? http_failure::maybe_sent : http_failure::not_sent;
 }
 
+std::string
+DescribeFailure(const response_head_reader& aHead, CURLcode aCode)
+{
+  if (!aHead.Fault().empty()) {
+    return aHead.Fault();
+  }
+  return aCode == CURLE_OK ? "connection ended within the response head"
+                           : curl_easy_strerror(aCode);
+}
+
 } // namespace
 
 std::string
@@ -145,7 +144,7 @@
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.ms));
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &incoming);
-  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, ReadHeadLine);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &incoming);
   curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, CheckCancelled);
@@ -162,14 +161,14 @@
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
   const CURLcode code = curl_easy_perform(handle);
-  if (code != CURLE_OK) {
+  // libcurl reports success when a connection ends within the headers.
+  if (code != CURLE_OK || !incoming.head.IsComplete()) {
     mImplementation->failure = ClassifyFailure(handle, code);
-    mImplementation->failureText = curl_easy_strerror(code);
+    mImplementation->failureText = DescribeFailure(incoming.head, code);
     return std::nullopt;
   }
-  long status = 0;
-  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-  incoming.response.status = static_cast<int>(status);
+  incoming.response.status = incoming.head.Status();
+  incoming.response.headers = std::move(incoming.head.Headers());
   mImplementation->failure = http_failure::none;
   return std::move(incoming.response);
 }
--- a/src/platform/tests/httpclienttests.cpp
+++ b/src/platform/tests/httpclienttests.cpp
@@ -136,6 +136,23 @@
   CHECK(client.LastFailure() == http_failure::maybe_sent);
 }
 
+// Guards against a part of a report, an order's outcome or a list that passes for the whole.
+TEST(http_client, ResponseWithFramingInDoubtFailsTheRequest)
+{
+  for (const char* head : { "HTTP/1.1 200 OK\r\nContent-Length: 2:\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 2\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n",
+                            "HTTP/1.1 20x OK\r\nContent-Length: 5\r\n\r\n" }) {
+    const endless_server broken(head, "hello", 5);
+    http_request request;
+    request.url = broken.Url();
+    request.timeout = 500_ms;
+    CHECK_TEXT(!client.Send(request).has_value(), head);
+    CHECK_TEXT(client.LastFailure() == http_failure::maybe_sent, head);
+    CHECK_TEXT(!client.LastFailureText().empty(), head);
+  }
+}
+
 TEST(http_client, RefusedConnectionIsReportedAsNotSent)
 {
   http_request request;
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -1,10 +1,8 @@
 #include "upstream/internal/activecall.h"
 
 #include "base/headerlookup.h"
-#include "base/text.h"
 
 #include <cerrno>
-#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string>
@@ -13,25 +11,12 @@
 namespace persimmon::upstream {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
 constexpr long kReadBufferBytes = 8192;
 /// Time in ms after which TCP closes a connection with unacknowledged data.
 constexpr unsigned int kTcpUserTimeoutMs = 3000;
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 constexpr int kKeepAliveIntervalSeconds = 1;
 
-/// Parses the status code of a line such as `HTTP/1.1 200 OK`; returns 0 when it is missing.
-int
-ParseStatus(std::string_view aLine)
-{
-  const std::size_t space = aLine.find(' ');
-  int status = 0;
-  if (space != std::string_view::npos) {
-    std::from_chars(aLine.data() + space + 1, aLine.data() + aLine.size(), status);
-  }
-  return status;
-}
-
 } // namespace
 
 active_call::active_call(call_id aId, upstream_call aCall, call_handlers aHandlers)
@@ -173,50 +158,21 @@
 active_call::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
   auto& self = *static_cast<active_call*>(aSelf);
-  if (!self.mHeadSize.Add(aSize * aCount)) {
+  const bool wasComplete = self.mHead.IsComplete();
+  if (!self.mHead.Add({ aData, aSize * aCount })) {
     return 0;
   }
-  self.ReadHeaderLine({ aData, aSize * aCount });
-  return aSize * aCount;
-}
-
-void
-active_call::ReadHeaderLine(std::string_view aLine)
-{
-  if (aLine.starts_with("HTTP/")) {
-    mHead = {};
-    mHead.status = ParseStatus(aLine);
-    return;
-  }
-  const std::string_view text = Trimmed(aLine);
-  if (text.empty()) {
-    EndHead();
-    return;
-  }
-  const std::size_t colon = text.find(':');
-  if (colon != std::string_view::npos) {
-    mHead.headers.push_back(
-      { std::string(text.substr(0, colon)), std::string(Trimmed(text.substr(colon + 1))) });
-  }
-}
-
-void
-active_call::EndHead()
-{
-  if (mHead.status < kFirstFinalStatus) {
-    return;
-  }
-  mHeadComplete = true;
-  if (!mHandlersSuppressed) {
-    mHandlers.onHead(mHead);
+  if (self.mHead.IsComplete() && !wasComplete && !self.mHandlersSuppressed) {
+    self.mHandlers.onHead({ self.mHead.Status(), std::move(self.mHead.Headers()) });
   }
+  return aSize * aCount;
 }
 
 std::size_t
 active_call::OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
   auto& self = *static_cast<active_call*>(aSelf);
-  if (self.mHandlersSuppressed) {
+  if (self.mHandlersSuppressed || !self.mHead.IsComplete()) {
     return 0;
   }
   if (self.mPaused) {
@@ -231,11 +187,20 @@
   return aSize * aCount;
 }
 
+std::string
+active_call::DescribeFailure(CURLcode aCode, bool aHeadEndsEarly) const
+{
+  if (!mHead.Fault().empty()) {
+    return mHead.Fault();
+  }
+  return aHeadEndsEarly ? "connection ended within the response head" : curl_easy_strerror(aCode);
+}
+
 call_outcome
 active_call::MakeOutcome(CURLcode aCode) const
 {
   // libcurl reports success when a connection ends within the headers.
-  const bool headEndsEarly = aCode == CURLE_OK && !mCall.connectOnly && !mHeadComplete;
+  const bool headEndsEarly = aCode == CURLE_OK && !mCall.connectOnly && !mHead.IsComplete();
   if (aCode == CURLE_OK && !headEndsEarly) {
     return {};
   }
@@ -251,8 +216,7 @@
            error == ECONNREFUSED,
            static_cast<int>(relayStatus),
            mBodyTooLarge,
-           headEndsEarly ? "connection ended within the response head"
-                         : curl_easy_strerror(aCode) };
+           DescribeFailure(aCode, headEndsEarly) };
 }
 
 void
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/responseheadsize.h"
+#include "base/responseheadreader.h"
 #include "upstream/callhandlers.h"
 #include "upstream/callid.h"
 #include "upstream/upstreamcall.h"
@@ -46,10 +46,8 @@
   void SetOptions();
   void SetTunnelOptions();
   void BuildHeaders();
-  void ReadHeaderLine(std::string_view aLine);
-  /// Passes the head on after its empty line, unless it is that of an interim response.
-  void EndHead();
   [[nodiscard]] call_outcome MakeOutcome(CURLcode aCode) const;
+  [[nodiscard]] std::string DescribeFailure(CURLcode aCode, bool aHeadEndsEarly) const;
 
   call_id mId;
   upstream_call mCall;
@@ -59,10 +57,7 @@
   /// Headers of the request for a tunnel.
   std::unique_ptr<curl_slist, curl_list_closer> mTunnelHeaders;
   std::unique_ptr<CURL, curl_handle_closer> mHandle;
-  response_head mHead;
-  /// True once the empty line behind the head of the final response was read.
-  bool mHeadComplete = false;
-  response_head_size mHeadSize;
+  response_head_reader mHead;
   std::size_t mBodyBytes = 0;
   bool mBodyTooLarge = false;
   bool mHandlersSuppressed = false;
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -130,6 +130,89 @@
   }
 }
 
+// Guards against a part of a body that passes for the whole: libcurl reads a length up to its first
+// wrong byte, takes the last of several and passes over lines that it does not know.
+TEST(upstream_loop, ResponseWithFramingInDoubtIsNotWhole)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n";
+  const std::vector<std::string> heads = {
+    start + "Content-Length: 2:0\r\n",
+    start + "Content-Length: 2o\r\n",
+    start + "Content-Length: +2\r\n",
+    start + "Content-Length: 0x2\r\n",
+    start + "Content-Length: 2.0\r\n",
+    start + "Content-Length: 2 0\r\n",
+    start + "Content-Length: 2, 5\r\n",
+    start + "Content-Length: 5\r\nContent-Length: 2\r\n",
+    start + "Content-Length: 99999999999999999999\r\n",
+    start + "Content-Length : 9\r\n",
+    start + "Content-Length\r\n 9\r\n",
+    start + "X: 1\r\n Content-Length: 9\r\n",
+    start + "X: 1\rContent-Length: 9\r\n",
+    start + "Transfer-Encoding : chunked\r\n",
+    start + "Transfer-Encoding: chunke\r\n",
+    start + "Transfer-Encoding: gzip, chunked\r\n",
+    start + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 20x OK\r\nContent-Length: 5\r\n",
+    "HTTP/1.1 200OK\r\nContent-Length: 5\r\n",
+    "HTTP/1.1 2000 OK\r\nContent-Length: 5\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\n",
+  };
+  for (const std::string& head : heads) {
+    for (const bool fresh : { true, false }) {
+      const raw_server server({ { head + "\r\nhello", raw_end::close } });
+      const recorded_call recorded = Run(loop, CallTo(server.Address(), fresh));
+      CHECK_TEXT(recorded.outcome.end == call_end::maybe_sent, head.c_str());
+      CHECK_TEXT(!recorded.outcome.detail.empty(), head.c_str());
+      CHECK_EQUAL_TEXT(0, recorded.head.status, head.c_str());
+      STRCMP_EQUAL_TEXT("", recorded.body.c_str(), head.c_str());
+    }
+  }
+}
+
+// Guards against sound responses that a strict reader refuses.
+TEST(upstream_loop, ResponseOfEachSoundFramingIsWhole)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> responses = {
+    ok + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    ok + "Content-Length:5\r\n\r\nhello",
+    ok + "Content-Length: 05 \r\n\r\nhello",
+    ok + "X: 1\r\n\r\nhello",
+    ok + "Transfer-Encoding: Chunked\r\n\r\n2\r\nhe\r\n3;x=1\r\nllo\r\n0\r\nX: 1\r\n\r\n",
+    "HTTP/1.0 200 OK\r\n\r\nhello",
+    "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello",
+  };
+  for (const std::string& response : responses) {
+    const raw_server server({ { response, raw_end::close } });
+    const recorded_call recorded = Run(loop, CallTo(server.Address(), true));
+    CHECK_TEXT(recorded.outcome.end == call_end::whole, response.c_str());
+    CHECK_EQUAL_TEXT(200, recorded.head.status, response.c_str());
+    STRCMP_EQUAL_TEXT("hello", recorded.body.c_str(), response.c_str());
+  }
+}
+
+TEST(upstream_loop, ResponseThatHasNoBodyIsWholeWhateverItsLength)
+{
+  for (const std::string& head :
+       { std::string("HTTP/1.1 204 No Content\r\n\r\n"),
+         std::string("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 304 Not Modified\r\nContent-Length: 817\r\n\r\n") }) {
+    const raw_server server({ { head, raw_end::keep } });
+    CHECK_TEXT(Run(loop, CallTo(server.Address(), true)).outcome.end == call_end::whole,
+               head.c_str());
+  }
+  const raw_server server({ { "HTTP/1.1 200 OK\r\nContent-Length: 817\r\n\r\n", raw_end::keep } });
+  upstream_call call = CallTo(server.Address(), true);
+  call.method = "HEAD";
+  call.body = "";
+  CHECK(Run(loop, call).outcome.end == call_end::whole);
+}
+
 TEST(upstream_loop, RequestIsNotResentAfterReusedConnectionBreaks)
 {
   const raw_server server(
--- a/src/upstream/upstreamheader.h
+++ b/src/upstream/upstreamheader.h
@@ -1,14 +1,10 @@
 #pragma once
 
-#include <string>
+#include "base/headerfield.h"
 
 namespace persimmon::upstream {
 
-/// Name and value of an HTTP header of an upstream request or response.
-struct upstream_header
-{
-  std::string name;
-  std::string value;
-};
+/// Header of an upstream request or response.
+using upstream_header = header_field;
 
 } // namespace persimmon::upstream
