Each entry of the store is parsed by itself, from its own part of the response

Cause: a list counted as read or unread as a whole, by its worst text; a filter mended known forms before.

Nearby: a page that ends with an unreadable name no longer ends the list; names that headers or peers do not bear name no instance, and the mesh does not send them; odd entries are logged once for each version and counted (events 8012, 8013); a version that is not put in force is told of once.

--- a/src/base/internal/json.cpp
+++ b/src/base/internal/json.cpp
@@ -1,6 +1,6 @@
 #include "base/json.h"
 
-#include "base/internal/sharedjsonfilter.h"
+#include "base/jsonlimits.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -10,7 +10,6 @@
 
 /// Longest excerpt of a value in an error message, in bytes.
 constexpr std::size_t kMaxExcerptBytes = 80;
-constexpr std::size_t kMaxNestingLevels = 100;
 
 /// Returns a value as JSON text, truncated for an error message.
 std::string
@@ -23,8 +22,7 @@
   return text;
 }
 
-/// Returns whether brackets outside of strings are nested deeper than kMaxNestingLevels.
-/// Serialization and copying of a value recurse, so that deeper input could overflow the stack.
+/// Returns whether brackets outside of strings are nested deeper than kMaxJsonLevels.
 bool
 ExceedsMaxNesting(std::string_view aText)
 {
@@ -42,51 +40,13 @@
     } else if ((character == ']' || character == '}') && level > 0) {
       --level;
     }
-    if (level > kMaxNestingLevels) {
+    if (level > kMaxJsonLevels) {
       return true;
     }
   }
   return false;
 }
 
-/// Returns how many bytes a UTF-8 sequence has that starts with a byte; 0 for none.
-std::size_t
-Utf8Length(unsigned char aFirst)
-{
-  constexpr unsigned char kFirstContinuation = 0x80;
-  constexpr unsigned char kFirstOfTwo = 0xC2;
-  constexpr unsigned char kFirstOfThree = 0xE0;
-  constexpr unsigned char kFirstOfFour = 0xF0;
-  constexpr unsigned char kBehindFour = 0xF5;
-  if (aFirst < kFirstContinuation) {
-    return 1;
-  }
-  if (aFirst < kFirstOfTwo || aFirst >= kBehindFour) {
-    return 0;
-  }
-  return aFirst < kFirstOfThree ? 2 : aFirst < kFirstOfFour ? 3 : 4;
-}
-
-/// Returns a text with a question mark in place of each byte that belongs to no UTF-8 sequence.
-std::string
-WithoutInvalidUtf8(std::string_view aText)
-{
-  const auto isContinuation = [](char aByte) {
-    return (static_cast<unsigned char>(aByte) & 0xC0U) == 0x80U;
-  };
-  std::string valid;
-  std::size_t position = 0;
-  while (position < aText.size()) {
-    const std::size_t length = Utf8Length(static_cast<unsigned char>(aText[position]));
-    const std::string_view sequence = aText.substr(position, length);
-    const bool isValid = length > 0 && sequence.size() == length &&
-                         std::all_of(sequence.begin() + 1, sequence.end(), isContinuation);
-    valid.append(isValid ? sequence : "?");
-    position += isValid ? length : 1;
-  }
-  return valid;
-}
-
 const nlohmann::json&
 EmptyArray()
 {
@@ -106,7 +66,7 @@
 ParseJson(std::string_view aText, json_problem& aProblem)
 {
   if (ExceedsMaxNesting(aText)) {
-    aProblem = { "$", "deep nesting", fmt::format("JSON of at most {} levels", kMaxNestingLevels) };
+    aProblem = { "$", "deep nesting", fmt::format("JSON of at most {} levels", kMaxJsonLevels) };
     return std::nullopt;
   }
   try {
@@ -120,18 +80,6 @@
   }
 }
 
-std::optional<nlohmann::json>
-ParseSharedJson(std::string_view aText)
-{
-  const shared_json_filter filter(aText, kMaxNestingLevels);
-  nlohmann::json parsed = nlohmann::json::parse(filter.Text(), nullptr, false);
-  if (parsed.is_discarded()) {
-    // Bytes that are no UTF-8 spoil the whole text, too.
-    parsed = nlohmann::json::parse(WithoutInvalidUtf8(filter.Text()), nullptr, false);
-  }
-  return parsed.is_discarded() ? std::nullopt : std::optional(std::move(parsed));
-}
-
 json_reader::json_reader(const nlohmann::json& aValue, std::string aPath, json_problem& aProblem)
   : mValue(aValue)
   , mPath(std::move(aPath))
--- a/src/base/internal/responseheadreader.cpp
+++ b/src/base/internal/responseheadreader.cpp
@@ -1,5 +1,7 @@
 #include "base/responseheadreader.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 
 namespace persimmon {
@@ -45,21 +47,6 @@
            : aValue.substr(first, aValue.find_last_not_of(kBlanks) - first + 1);
 }
 
-/// Returns the start of a line for logs, with a question mark for each byte that is not printable.
-std::string
-Excerpt(std::string_view aLine)
-{
-  constexpr char kFirstPrintable = ' ';
-  constexpr char kLastPrintable = '~';
-  std::string text(aLine.substr(0, kMaxExcerptBytes));
-  std::replace_if(
-    text.begin(),
-    text.end(),
-    [](char aByte) { return aByte < kFirstPrintable || aByte > kLastPrintable; },
-    '?');
-  return text;
-}
-
 /// Returns the status code at the start of a text, which must end there or go on with a space; 0
 /// when there is none.
 int
@@ -90,7 +77,7 @@
   const std::string_view fault =
     mSize.Add(aLine.size()) ? ReadLine(line) : "response head too large";
   if (!fault.empty()) {
-    mFault.append(fault).append(", at: ").append(Excerpt(line));
+    mFault.append(fault).append(", at: ").append(PrintableExcerpt(line, kMaxExcerptBytes));
   }
   return mFault.empty();
 }
--- a/src/base/internal/text.cpp
+++ b/src/base/internal/text.cpp
@@ -43,4 +43,18 @@
   return elements;
 }
 
+std::string
+PrintableExcerpt(std::string_view aText, std::size_t aMaxBytes)
+{
+  constexpr char kFirstPrintable = ' ';
+  constexpr char kLastPrintable = '~';
+  std::string text(aText.substr(0, aMaxBytes));
+  std::replace_if(
+    text.begin(),
+    text.end(),
+    [](char aByte) { return aByte < kFirstPrintable || aByte > kLastPrintable; },
+    '?');
+  return text;
+}
+
 } // namespace persimmon
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -24,12 +24,6 @@
 std::optional<nlohmann::json>
 ParseJson(std::string_view aText, json_problem& aProblem);
 
-/// Parses JSON to which several writers contribute, such as a list of a store's objects, so that a
-/// value of one of them spoils only itself: a number that no double can hold, and what is nested
-/// deeper than a value may be, become null. Returns nothing when the text is no JSON.
-std::optional<nlohmann::json>
-ParseSharedJson(std::string_view aText);
-
 /// Reads the members of a JSON object and records the first error in a json_problem. Finish() also
 /// reports members that were never read, unless AllowUnknown() was called.
 class json_reader
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,4 +19,9 @@
 std::vector<std::string>
 ListElements(std::string_view aList);
 
+/// Returns the start of a text for logs, with a question mark for each byte that is not printable
+/// ASCII.
+std::string
+PrintableExcerpt(std::string_view aText, std::size_t aMaxBytes);
+
 } // namespace persimmon
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -16,6 +16,7 @@
 constexpr log_event kConfigurationInForce{ 8010, "configuration_in_force", log_level::info };
 constexpr log_event kConfigurationRejected{ 8011, "configuration_rejected", log_level::error };
 constexpr log_event kEntrySkipped{ 8013, "entry_skipped", log_level::warning };
+constexpr log_event kObjectUnnamed{ 8012, "object_unnamed", log_level::warning };
 constexpr log_event kStoreLost{ 8014, "store_lost", log_level::warning };
 constexpr log_event kStoreRegained{ 8015, "store_regained", log_level::info };
 constexpr log_event kStoreEraChanged{ 8016, "store_era_changed", log_level::warning };
@@ -66,6 +67,7 @@
                                             kConfigurationInForce,
                                             kConfigurationRejected,
                                             kEntrySkipped,
+                                            kObjectUnnamed,
                                             kStoreLost,
                                             kStoreRegained,
                                             kStoreEraChanged,
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -29,6 +29,12 @@
   "persimmon_gateway_store_relists_total",
   "Lists in place of changes that could not be read, by kind and cause"
 };
+constexpr metric_spec kUnusableEntries{ "persimmon_gateway_unusable_entries",
+                                        "Registered entries that name no usable instance" };
+constexpr metric_spec kUnnamedObjects{
+  "persimmon_gateway_store_unnamed_objects_total",
+  "Objects of the store of which not even a name could be read, by kind"
+};
 constexpr metric_spec kMovedDomains{ "persimmon_gateway_moved_domains_total",
                                      "Fabric domains that were given to another model" };
 constexpr metric_spec kOwnSlots{ "persimmon_gateway_own_slots",
@@ -56,6 +62,10 @@
                                "Orders to engines by kind and outcome" };
 constexpr metric_spec kStoreCalls{ "persimmon_gateway_store_calls_total",
                                    "Calls to the store by kind and outcome" };
+constexpr metric_spec kConfigurationsRejected{
+  "persimmon_gateway_configurations_rejected_total",
+  "Versions of the configuration that could not be put in force"
+};
 constexpr metric_spec kConfigurationVersion{ "persimmon_gateway_configuration_version",
                                              "Version of the configuration in force" };
 constexpr metric_spec kConfigurationAge{
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -207,6 +207,8 @@
   std::unique_ptr<store_watch<store>> mConfigWatch;
   /// Hash of the text of the configuration in force.
   std::uint64_t mConfigurationHash = 0;
+  /// Hash of the latest text that could not be put in force, so that it is told of once.
+  std::optional<std::uint64_t> mRejectedHash;
   /// Large configurations that wait to be parsed.
   std::optional<received_configuration> mNextFromStore;
   std::optional<received_configuration> mNextFromPeer;
--- a/src/gateway/instancefeed.h
+++ b/src/gateway/instancefeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/text.h"
 #include "gateway/gatewaydialect.h"
 #include "gateway/gatewayevents.h"
 #include "gateway/instanceregistry.h"
@@ -7,6 +8,8 @@
 #include "peers/messages.h"
 
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,7 +30,8 @@
                 metrics_registry& aMetrics,
                 fleet::fleet_view& aView,
                 duration aLongPollTimeout)
-    : mRegistry(aView)
+    : mMetrics(aMetrics)
+    , mRegistry(aView)
     , mWatch(aStore,
              aLoop,
              aMetrics,
@@ -70,16 +74,31 @@
 private:
   [[nodiscard]] watch_handlers MakeHandlers();
   /// Decodes an entry of the store; an empty text means that the entry was removed.
-  [[nodiscard]] static instance_change DecodeChange(const std::string& aName,
-                                                    revision aVersion,
-                                                    const std::string& aText);
+  [[nodiscard]] instance_change DecodeChange(const std::string& aName,
+                                             revision aVersion,
+                                             const std::string& aText);
+  /// Logs an entry that names no usable instance, once for each of its versions.
+  void RecordUnusable(const std::string& aName, revision aVersion, const json_problem& aProblem);
+  /// Forgets the entries that are not in a list.
+  void ForgetUnlisted(const platform::object_list& aList);
+  void ReportUnusable() const;
   void Publish(const instance_change& aChange, const std::string& aText);
   /// Publishes the ends of instances that only a list has shown.
   void PublishListedEnds();
   void ApplyList(const platform::object_list& aList);
   void ApplyChange(const platform::object_change& aChange);
 
+  /// Most unusable entries that are remembered; more of them are not logged.
+  static constexpr std::size_t kMaxUnusable = 4096;
+  static constexpr std::size_t kMaxLoggedNameBytes = 100;
+  static constexpr std::size_t kMaxLoggedProblemBytes = 200;
+  /// What peers are told of an entry that names no usable instance, whatever its text.
+  static constexpr const char* kUnusableText = "null";
+
+  metrics_registry& mMetrics;
   instance_registry mRegistry;
+  /// Registered entries that name no usable instance, with their versions.
+  std::map<std::string, revision> mUnusable;
   bool mChanged = false;
   store_watch<store> mWatch;
 };
@@ -117,16 +136,55 @@
                                      const std::string& aText)
 {
   if (aText.empty()) {
+    mUnusable.erase(aName);
     return { { aName }, aVersion, std::nullopt };
   }
   json_problem problem;
   auto entry = Dialect::ParseInstance(aName, aText, problem);
-  if (!entry) {
-    WriteLog(kEntrySkipped, { { "entry", aName }, { "problem", problem.Text() } });
+  if (entry) {
+    mUnusable.erase(aName);
+  } else {
+    RecordUnusable(aName, aVersion, problem);
   }
   return { { aName }, aVersion, std::move(entry) };
 }
 
+template<gateway_dialect Dialect>
+void
+instance_feed<Dialect>::RecordUnusable(const std::string& aName,
+                                       revision aVersion,
+                                       const json_problem& aProblem)
+{
+  const auto known = mUnusable.find(aName);
+  const bool isTold = known != mUnusable.end() && known->second >= aVersion;
+  if (isTold || (known == mUnusable.end() && mUnusable.size() >= kMaxUnusable)) {
+    return;
+  }
+  mUnusable[aName] = aVersion;
+  WriteLog(kEntrySkipped,
+           { { "entry", PrintableExcerpt(aName, kMaxLoggedNameBytes) },
+             { "revision", platform::RevisionText(aVersion) },
+             { "problem", PrintableExcerpt(aProblem.Text(), kMaxLoggedProblemBytes) } });
+}
+
+template<gateway_dialect Dialect>
+void
+instance_feed<Dialect>::ForgetUnlisted(const platform::object_list& aList)
+{
+  std::set<std::string> listed;
+  for (const platform::stored_object& object : aList.objects) {
+    listed.insert(object.key.name);
+  }
+  std::erase_if(mUnusable, [&](const auto& aEntry) { return !listed.contains(aEntry.first); });
+}
+
+template<gateway_dialect Dialect>
+void
+instance_feed<Dialect>::ReportUnusable() const
+{
+  mMetrics.Set(kUnusableEntries, static_cast<double>(mUnusable.size()));
+}
+
 template<gateway_dialect Dialect>
 void
 instance_feed<Dialect>::Publish(const instance_change& aChange, const std::string& aText)
@@ -135,9 +193,10 @@
     // Everybody has to stop calls to an instance soon after it has announced its departure or
     // ended.
     const bool isDeparture = !aChange.entry || aChange.entry->draining;
+    const bool isUnusable = !aChange.entry && !aText.empty();
     onNewChange({ { std::string(kInstanceDocumentPrefix) + aChange.id.value },
                   aChange.version,
-                  aText,
+                  isUnusable ? kUnusableText : aText,
                   isDeparture });
   }
 }
@@ -166,6 +225,8 @@
     Publish(change, *texts.at(change.id));
   }
   PublishListedEnds();
+  ForgetUnlisted(aList);
+  ReportUnusable();
   mChanged = true;
 }
 
@@ -180,6 +241,7 @@
   if (mRegistry.ApplyChange(change, change_source::store, steady_clock().Now())) {
     Publish(change, text);
   }
+  ReportUnusable();
   mChanged = true;
 }
 
@@ -197,6 +259,7 @@
   const std::string name = aDocument.service.value.substr(kInstanceDocumentPrefix.size());
   const instance_change change = DecodeChange(name, aDocument.version, aDocument.text);
   const bool applied = mRegistry.ApplyChange(change, change_source::peer, steady_clock().Now());
+  ReportUnusable();
   mChanged = mChanged || applied;
   return applied;
 }
--- a/src/gateway/internal/gatewayprocessstate.h
+++ b/src/gateway/internal/gatewayprocessstate.h
@@ -44,6 +44,9 @@
 gateway_process<Dialect>::IsKnown(const received_configuration& aReceived) const
 {
   const auto& present = mUpstreams.Routes();
+  if (mRejectedHash && HashText(aReceived.text) == *mRejectedHash) {
+    return true;
+  }
   if (!present) {
     return false;
   }
@@ -106,6 +109,8 @@
                                      const parsed_configuration& aParsed)
 {
   if (!aParsed.table) {
+    mRejectedHash = HashText(aReceived.text);
+    mMetrics.Count(kConfigurationsRejected, {});
     WriteLog(kConfigurationRejected,
              { { "revision", platform::RevisionText(aReceived.version) },
                { "problem", aParsed.problem } });
--- a/src/gateway/storewatch.h
+++ b/src/gateway/storewatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/hash.h"
 #include "gateway/gatewaydialect.h"
 #include "gateway/gatewayevents.h"
 #include "gateway/gatewaymetrics.h"
@@ -7,8 +8,10 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace persimmon::gateway {
 
@@ -120,6 +123,8 @@
   void OnFailure(const platform::store_failure& aReason);
   void OnResponse();
   void CountCall(const char* aCall, const platform::store_failure& aReason);
+  /// Logs and counts the objects without a name, each text once.
+  void ReportUnnamed(const std::vector<std::string>& aTexts);
   void Schedule(duration aPause, void (store_watch::*aNext)());
   /// Passes the revision on that a response has reached.
   void NotifyRead();
@@ -149,6 +154,10 @@
   /// Number of consecutive failed calls.
   std::uint32_t mFailures = 0;
   time_point mLastResponseAt{ INT64_MIN / 2 };
+  /// Most texts that are remembered as reported.
+  static constexpr std::size_t kMaxReportedUnnamed = 1024;
+  /// Hashes of the texts that ReportUnnamed() has reported.
+  std::set<std::uint64_t> mReportedUnnamed;
 };
 
 template<typename Store>
@@ -214,6 +223,19 @@
                    { "outcome", platform::StoreErrorName(aReason.code) } });
 }
 
+template<typename Store>
+void
+store_watch<Store>::ReportUnnamed(const std::vector<std::string>& aTexts)
+{
+  for (const std::string& text : aTexts) {
+    if (mReportedUnnamed.size() < kMaxReportedUnnamed &&
+        mReportedUnnamed.insert(HashText(text)).second) {
+      mMetrics.Count(kUnnamedObjects, { { "kind", mKind } });
+      WriteLog(kObjectUnnamed, { { "kind", mKind }, { "text", text } });
+    }
+  }
+}
+
 template<typename Store>
 void
 store_watch<Store>::OnResponse()
@@ -307,6 +329,7 @@
                 mRevision = aList->asOf;
                 mListed = true;
                 OnResponse();
+                ReportUnnamed(aList->unnamed);
                 mHandlers.onList(*aList);
                 NotifyRead();
                 Continue({});
@@ -333,6 +356,7 @@
                  }
                  mRevision = std::max(mRevision, aChanges->asOf);
                  OnResponse();
+                 ReportUnnamed(aChanges->unnamed);
                  const bool hasChanges = !aChanges->changes.empty();
                  if (hasChanges) {
                    mHandlers.onChanges(*aChanges);
--- a/src/peers/internal/meshcoremessages.cpp
+++ b/src/peers/internal/meshcoremessages.cpp
@@ -356,6 +356,10 @@
 void
 mesh_core::implementation::On(const publish_requested& aEvent)
 {
+  if (!IsSendable(aEvent.message)) {
+    ++counters.unsendable;
+    return;
+  }
   versioned_message entry{ aEvent.message, VersionOf(aEvent.message), now - AgeOf(aEvent.message) };
   if (const auto* presence = std::get_if<presence_message>(&aEvent.message)) {
     if (!IsPresenceNeeded(*presence)) {
--- a/src/peers/internal/messagestore.cpp
+++ b/src/peers/internal/messagestore.cpp
@@ -2,8 +2,12 @@
 
 #include "base/hash.h"
 #include "base/random.h"
+#include "peers/wireframe.h"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <initializer_list>
+#include <string_view>
 
 namespace persimmon::peers {
 namespace {
@@ -18,6 +22,9 @@
 constexpr duration kQuarantineRetention = 86400_s;
 /// As long as routers remember a limit that nobody states any more.
 constexpr duration kRateLimitRetention = 600_s;
+/// Bytes of a frame that stay free for the names and other fields of a record with a text.
+constexpr std::size_t kTextReserve = 2048;
+constexpr std::size_t kMaxTextBytes = kMaxFrameBytes - kTextReserve;
 constexpr std::uint64_t kHalfStampRange = (kStampMask + 1) / 2;
 
 template<typename... Cases>
@@ -66,8 +73,48 @@
   return aEntry.version > aKnown.version ? store_result::newer : store_result::older;
 }
 
+/// Returns whether all texts are names that a peer takes.
+bool
+AreNames(std::initializer_list<std::string_view> aNames)
+{
+  return std::all_of(aNames.begin(), aNames.end(), [](std::string_view aName) {
+    return !aName.empty() && aName.size() <= kMaxNameBytes;
+  });
+}
+
 } // namespace
 
+bool
+IsSendable(const mesh_message& aMessage)
+{
+  return std::visit(
+    overloaded{
+      [](const document_message& aValue) {
+        return AreNames({ aValue.service.value }) && aValue.text.size() <= kMaxTextBytes;
+      },
+      [](const table_message& aValue) {
+        return AreNames({ aValue.domain.value }) && aValue.text.size() <= kMaxTextBytes;
+      },
+      [](const presence_message& aValue) {
+        return AreNames({ aValue.group.value, aValue.observer.value });
+      },
+      [](const leaving_message& aValue) { return AreNames({ aValue.instance.value }); },
+      [](const crash_message&) { return true; },
+      [](const quarantine_message&) { return true; },
+      [](const rate_limit_message& aValue) { return AreNames({ aValue.upstream.value }); },
+      [](const customer_load_message& aValue) {
+        return AreNames({ aValue.router.value, aValue.service.value, aValue.customer.value });
+      },
+      [](const model_load_message& aValue) {
+        return AreNames({ aValue.observer.value, aValue.service.value, aValue.model });
+      },
+      [](const applied_message& aValue) {
+        return AreNames({ aValue.router.value, aValue.name });
+      },
+    },
+    aMessage);
+}
+
 subject_id
 SubjectOf(const mesh_message& aMessage)
 {
--- a/src/peers/meshstatus.h
+++ b/src/peers/meshstatus.h
@@ -33,6 +33,8 @@
   std::uint64_t duplicates = 0;
   std::uint64_t unknownRecords = 0;
   std::uint64_t badFrames = 0;
+  /// Messages of this process that were not sent, since peers would refuse them.
+  std::uint64_t unsendable = 0;
   /// Bytes of records charged to the budget, by message_priority.
   std::array<std::uint64_t, kPriorityCount> bytesByPriority{};
   /// Messages that currently wait for the next frame or for the budget, by message_priority.
--- a/src/peers/messagestore.h
+++ b/src/peers/messagestore.h
@@ -53,6 +53,11 @@
   older
 };
 
+/// Returns whether peers take a message: they close the link of a peer that sends names that are
+/// empty or too long, or a text that no frame holds.
+bool
+IsSendable(const mesh_message& aMessage);
+
 /// Returns the subject of a message.
 subject_id
 SubjectOf(const mesh_message& aMessage);
--- a/src/peers/tests/meshcoretests.cpp
+++ b/src/peers/tests/meshcoretests.cpp
@@ -1,6 +1,7 @@
 #include "peers/meshcore.h"
 
 #include "peers/tests/mocks/memorymesh.h"
+#include "peers/wireframe.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -600,3 +601,31 @@
   }
   CHECK(large.RunUntil(15_s, [&] { return large.HasAgreedOnMembers(); }).has_value());
 }
+
+// Guards against a name from outside that makes peers refuse each other's frames, so that they hear
+// no more news of anything.
+TEST(mesh_core, MessageThatPeersWouldRefuseIsNotSent)
+{
+  for (const std::string& name : { std::string(), std::string(kMaxNameBytes + 1, 'x') }) {
+    mesh.Publish(0, document_message{ { name }, { 3 }, "{}" });
+    mesh.Publish(0, presence_message{ { name }, { 1 }, mesh.IdOf(0), {}, true });
+    mesh.Publish(0, leaving_message{ { name }, { 1 } });
+  }
+  mesh.Publish(0, document_message{ { "large" }, { 3 }, std::string(kMaxFrameBytes, 'x') });
+  mesh.Publish(0, Document(10));
+  CHECK(mesh.RunUntil(1_s, [this] { return AllHold(Document(10)); }).has_value());
+  mesh.Run(3_s);
+  UNSIGNED_LONGS_EQUAL(7, mesh.Core(0).Status(mesh.Now()).counters.unsendable);
+  for (std::size_t node = 0; node < kRouters; ++node) {
+    UNSIGNED_LONGS_EQUAL(0, mesh.Core(node).Status(mesh.Now()).counters.badFrames);
+  }
+}
+
+// Guards against a text from outside that ends the links by which it is handed on.
+TEST(mesh_core, TextThatIsNoUtf8ReachesEveryRouter)
+{
+  const mesh_message document =
+    document_message{ { kService }, { 10 }, "{\"zone\":\"\xed\xa0\x80\xff\"}" };
+  mesh.Publish(0, document);
+  CHECK(mesh.RunUntil(1_s, [&] { return AllHold(document); }).has_value());
+}
--- a/src/platform/storedobject.h
+++ b/src/platform/storedobject.h
@@ -22,6 +22,7 @@
 {
   object_key key;
   revision version;
+  /// As the writer has left it: no JSON where that cannot be read.
   std::string value;
 };
 
@@ -30,6 +31,8 @@
 {
   revision asOf;
   std::vector<stored_object> objects;
+  /// Starts of the items of which not even a name could be read, for logs.
+  std::vector<std::string> unnamed{};
 };
 
 /// A write or deletion that a watch reports.
@@ -48,6 +51,8 @@
   /// Revision from which the next watch continues.
   revision asOf;
   std::vector<object_change> changes;
+  /// Starts of the items of which not even a name could be read, for logs.
+  std::vector<std::string> unnamed{};
 };
 
 /// Precondition of a write.
--- a/src/upstream/tests/upstreamlooptests.cpp
+++ b/src/upstream/tests/upstreamlooptests.cpp
@@ -134,7 +134,7 @@
 // wrong byte, takes the last of several and passes over lines that it does not know.
 TEST(upstream_loop, ResponseWithFramingInDoubtIsNotWhole)
 {
-  const std::string start = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n";
+  const std::string start = "HTTP/1.1 200 OK\r\nX-Signed: s\r\n";
   const std::vector<std::string> heads = {
     start + "Content-Length: 2:0\r\n",
     start + "Content-Length: 2o\r\n",
