Who is let in follows from declared customers, not from readable ones

Cause: 'no customers are declared' and 'none could be read, or is left' were one value, an empty list. Ruled out: a delay in taking the version over; the version was in force at once, and opened the system.

The mend: routes::configuration::admission.

--- a/src/app/router/internal/callparser.cpp
+++ b/src/app/router/internal/callparser.cpp
@@ -190,6 +190,10 @@
 const customer_spec*
 FindCustomer(const service_document& aDocument, const std::string& aBearerKey)
 {
+  // The key of a caller that has sent none is empty.
+  if (aBearerKey.empty()) {
+    return nullptr;
+  }
   const std::string digest = Sha256Hex(aBearerKey);
   const auto found = std::find_if(
     aDocument.customers.begin(),
--- a/src/document/internal/servicedocument.cpp
+++ b/src/document/internal/servicedocument.cpp
@@ -1,5 +1,7 @@
 #include "document/servicedocument.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -100,6 +102,9 @@
     reader.Fail(
       reader.PathOf("key_sha256"), '"' + spec.keySha256 + '"', "64 lower-case hexadecimal digits");
   }
+  if (spec.keySha256 == Sha256Hex("")) {
+    reader.Fail(reader.PathOf("key_sha256"), "the hash of an empty key", "the hash of a key");
+  }
   spec.weight = reader.NumberOr("weight", 1, kMaxWeight, spec.weight);
   reader.Finish();
   return spec;
--- a/src/document/tests/servicedocumenttests.cpp
+++ b/src/document/tests/servicedocumenttests.cpp
@@ -79,3 +79,13 @@
   CHECK_FALSE(IsIdempotentCall(*document, "POST", "/corrections"));
   CHECK(IsIdempotentCall(*document, "GET", "/corrections"));
 }
+
+// Guards against a customer whose key every caller has that sends none.
+TEST(document, HashOfAnEmptyKeyIsRejected)
+{
+  const std::string error =
+    ParseErrorOf(Replaced(kModelDocument,
+                          "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad",
+                          "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"));
+  CHECK(error.starts_with("$.customers[0].key_sha256: "));
+}
--- a/src/gateway/incomingcallhandler.h
+++ b/src/gateway/incomingcallhandler.h
@@ -98,10 +98,13 @@
     return { kStatusContentTooLarge, "body_too_large", nullptr, {}, 0 };
   }
   const routes::route* route = table->FindRoute(aCall.host, aCall.path);
+  if (table->IsHidden(route, aCall.host, aCall.path)) {
+    return { kStatusUnavailable, "unreadable_route", nullptr, {}, 0 };
+  }
   if (route == nullptr) {
     return { kStatusNotFound, "no_route", nullptr, {}, 0 };
   }
-  if (configuration.customers.empty() || route->isPublic) {
+  if (configuration.admission == routes::caller_admission::everybody || route->isPublic) {
     return { 0, "", route, {}, route->priority };
   }
   const routes::customer* customer = table->FindCustomer(aCall.apiKey);
--- a/src/routes/internal/routetable.cpp
+++ b/src/routes/internal/routetable.cpp
@@ -51,7 +51,10 @@
   mPriorities.assign(priorities.begin(), priorities.end());
   for (std::size_t i = 0; i < mConfiguration.customers.size(); ++i) {
     for (const std::string& key : mConfiguration.customers[i].apiKeys) {
-      mCustomersByKey.emplace(key, i);
+      // The key of a caller that has sent none is empty.
+      if (!key.empty()) {
+        mCustomersByKey.emplace(key, i);
+      }
     }
   }
 }
@@ -78,6 +81,17 @@
   return nullptr;
 }
 
+bool
+route_table::IsHidden(const route* aFound, std::string_view aHost, std::string_view aPath) const
+{
+  const std::size_t found = aFound == nullptr ? 0 : aFound->pathPrefix.size();
+  const auto& hiding = mConfiguration.unreadableRoutes;
+  return std::any_of(hiding.begin(), hiding.end(), [&](const unreadable_route& aRoute) {
+    return aRoute.pathPrefix.size() >= found && aPath.starts_with(aRoute.pathPrefix) &&
+           HostName(aRoute.host) == HostName(aHost);
+  });
+}
+
 const customer*
 route_table::FindCustomer(const std::string& aKey) const
 {
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -22,7 +22,12 @@
   /// Returns the route of a host with the longest prefix that matches the path; nullptr when there
   /// is none. Case and port of the host are ignored.
   [[nodiscard]] const route* FindRoute(std::string_view aHost, std::string_view aPath) const;
-  /// Returns the customer that owns an API key; nullptr when there is none.
+  /// Returns whether a declared route that cannot be read takes precedence over aFound, the route
+  /// found for the same host and path.
+  [[nodiscard]] bool IsHidden(const route* aFound,
+                              std::string_view aHost,
+                              std::string_view aPath) const;
+  /// Returns the customer that owns an API key; nullptr when there is none, or no key.
   [[nodiscard]] const customer* FindCustomer(const std::string& aKey) const;
   /// Returns the service of a name; nullptr when there is none.
   [[nodiscard]] const service_profile* FindService(const service_name& aName) const;
