--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,8 @@
   void EndOtherAttempts(const attempt& aAnswered);
   /// Ends an attempt whose upstream stated that it has not executed the call.
   void OnNotExecuted(attempt& aAttempt);
+  /// Lets an upstream that refused a call receive no calls for a while.
+  void AvoidAfterRefusal(const attempt& aAttempt);
   /// Ends an attempt that may have executed the call but delivers no complete response. With
   /// aCountsAsFailure, a failure of its upstream is recorded, and the loss is reported to the crash
   /// monitor.
--- a/src/gateway/incomingcall.h
+++ b/src/gateway/incomingcall.h
@@ -30,6 +30,8 @@
   std::optional<std::uint64_t> resumeAfter;
   /// Requested model; empty when the caller names none.
   routes::model_name model;
+  /// The caller asks for one version of the weights, and takes no response of another one.
+  bool expectsVersion = false;
   std::uint64_t promptTokens = 0;
   /// Largest number of tokens that the response may have.
   std::uint64_t maxOutputTokens = 0;
--- a/src/gateway/internal/exchangeresponses.h
+++ b/src/gateway/internal/exchangeresponses.h
@@ -237,6 +237,21 @@
 template<gateway_dialect Dialect>
 void
 exchange<Dialect>::OnNotExecuted(attempt& aAttempt)
+{
+  const time_point now = mContext.Now();
+  const response_info& info = *aAttempt.responseInfo;
+  if (!info.refusedForCaller) {
+    AvoidAfterRefusal(aAttempt);
+  }
+  const char* result = info.refusedForCaller ? "refused_for_caller"
+                       : info.misdirected    ? "misdirected"
+                                             : "not_run";
+  Execute(mStateMachine.OnNotExecuted(EndAttempt(aAttempt, result), now));
+}
+
+template<gateway_dialect Dialect>
+void
+exchange<Dialect>::AvoidAfterRefusal(const attempt& aAttempt)
 {
   const time_point now = mContext.Now();
   const bool misdirected = aAttempt.responseInfo->misdirected;
@@ -247,8 +262,6 @@
   if (mContext.upstreams.FindGroupByHead(aAttempt.upstream) != nullptr) {
     mContext.onUpstreamStalled(aAttempt.upstream);
   }
-  Execute(mStateMachine.OnNotExecuted(EndAttempt(aAttempt, misdirected ? "misdirected" : "not_run"),
-                                      now));
 }
 
 template<gateway_dialect Dialect>
--- a/src/gateway/internal/statementmonitor.cpp
+++ b/src/gateway/internal/statementmonitor.cpp
@@ -26,7 +26,7 @@
 {
   const response_info& info = *aAttempt.responseInfo;
   // Another instance, which now has the address, may have answered.
-  if (!info.matchesAttempt || info.misdirected) {
+  if (!info.matchesAttempt || info.misdirected || info.refusedForCaller) {
     return;
   }
   dispatch::statement_observation observation;
--- a/src/gateway/responseinfo.h
+++ b/src/gateway/responseinfo.h
@@ -20,6 +20,9 @@
   /// True when the address now belongs to another instance, or the instance is no longer a group's
   /// head.
   bool misdirected = false;
+  /// True when the upstream refused the call for what its caller asked; this says nothing of the
+  /// upstream's health or load.
+  bool refusedForCaller = false;
   /// True when the body is not the one that the upstream produced.
   bool bodyModified = false;
   /// True when the body is a stream of server-sent events.
