--- a/src/base/tests/sharedjsonlisttests.cpp
+++ b/src/base/tests/sharedjsonlisttests.cpp
@@ -149,8 +149,9 @@
 {
   for (const char* odd : { "\"z\"x\"", "\"\xed\xa0\x80\"", "{" }) {
     const std::string item = Item("odd", odd);
-    const std::string text =
-      R"({"items":[)" + item + "," + kFirst + "," + item + R"(],"more":true})";
+    std::string text = R"({"items":[)";
+    text.append(item).append(",").append(kFirst).append(",").append(item);
+    text.append(R"(],"more":true})");
     const auto list = SplitSharedList(text, kForm);
     CHECK_TEXT(list.has_value(), odd);
     CHECK_TEXT(Holds(*list, kFirst), odd);
