Tests: broken statuses and field names reach no caller

What callers saw on other systems: a server in trouble sent status 000, or a blank or a control byte in the name of a field, and they got that for an answer. Here both are handled; these are the tests that name them, with real gateways.

--- a/src/app/router/tests/exchangetests.cpp
+++ b/src/app/router/tests/exchangetests.cpp
@@ -138,6 +138,36 @@
   STRCMP_EQUAL("whole", response->body.c_str());
 }
 
+// Guards against a response of an upstream in trouble whose head is none of HTTP.
+TEST(exchange, AnswerWithABrokenHeadIsNotDelivered)
+{
+  struct broken_head
+  {
+    int status;
+    entry::server_header field;
+  };
+  const std::vector<broken_head> heads = { { 0, { "X", "1" } },       { 99, { "X", "1" } },
+                                           { 600, { "X", "1" } },     { 2000, { "X", "1" } },
+                                           { 200, { "X Y", "1" } },   { 200, { "X ", "1" } },
+                                           { 200, { " X", "1" } },    { 200, { "X\001Y", "1" } },
+                                           { 200, { "X\177", "1" } }, { 200, { "X", "\001" } } };
+  for (const broken_head& head : heads) {
+    calls->store(0);
+    const auto broken = [head](const entry::server_request& aRequest,
+                               const shared_responder& aResponder) {
+      auto headers = EngineHeaders(aRequest);
+      headers.push_back(head.field);
+      aResponder->Send({ head.status, headers, "broken" });
+    };
+    const router_rig rig(Two(broken, AnswerWhole));
+    const auto response = client.Send(Chat(rig, false));
+    CHECK_TEXT(response.has_value(), head.field.name.c_str());
+    CHECK_EQUAL_TEXT(200, response->status, head.field.name.c_str());
+    STRCMP_EQUAL_TEXT("whole", response->body.c_str(), head.field.name.c_str());
+    CHECK_EQUAL_TEXT(2, calls->load(), head.field.name.c_str());
+  }
+}
+
 TEST(exchange, UpstreamThatDiesBeforeTheFirstByteIsReplaced)
 {
   const router_rig rig(Two(
