A field that begins with a blank ends no process: a handle of its own for each request

What an operator would see: persimmon-router, persimmon-placer or persimmonctl ends with a segmentation fault, or goes on with a damaged heap, when a server in trouble, or the store, answers with a head whose first field begins with a blank. Found while the places that read answers were checked for it.

Cause: http_client kept one libcurl handle for all of its requests. libcurl (7.88.1) keeps fields for its own interface, too, joins a line that begins with a blank to the field before, and for the first line of a head that is the last field of the response before, which it has freed. That comes before our reader sees the line. valgrind: "invalid read ... inside a block free'd" under curl_easy_perform.

The fix: a handle for each request; connections are kept by a multi handle, as the gateways' client has it. Why it works: a handle that has read no head has no field to join the line to.

Ruled out: the gateway's client of upstreams and the load tool, which take a new handle for each call (valgrind over the broken heads of test_upstream, kept connections and tunnels with them: none).

--- a/src/platform/internal/httpclient.cpp
+++ b/src/platform/internal/httpclient.cpp
@@ -9,6 +9,11 @@
 namespace persimmon::platform {
 namespace {
 
+/// Most connections that are kept for later requests.
+constexpr long kMaxKeptConnections = 5;
+/// Longest wait between two checks for a cancellation.
+constexpr int kLongestPollMs = 1000;
+
 struct curl_handle_deleter
 {
   void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
@@ -19,6 +24,11 @@
   void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
 };
 
+struct curl_multi_deleter
+{
+  void operator()(CURLM* aMulti) const { curl_multi_cleanup(aMulti); }
+};
+
 using header_list = std::unique_ptr<curl_slist, curl_slist_deleter>;
 
 /// A response that is being received.
@@ -70,11 +80,30 @@
   return static_cast<const std::atomic<bool>*>(aCancelled)->load() ? 1 : 0;
 }
 
-void
-InitializeCurlOnce()
+CURLM*
+MakeMulti()
 {
   static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(kInitialized);
+  CURLM* multi = curl_multi_init();
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
+  return multi;
+}
+
+/// Carries out a call over the connections that aMulti keeps, and waits for its end.
+CURLcode
+Perform(CURLM* aMulti, CURL* aHandle)
+{
+  curl_multi_add_handle(aMulti, aHandle);
+  int running = 1;
+  while (curl_multi_perform(aMulti, &running) == CURLM_OK && running > 0) {
+    curl_multi_poll(aMulti, nullptr, 0, kLongestPollMs, nullptr);
+  }
+  int left = 0;
+  const CURLMsg* ended = curl_multi_info_read(aMulti, &left);
+  const CURLcode code = ended != nullptr ? ended->data.result : CURLE_FAILED_INIT;
+  curl_multi_remove_handle(aMulti, aHandle);
+  return code;
 }
 
 /// A failure counts as not sent only if libcurl did not send a single byte of the request.
@@ -111,7 +140,7 @@
 struct http_client::implementation
 {
   std::atomic<bool> cancelled = false;
-  std::unique_ptr<CURL, curl_handle_deleter> handle;
+  std::unique_ptr<CURLM, curl_multi_deleter> multi{ MakeMulti() };
   http_failure failure = http_failure::none;
   std::string failureText;
 };
@@ -119,8 +148,6 @@
 http_client::http_client()
   : mImplementation(std::make_unique<implementation>())
 {
-  InitializeCurlOnce();
-  mImplementation->handle.reset(curl_easy_init());
 }
 
 http_client::~http_client() = default;
@@ -131,8 +158,10 @@
 std::optional<http_response>
 http_client::Send(const http_request& aRequest)
 {
-  CURL* handle = mImplementation->handle.get();
-  curl_easy_reset(handle);
+  // A handle of its own: one that has read a head before reads freed memory when the next head
+  // begins with a blank (libcurl 7.88).
+  const std::unique_ptr<CURL, curl_handle_deleter> owner(curl_easy_init());
+  CURL* handle = owner.get();
   incoming_response incoming;
   incoming.maxBodyBytes = aRequest.maxBodyBytes;
   const header_list headers = BuildHeaders(aRequest);
@@ -160,7 +189,7 @@
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
-  const CURLcode code = curl_easy_perform(handle);
+  const CURLcode code = Perform(mImplementation->multi.get(), handle);
   // libcurl reports success when a connection ends within the headers.
   if (code != CURLE_OK || !incoming.head.IsComplete()) {
     mImplementation->failure = ClassifyFailure(handle, code);
--- a/src/platform/tests/httpclienttests.cpp
+++ b/src/platform/tests/httpclienttests.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
+#include <atomic>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -77,6 +78,59 @@
   std::thread mThread;
 };
 
+/// Answers requests, each of which comes in one piece, with these responses in turn.
+class answering_server
+{
+public:
+  explicit answering_server(std::vector<std::string> aResponses)
+    : mSocket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* genericAddress = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof(address);
+    CHECK(bind(mSocket, genericAddress, size) == 0 && listen(mSocket, SOMAXCONN) == 0);
+    getsockname(mSocket, genericAddress, &size);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this, responses = std::move(aResponses)] {
+      for (std::size_t next = 0; next < responses.size();) {
+        const int accepted = accept(mSocket, nullptr, nullptr);
+        if (accepted < 0) {
+          return;
+        }
+        ++mConnections;
+        char request[4096];
+        while (next < responses.size() && recv(accepted, request, sizeof request, 0) > 0) {
+          send(accepted, responses[next].data(), responses[next].size(), MSG_NOSIGNAL);
+          ++next;
+        }
+        close(accepted);
+      }
+    });
+  }
+  ~answering_server()
+  {
+    shutdown(mSocket, SHUT_RDWR);
+    mThread.join();
+    close(mSocket);
+  }
+  answering_server(const answering_server&) = delete;
+  answering_server& operator=(const answering_server&) = delete;
+  [[nodiscard]] std::string Url() const
+  {
+    return "http://127.0.0.1:" + std::to_string(mPort) + "/";
+  }
+  /// Number of connections that were accepted.
+  [[nodiscard]] int Connections() const { return mConnections; }
+
+private:
+  int mSocket;
+  std::uint16_t mPort = 0;
+  std::atomic<int> mConnections = 0;
+  std::thread mThread;
+};
+
 /// Accepts connections into the kernel's backlog and never responds.
 class unresponsive_server
 {
@@ -153,6 +207,67 @@
   }
 }
 
+// Guards against a report, an order's outcome or an object of the store in a response whose head is
+// none of HTTP.
+TEST(http_client, ResponseWithABrokenHeadFailsTheRequest)
+{
+  using namespace std::string_literals;
+  for (const std::string& start : { "HTTP/1.1 000 OK\r\n"s,
+                                    "HTTP/1.1 099 OK\r\n"s,
+                                    "HTTP/1.1 600 OK\r\n"s,
+                                    "HTTP/1.1 200OK\r\n"s,
+                                    "HTTP/1.1 000 Wait\r\n\r\nHTTP/1.1 200 OK\r\n"s,
+                                    "HTTP/1.1 200 OK\r\nX Y: 1\r\n"s,
+                                    "HTTP/1.1 200 OK\r\nX : 1\r\n"s,
+                                    "HTTP/1.1 200 OK\r\n X: 1\r\n"s,
+                                    "HTTP/1.1 200 OK\r\nX\001: 1\r\n"s,
+                                    "HTTP/1.1 200 OK\r\nX\0: 1\r\n"s,
+                                    "HTTP/1.1 200 OK\r\nX: \001\r\n"s }) {
+    const endless_server broken(start + "Content-Length: 5\r\n\r\n", "hello", 5);
+    http_request request;
+    request.url = broken.Url();
+    request.timeout = 500_ms;
+    CHECK_TEXT(!client.Send(request).has_value(), start.c_str());
+    CHECK_TEXT(client.LastFailure() == http_failure::maybe_sent, start.c_str());
+    CHECK_TEXT(!client.LastFailureText().empty(), start.c_str());
+  }
+}
+
+// Guards against a process that ends with a server in trouble: libcurl joined a first field that
+// begins with a blank to the last one of the response before, which it had freed.
+TEST(http_client, FirstFieldThatBeginsWithABlankDoesNoHarm)
+{
+  const std::string sound = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 5\r\n\r\nhello";
+  std::vector<std::string> responses;
+  constexpr int kRounds = 20;
+  for (int round = 0; round < kRounds; ++round) {
+    responses.push_back(sound);
+    responses.push_back("HTTP/1.1 200 OK\r\n " + std::string(64U * round, 'x') +
+                        ": 1\r\nContent-Length: 5\r\n\r\nhello");
+  }
+  const answering_server answering(responses);
+  http_request request;
+  request.url = answering.Url();
+  for (int round = 0; round < kRounds; ++round) {
+    const auto whole = client.Send(request);
+    CHECK(whole.has_value());
+    STRCMP_EQUAL("hello", whole->body.c_str());
+    CHECK(!client.Send(request).has_value());
+    CHECK(client.LastFailure() == http_failure::maybe_sent);
+  }
+}
+
+TEST(http_client, ConnectionsAreKeptForLaterRequests)
+{
+  const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  const answering_server answering({ sound, sound });
+  http_request request;
+  request.url = answering.Url();
+  CHECK(client.Send(request).has_value());
+  CHECK(client.Send(request).has_value());
+  LONGS_EQUAL(1, answering.Connections());
+}
+
 TEST(http_client, RefusedConnectionIsReportedAsNotSent)
 {
   http_request request;
