The relay's answer gets the strict reader too: a broken head opens no tunnel

What callers would get: a request that runs once at most sent to whatever answers at the address of a gateway that is gone, as long as libcurl finds a 2xx somewhere in its head; and of such a head the news that a peer reaches an upstream, or, with 502, that the upstream refuses connections.

Cause: the head of the answer to CONNECT was the only one that the strict reader did not see: libcurl kept it back, and its own rule takes `200OK`, `099`, fields with blanks and control bytes in their names, and the last of several status lines.

The fix: libcurl passes these lines on, and what comes before the request is sent goes to a reader of its own. A fault ends the call as not sent, which is true, without a status of the relay, so that the peer counts as failed and another one is asked. Why it works: libcurl opens a tunnel only after the empty line behind the head, and its callback may end the call at any line before.

Tests: broken_head.OfATunnelSendsNothing and OfATunnelProvesNothingOfTheUpstream failed before (`099` was reported as the relay's status; a tunnel counted as open with `200OK`); SoundHeadsThroughATunnelAreRead held before and after. Not played with real gateways: peers announce their own relays there.

--- a/src/upstream/calloutcome.h
+++ b/src/upstream/calloutcome.h
@@ -21,7 +21,8 @@
   call_end end = call_end::whole;
   /// With not_sent: the host refused the connection because nothing listens on the port.
   bool refused = false;
-  /// Status with which the relay answered the request for a tunnel; 0 when there was none.
+  /// Status with which the relay answered the request for a tunnel; 0 when no whole head that may
+  /// be used came.
   int relayStatus = 0;
   /// The body of the response exceeded the largest one that the call allows.
   bool bodyTooLarge = false;
--- a/src/upstream/internal/activecall.cpp
+++ b/src/upstream/internal/activecall.cpp
@@ -103,7 +103,6 @@
   mTunnelHeaders.reset(list);
   curl_easy_setopt(handle, CURLOPT_PROXY, ("http://" + mCall.tunnel->relay.value).c_str());
   curl_easy_setopt(handle, CURLOPT_HTTPPROXYTUNNEL, 1L);
-  curl_easy_setopt(handle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
   // The request's own headers are for the upstream alone.
   curl_easy_setopt(handle, CURLOPT_HEADEROPT, static_cast<long>(CURLHEADER_SEPARATE));
   curl_easy_setopt(handle, CURLOPT_PROXYHEADER, mTunnelHeaders.get());
@@ -158,14 +157,19 @@
 active_call::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
   auto& self = *static_cast<active_call*>(aSelf);
+  const std::string_view line(aData, aSize * aCount);
+  // What comes before the request is sent is the relay's.
+  if (self.mCall.tunnel && !self.mRequestStarted) {
+    return self.mTunnelHead.Add(line) ? line.size() : 0;
+  }
   const bool wasComplete = self.mHead.IsComplete();
-  if (!self.mHead.Add({ aData, aSize * aCount })) {
+  if (!self.mHead.Add(line)) {
     return 0;
   }
   if (self.mHead.IsComplete() && !wasComplete && !self.mHandlersSuppressed) {
     self.mHandlers.onHead({ self.mHead.Status(), std::move(self.mHead.Headers()) });
   }
-  return aSize * aCount;
+  return line.size();
 }
 
 std::size_t
@@ -190,8 +194,10 @@
 std::string
 active_call::DescribeFailure(CURLcode aCode, bool aHeadEndsEarly) const
 {
-  if (!mHead.Fault().empty()) {
-    return mHead.Fault();
+  for (const response_head_reader* head : { &mTunnelHead, &mHead }) {
+    if (!head->Fault().empty()) {
+      return head->Fault();
+    }
   }
   return aHeadEndsEarly ? "connection ended within the response head" : curl_easy_strerror(aCode);
 }
@@ -210,11 +216,9 @@
   curl_easy_getinfo(mHandle.get(), CURLINFO_REQUEST_SIZE, &sent);
   long error = 0;
   curl_easy_getinfo(mHandle.get(), CURLINFO_OS_ERRNO, &error);
-  long relayStatus = 0;
-  curl_easy_getinfo(mHandle.get(), CURLINFO_HTTP_CONNECTCODE, &relayStatus);
   return { mRequestStarted && sent > 0 ? call_end::maybe_sent : call_end::not_sent,
            error == ECONNREFUSED,
-           static_cast<int>(relayStatus),
+           mTunnelHead.IsComplete() ? mTunnelHead.Status() : 0,
            mBodyTooLarge,
            DescribeFailure(aCode, headEndsEarly) };
 }
--- a/src/upstream/internal/activecall.h
+++ b/src/upstream/internal/activecall.h
@@ -57,6 +57,8 @@
   /// Headers of the request for a tunnel.
   std::unique_ptr<curl_slist, curl_list_closer> mTunnelHeaders;
   std::unique_ptr<CURL, curl_handle_closer> mHandle;
+  /// The relay's response to the request for a tunnel.
+  response_head_reader mTunnelHead;
   response_head_reader mHead;
   std::size_t mBodyBytes = 0;
   bool mBodyTooLarge = false;
--- a/src/upstream/tests/brokenheadtests.cpp
+++ b/src/upstream/tests/brokenheadtests.cpp
@@ -117,3 +117,36 @@
     STRCMP_EQUAL_TEXT("hello", recorded.body.c_str(), open);
   }
 }
+
+// Guards against a request that is sent into a tunnel which was never opened: something other than
+// a relay may have taken its address.
+TEST(broken_head, OfATunnelSendsNothing)
+{
+  for (const std::string& start : kBrokenStarts) {
+    const raw_server relay({ { start + "\r\n", raw_end::keep }, { kHello, raw_end::keep } });
+    const recorded_call recorded = Run(loop, CallThrough(relay.Address()));
+    CHECK_TEXT(recorded.outcome.end == call_end::not_sent, start.c_str());
+    LONGS_EQUAL_TEXT(0, recorded.outcome.relayStatus, start.c_str());
+    CheckNothingCame(recorded, start);
+    LONGS_EQUAL_TEXT(1, relay.RequestCount(), start.c_str());
+  }
+}
+
+// Guards against a broken answer of a relay that proves a path to an upstream, or that the upstream
+// refuses connections.
+TEST(broken_head, OfATunnelProvesNothingOfTheUpstream)
+{
+  for (const std::string& start : kBrokenStarts) {
+    const raw_server relay({ { start + "\r\n", raw_end::keep } });
+    upstream_call check = CallThrough(relay.Address());
+    check.connectOnly = true;
+    CHECK_TEXT(Run(loop, check).outcome.end == call_end::not_sent, start.c_str());
+  }
+  for (const char* refused : { "HTTP/1.1 502 Refused\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n",
+                               "HTTP/1.1 502Refused\r\nContent-Length: 0\r\n\r\n" }) {
+    const raw_server relay({ { refused, raw_end::close } });
+    const recorded_call recorded = Run(loop, CallThrough(relay.Address()));
+    CHECK_TEXT(recorded.outcome.end == call_end::not_sent, refused);
+    LONGS_EQUAL_TEXT(0, recorded.outcome.relayStatus, refused);
+  }
+}
