A status line with a control byte is none, in its reason phrase too

What callers saw here: the answer of a server in trouble whose status line reads `HTTP/1.1 200 O\x01K`, or holds a bare carriage return or a NUL behind a sound status, with status 200 and the body.

Weighed: the phrase is not passed on. But RFC 9112, 4 lets it hold tabs, spaces, visible characters and bytes above 127 only, as it does values of fields, so no sound server sends such a line, and no good answer is lost. A reader that ends lines at a carriage return finds a field behind one, a length say, that ours does not see; and what broke this line may have broken the rest.

Cause: the reader looked at a status line up to the space behind the status only.

The fix: the whole line is held to the rule that values of fields have. Why it works: there is one place that reads status lines, for both clients, the relay's answer and interim heads.

Phrases with tabs and bytes above 127 are among the forms that stay accepted.

--- a/src/base/internal/messageframing.cpp
+++ b/src/base/internal/messageframing.cpp
@@ -60,13 +60,19 @@
 
 } // namespace
 
+bool
+HasControlByte(std::string_view aText)
+{
+  return std::any_of(aText.begin(), aText.end(), IsControlByte);
+}
+
 std::string_view
 FindFieldFault(std::string_view aName, std::string_view aValue)
 {
   if (!IsHeaderName(aName)) {
     return "invalid header name";
   }
-  if (std::any_of(aValue.begin(), aValue.end(), IsControlByte)) {
+  if (HasControlByte(aValue)) {
     return "control byte in a header value";
   }
   return {};
--- a/src/base/internal/responseheadreader.cpp
+++ b/src/base/internal/responseheadreader.cpp
@@ -107,6 +107,9 @@
   if (mStatus < kFirstStatus || mStatus > kLastStatus) {
     return "invalid status code";
   }
+  if (HasControlByte(aLine)) {
+    return "control byte in the status line";
+  }
   // Nobody asks for another protocol.
   if (mStatus == kSwitchingProtocols) {
     return "unexpected switch of the protocol";
--- a/src/base/messageframing.h
+++ b/src/base/messageframing.h
@@ -6,6 +6,11 @@
 
 namespace persimmon {
 
+/// Returns whether a part of a line holds a byte that no such part may hold: all control bytes but
+/// the tab (RFC 9110, 5.5; RFC 9112, 4).
+bool
+HasControlByte(std::string_view aText);
+
 /// Returns why a header field must not be passed on: its name is no token, or its value holds a
 /// control byte (RFC 9110, 5.1 and 5.5). Empty when it may.
 std::string_view
--- a/src/base/tests/responseheadreadertests.cpp
+++ b/src/base/tests/responseheadreadertests.cpp
@@ -55,6 +55,7 @@
                             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n",
                             "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
                             "HTTP/1.1 304 Not Modified\r\nContent-Length: 817\r\n\r\n",
+                            "HTTP/1.1 200 \tfine (\344\366) \r\n\r\n",
                             "HTTP/1.1 599 ?\r\n\r\n" }) {
     const response_head_reader reader = Read(head);
     STRCMP_EQUAL("", reader.Fault().c_str());
@@ -113,6 +114,22 @@
   }
 }
 
+// RFC 9112, 4 allows neither, and a reader that ends lines at a carriage return finds fields there.
+TEST(response_head_reader, ControlByteInTheReasonPhraseIsAFault)
+{
+  using namespace std::string_literals;
+  for (const std::string& line : { "HTTP/1.1 200 O\001K"s,
+                                   "HTTP/1.1 200 O\0K"s,
+                                   "HTTP/1.1 200 OK\177"s,
+                                   "HTTP/1.1 200 O\rK"s,
+                                   "HTTP/1.1 200 OK\r"s,
+                                   "HTTP/1.1 100 \033"s }) {
+    const response_head_reader reader = Read(line + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TEXT(!reader.Fault().empty(), line.c_str());
+    CHECK_TEXT(!reader.IsComplete(), line.c_str());
+  }
+}
+
 TEST(response_head_reader, HeaderLineOfAnotherFormIsAFault)
 {
   for (const char* line : { "Content-Length 5",
