The load tool takes no answer with a broken head

What an operator would get: a history that says "answered" where a client that keeps to HTTP has nothing, so that the history checker passes a router that hands on broken heads.

Cause: the load tool read the head by itself, two fields of it by their first colon, and the status by libcurl; a connection that ended within the head counted as an empty answer.

The fix: base/response_head_reader reads the head there too, and a call without a whole sound head is `unfinished`, or `no_answer` where libcurl gave it up at the first line. Why it works: the status, the request's id and the type of the body come from that reader alone.

--- a/src/load/exchangeresult.h
+++ b/src/load/exchangeresult.h
@@ -25,7 +25,7 @@
 constexpr const char* kNotSent = "not_sent";
 /// The connection ended before an answer began.
 constexpr const char* kNoAnswer = "no_answer";
-/// The answer broke off.
+/// The answer broke off, or its head is none of HTTP.
 constexpr const char* kUnfinished = "unfinished";
 /// The caller's own bound passed.
 constexpr const char* kTimeout = "timeout";
--- a/src/load/internal/exchange.cpp
+++ b/src/load/internal/exchange.cpp
@@ -1,5 +1,6 @@
 #include "load/internal/exchange.h"
 
+#include "base/headerlookup.h"
 #include "base/json.h"
 #include "base/text.h"
 #include "history/digest.h"
@@ -90,29 +91,31 @@
 std::size_t
 exchange::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
-  static_cast<exchange*>(aSelf)->TakeHeader({ aData, aSize * aCount });
+  auto& self = *static_cast<exchange*>(aSelf);
+  const bool wasComplete = self.mHead.IsComplete();
+  if (!self.mHead.Add({ aData, aSize * aCount })) {
+    return 0;
+  }
+  if (self.mHead.IsComplete() && !wasComplete) {
+    self.TakeHead();
+  }
   return aSize * aCount;
 }
 
 void
-exchange::TakeHeader(std::string_view aLine)
+exchange::TakeHead()
 {
-  const std::size_t colon = aLine.find(':');
-  if (colon == std::string_view::npos) {
-    return;
-  }
-  const std::string name = LowerCase(aLine.substr(0, colon));
-  if (name == "persimmon-request") {
-    mRequest = Trimmed(aLine.substr(colon + 1));
-  } else if (name == "content-type") {
-    mContentType = LowerCase(Trimmed(aLine.substr(colon + 1)));
-  }
+  mRequest = FindHeader(mHead.Headers(), "Persimmon-Request");
+  mContentType = LowerCase(FindHeader(mHead.Headers(), "Content-Type"));
 }
 
 std::size_t
 exchange::OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
   auto& self = *static_cast<exchange*>(aSelf);
+  if (!self.mHead.IsComplete()) {
+    return 0;
+  }
   const std::string_view bytes(aData, aSize * aCount);
   if (!self.mContentType.starts_with(kStreamType)) {
     self.mBody.append(bytes);
@@ -126,26 +129,25 @@
 exchange_result
 exchange::Result(CURLcode aCode) const
 {
-  long status = 0;
-  curl_easy_getinfo(mHandle, CURLINFO_RESPONSE_CODE, &status);
   if (!mStream.ErrorData().empty()) {
-    return BrokenStream(static_cast<int>(status));
+    return BrokenStream();
   }
-  if (aCode != CURLE_OK) {
-    return Failure(aCode, static_cast<int>(status));
+  // libcurl reports success when a connection ends within the head.
+  if (aCode != CURLE_OK || !mHead.IsComplete()) {
+    return Failure(aCode);
   }
   if (mContentType.starts_with(kProblemType)) {
-    return Refusal(static_cast<int>(status), mBody);
+    return Refusal(mBody);
   }
   exchange_result result;
-  result.status = static_cast<int>(status);
+  result.status = Status();
   result.request = mRequest;
   const auto digest = AnswerDigest();
   if (digest) {
     result.answered = true;
     result.digest = *digest;
   } else {
-    result.refusal = result.status == kOk ? kUnfinished : fmt::format("status_{}", status);
+    result.refusal = result.status == kOk ? kUnfinished : fmt::format("status_{}", result.status);
   }
   return result;
 }
@@ -160,10 +162,10 @@
 }
 
 exchange_result
-exchange::Failure(CURLcode aCode, int aStatus) const
+exchange::Failure(CURLcode aCode) const
 {
   exchange_result result;
-  result.status = aStatus;
+  result.status = Status();
   result.request = mRequest;
   long sent = 0;
   curl_easy_getinfo(mHandle, CURLINFO_REQUEST_SIZE, &sent);
@@ -172,24 +174,25 @@
   } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
     result.refusal = kTimeout;
   } else {
-    result.refusal = aStatus == 0 ? kNoAnswer : kUnfinished;
+    const bool hasBegun = mHead.IsComplete() || !mHead.Fault().empty();
+    result.refusal = hasBegun ? kUnfinished : kNoAnswer;
   }
   return result;
 }
 
 exchange_result
-exchange::BrokenStream(int aStatus) const
+exchange::BrokenStream() const
 {
-  exchange_result result = Refusal(aStatus, mStream.ErrorData());
+  exchange_result result = Refusal(mStream.ErrorData());
   result.refusal = kUnfinished;
   return result;
 }
 
 exchange_result
-exchange::Refusal(int aStatus, const std::string& aProblem) const
+exchange::Refusal(const std::string& aProblem) const
 {
   exchange_result result;
-  result.status = aStatus;
+  result.status = Status();
   result.request = mRequest;
   json_problem problem;
   const auto body = ParseJson(aProblem, problem);
--- a/src/load/internal/exchange.h
+++ b/src/load/internal/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/responseheadreader.h"
 #include "load/exchangeresult.h"
 #include "load/plannedcall.h"
 #include "load/resendpolicy.h"
@@ -56,18 +57,21 @@
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf);
   void SetHeaders();
   void SetTransport(const std::string& aRouter);
-  void TakeHeader(std::string_view aLine);
-  [[nodiscard]] exchange_result Failure(CURLcode aCode, int aStatus) const;
+  /// Keeps what the result needs of a whole head.
+  void TakeHead();
+  [[nodiscard]] int Status() const { return mHead.IsComplete() ? mHead.Status() : 0; }
+  [[nodiscard]] exchange_result Failure(CURLcode aCode) const;
   /// Reads a problem that refuses the call.
-  [[nodiscard]] exchange_result Refusal(int aStatus, const std::string& aProblem) const;
+  [[nodiscard]] exchange_result Refusal(const std::string& aProblem) const;
   /// Reads the problem in the event that broke a stream off.
-  [[nodiscard]] exchange_result BrokenStream(int aStatus) const;
+  [[nodiscard]] exchange_result BrokenStream() const;
   [[nodiscard]] std::optional<std::string> AnswerDigest() const;
 
   std::unique_ptr<open_call> mCall;
   CURL* mHandle = nullptr;
   curl_slist* mHeaders = nullptr;
   std::optional<time_point> mLeaveAt;
+  response_head_reader mHead;
   std::string mRequest;
   std::string mContentType;
   std::string mBody;
--- a/src/load/tests/loadrunnertests.cpp
+++ b/src/load/tests/loadrunnertests.cpp
@@ -3,6 +3,7 @@
 #include "load/loadrunner.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 #include <atomic>
 #include <cstdio>
 #include <fstream>
@@ -107,6 +108,43 @@
   CHECK_EQUAL(2 * seen.sent, ReadEvents(path).size());
 }
 
+// Guards against a response that counts as an answer although its head is none of HTTP.
+TEST(load_runner, AnswerWithABrokenHeadIsNone)
+{
+  options.mix.streamedShare = 0.5;
+  constexpr std::array<int, 4> kBrokenStatuses = { 0, 99, 600, 2000 };
+  const std::vector<entry::server_header> brokenFields = {
+    { "X Y", "1" }, { "X ", "1" }, { " X", "1" }, { "X\001", "1" }, { "X", "\001" },
+  };
+  std::atomic<std::size_t> count = 0;
+  Listen([&](const entry::server_request& aRequest,
+             const std::shared_ptr<entry::responder>& aResponder) {
+    const std::size_t form = count++ % (kBrokenStatuses.size() + brokenFields.size());
+    const bool isStatus = form < kBrokenStatuses.size();
+    const int status = isStatus ? kBrokenStatuses.at(form) : 200;
+    const bool isStream = aRequest.body.Text().find("\"stream\":true") != std::string::npos;
+    std::vector<entry::server_header> headers = {
+      { "Content-Type", isStream ? "text/event-stream" : "application/json" }
+    };
+    if (!isStatus) {
+      headers.push_back(brokenFields[form - kBrokenStatuses.size()]);
+    }
+    if (!isStream) {
+      aResponder->Send({ status, headers, kAnswer });
+      return;
+    }
+    aResponder->StartStream(status, headers);
+    aResponder->Write(kToken);
+    aResponder->Write(kEnd);
+    aResponder->FinishStream();
+  });
+  const load_statistics seen = RunLoad();
+  CHECK(seen.sent > kBrokenStatuses.size() + brokenFields.size());
+  CHECK_EQUAL(0, seen.answered);
+  // libcurl refuses some of them before their first line is read.
+  CHECK_EQUAL(seen.sent, seen.refusals.at(kUnfinished) + seen.refusals.at(kNoAnswer));
+}
+
 TEST(load_runner, StreamThatEndsWithoutDoneIsRefusedAsUnfinished)
 {
   options.mix.streamedShare = 1;
