--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -14,6 +14,8 @@
 import urllib.error
 import urllib.request
 
+import strictclient
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(os.environ.get("PERSIMMON_BIN", ROOT / "build" / "bin"))
 ZONES = ["nyarugenge", "gasabo", "kicukiro"]
@@ -29,7 +31,7 @@
     data = body.encode() if isinstance(body, str) else body
     request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
     try:
-        with urllib.request.urlopen(request, timeout=timeout) as response:
+        with strictclient.OPENER.open(request, timeout=timeout) as response:
             return response.status, dict(response.headers), response.read().decode(errors="replace")
     except urllib.error.HTTPError as error:
         return error.code, dict(error.headers), error.read().decode(errors="replace")
@@ -37,6 +39,11 @@
         return 0, {}, ""
 
 
+def open_connection(address, timeout):
+    """Returns a connection to `ip:port` whose responses fail when their head is none of HTTP."""
+    return strictclient.StrictConnection(address, timeout=timeout)
+
+
 def wait_until(condition, seconds, interval=0.1):
     """Waits until the condition gives a true value and returns it, or the last value in the end."""
     deadline = time.monotonic() + seconds
