--- a/src/platform/tests/httpclienttests.cpp
+++ b/src/platform/tests/httpclienttests.cpp
@@ -239,16 +239,18 @@
 {
   const std::string sound = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 5\r\n\r\nhello";
   std::vector<std::string> responses;
-  constexpr int kRounds = 20;
-  for (int round = 0; round < kRounds; ++round) {
+  constexpr std::size_t kRounds = 20;
+  constexpr std::size_t kBytesMoreARound = 64;
+  for (std::size_t round = 0; round < kRounds; ++round) {
     responses.push_back(sound);
-    responses.push_back("HTTP/1.1 200 OK\r\n " + std::string(64U * round, 'x') +
-                        ": 1\r\nContent-Length: 5\r\n\r\nhello");
+    responses.emplace_back("HTTP/1.1 200 OK\r\n ")
+      .append(round * kBytesMoreARound, 'x')
+      .append(": 1\r\nContent-Length: 5\r\n\r\nhello");
   }
   const answering_server answering(responses);
   http_request request;
   request.url = answering.Url();
-  for (int round = 0; round < kRounds; ++round) {
+  for (std::size_t round = 0; round < kRounds; ++round) {
     const auto whole = client.Send(request);
     CHECK(whole.has_value());
     STRCMP_EQUAL("hello", whole->body.c_str());
