An instance joins a group only when it is known to be in none

Cause: an order to join named the number of orders that its instance had accepted, but the instance could be in a group at that number. A holder that gave a group up while it formed, or ended one, set its members free without an order to leave; only the head had to leave, and not that of a group which this holder had formed itself. The order to join the next group then was right for the state "in the group that was given up", and the next holder, which knew nothing of that, brought just this group into service.

Now: each membership begins and ends with an accepted order, so that a number of accepted orders tells whether the instance is in a group. It is kept with the number at which an instance is known to be in none (ordersWithoutGroup), and only such instances are chosen or ordered to join. Members of ended groups are ordered to leave, all of them and not the heads alone. However late an order to join is carried out, it takes no member from a group. The set of ended groups with a head and the epoch that an instance has left are gone.

Cost: an order to each other member of a group that ends, and one exchange.

--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -24,8 +24,9 @@
 /// Two invariants hold even when messages are lost or delayed:
 /// - A group is ordered to open only after each member has reported that it is ready in this group
 ///   and epoch.
-/// - An instance is ordered to join another group only after the instance itself or the head of
-///   its former group has confirmed that it left that group.
+/// - An instance is ordered to join a group only when it is known to be in none, at the number of
+///   accepted orders that the order names: each membership begins and ends with an accepted order.
+///   However late the order is carried out, it takes no member from another group.
 ///
 /// An order may be carried out long after it was sent. Each order therefore names the number of
 /// orders that its instance has accepted, so that it has no effect once a later one was accepted.
@@ -122,6 +123,11 @@
                       const fleet::fleet_view& aFleet,
                       time_point aNow,
                       actions& aActions);
+  /// Orders a member to join when it has to be told and the latest order is not too recent.
+  void OrderToJoin(const managed_group& aGroup,
+                   managed_member& aMember,
+                   time_point aNow,
+                   actions& aActions);
   /// Orders the head to open until it does. Starts to close the group when a member drains.
   void AdvanceOpeningOrServing(managed_group& aGroup,
                                const fleet::fleet_view& aFleet,
@@ -143,11 +149,11 @@
                       const std::string& aCause,
                       time_point aNow,
                       actions& aActions);
-  /// Finds ended groups whose heads are members of them nevertheless, and orders these heads to
-  /// leave: late orders, also to a former life of the head, may let it serve.
-  void ReleaseHeadsOfEndedGroups(const fleet::fleet_view& aFleet,
-                                 time_point aNow,
-                                 actions& aActions);
+  /// Orders those who are members of ended groups to leave: they may join no other group before,
+  /// and late orders, also to a former life of a head, may let it serve.
+  void ReleaseMembersOfEndedGroups(const fleet::fleet_view& aFleet,
+                                   time_point aNow,
+                                   actions& aActions);
   /// Enters the stage releasing.
   void StartReleasing(managed_group& aGroup,
                       const std::string& aCause,
@@ -301,9 +307,8 @@
   /// Returns the responsive instances that are in no group and are neither draining nor ineligible.
   [[nodiscard]] std::vector<const fleet::instance*> FreeInstances(const fleet::fleet_view& aFleet,
                                                                   time_point aNow) const;
-  /// Returns true when an instance is a member of a group that is not known to have ended.
-  [[nodiscard]] bool IsBoundToGroup(const fleet::instance& aInstance,
-                                    const fleet::fleet_view& aFleet) const;
+  /// Returns true unless an instance is known to be in no group.
+  [[nodiscard]] bool MayBeInGroup(const instance_id& aInstance) const;
   /// Returns true when an instance has the weights of a model staged or was ready with that model
   /// in its last group.
   [[nodiscard]] bool HoldsWeights(const fleet::instance& aInstance,
@@ -328,7 +333,7 @@
   [[nodiscard]] bool MaySendOrder(const instance_id& aInstance, order_kind aKind) const;
   /// Sends an order with the current fencing token. Returns false when it may not be sent now.
   bool SendOrder(engine_order aOrder, time_point aNow, actions& aActions);
-  /// Updates what is known of the orders that an instance has accepted.
+  /// Updates what is known of the orders that an instance has accepted, and of its membership.
   static void RecordAcceptance(const pending_order& aPending,
                                order_outcome aOutcome,
                                instance_state& aState);
@@ -363,10 +368,8 @@
   std::uint64_t mHighestEpoch = 0;
   std::map<instance_id, instance_state> mInstanceStates;
   std::vector<managed_group> mGroups;
-  /// Groups that have ended. Instances that are still reported as their members count as free.
+  /// Groups that have ended. Instances that are still their members have to leave.
   std::set<std::pair<group_id, generation>> mEndedGroups;
-  /// Those of them whose heads report that they are members still. Their members are not free.
-  std::set<std::pair<group_id, generation>> mEndedGroupsWithHead;
   std::map<order_id, pending_order> mPendingOrders;
   domain_assignment mDomainAssignment;
   time_point mDomainsAssignedAt{ INT64_MIN / 2 };
--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -41,25 +41,30 @@
   bool stallSuspected = false;
   /// Model of the last group in which the instance was ready; empty when there is none.
   routes::model_name lastGroupModel;
-  /// Epoch of the group that the instance has left by an order, as its answer says; its entry and
-  /// reports show the group for a while longer. Empty when it has left none.
-  std::optional<generation> leftEpoch;
-  /// When its answer said so.
-  time_point leftAt{ INT64_MIN / 2 };
   /// Epoch of the group that it was last ordered to leave; empty when there is none.
   std::optional<generation> leaveOrderedEpoch;
   /// Number of orders that it has accepted; empty while it is not known.
   std::optional<std::uint64_t> acceptedOrders;
+  /// Latest number of accepted orders at which it is known to have been in no group; empty when
+  /// none is known, or when it has reported a group since. Entries and reports may show a group for
+  /// a while after it has left.
+  std::optional<std::uint64_t> ordersWithoutGroup;
   /// True when it has rejected an order since its latest report: it may have accepted another one.
   bool mustReportOrders = false;
-  /// When the head of an ended group, as whose member it reports, was last ordered to leave.
-  std::optional<time_point> strayLeaveSentAt;
+  /// When it was last ordered to leave an ended group as whose member it is known.
+  std::optional<time_point> endedGroupLeaveSentAt;
   /// Model whose weights are being staged; empty when there is none.
   routes::model_name stagingModel;
   /// When the staging is given up.
   time_point stagingDeadline{ INT64_MIN / 2 };
   /// The instance is not selected for a group or for staging before this time.
   time_point ineligibleUntil{ INT64_MIN / 2 };
+
+  /// Returns true when the instance is in no group as long as it accepts no further order.
+  [[nodiscard]] bool IsInNoGroup() const
+  {
+    return acceptedOrders && ordersWithoutGroup == acceptedOrders;
+  }
 };
 
 } // namespace persimmon::assembly
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -33,7 +33,6 @@
   mInstanceStates.clear();
   mGroups.clear();
   mEndedGroups.clear();
-  mEndedGroupsWithHead.clear();
   mDomainAssignment.Clear();
   mMovedDomains.clear();
   mRebalancedAt = aNow;
@@ -103,7 +102,7 @@
     }
     std::erase_if(mGroups,
                   [](const managed_group& aCandidate) { return aCandidate.members.empty(); });
-    ReleaseHeadsOfEndedGroups(aFleet, aNow, result);
+    ReleaseMembersOfEndedGroups(aFleet, aNow, result);
     Rebalance(aFleet, aNow, result);
     FormGroups(aFleet, aNow, result);
   }
@@ -231,6 +230,12 @@
                            ? report->acceptedOrders
                            : std::max(state.acceptedOrders.value_or(0), report->acceptedOrders);
   state.mustReportOrders = false;
+  if (!report->membership) {
+    state.ordersWithoutGroup =
+      std::max(state.ordersWithoutGroup.value_or(0), report->acceptedOrders);
+  } else if (report->acceptedOrders >= *state.acceptedOrders) {
+    state.ordersWithoutGroup.reset();
+  }
   const bool isFirstAnswer = state.missedReports > 0 || state.lastReportAt < mLeadingSince;
   state.answeringSince = isFirstAnswer ? aNow : state.answeringSince;
   state.lastReportAt = aNow;
@@ -332,8 +337,13 @@
   for (const instance_id& id : aGroup.members) {
     const fleet::instance* member = aFleet.Find(id);
     const bool ready = member->membership->phase != fleet::member_phase::joining;
-    adoptedGroup.members.push_back(
-      { id, member->incarnationId, true, ready, false, aNow, false, {} });
+    managed_member adoptedMember;
+    adoptedMember.instance = id;
+    adoptedMember.incarnationId = member->incarnationId;
+    adoptedMember.joinAccepted = true;
+    adoptedMember.hasBeenReady = ready;
+    adoptedMember.joinSentAt = aNow;
+    adoptedGroup.members.push_back(std::move(adoptedMember));
   }
   switch (aGroup.headPhase) {
     case fleet::member_phase::open:
@@ -429,7 +439,13 @@
   const bool hasCounted = aOutcome == order_outcome::begun ||
                           (aOutcome == order_outcome::done && aPending.endsMembership);
   if (hasCounted && order.expectedOrders) {
-    aState.acceptedOrders = std::max(aState.acceptedOrders.value_or(0), *order.expectedOrders + 1);
+    const std::uint64_t count = *order.expectedOrders + 1;
+    const bool keepsOutside =
+      order.kind == order_kind::stage && aState.ordersWithoutGroup == order.expectedOrders;
+    if (order.kind == order_kind::leave || keepsOutside) {
+      aState.ordersWithoutGroup = count;
+    }
+    aState.acceptedOrders = std::max(aState.acceptedOrders.value_or(0), count);
   }
   aState.mustReportOrders = aState.mustReportOrders || aOutcome == order_outcome::conflict;
 }
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -15,9 +15,6 @@
 /// Longest time until a report shows that the head is open, from the time at which it is.
 constexpr duration kMaxShowTime = 700_ms;
 
-/// Longest time for which reports show a group that their instance has left.
-constexpr duration kMaxLeaveLag = 1_s;
-
 /// Returns true when an action that was last performed at aLast, or never, is due again.
 bool
 IsDue(const std::optional<time_point>& aLast, duration aInterval, time_point aNow)
@@ -148,6 +145,25 @@
   }
 }
 
+void
+group_controller::OrderToJoin(const managed_group& aGroup,
+                              managed_member& aMember,
+                              time_point aNow,
+                              actions& aActions)
+{
+  if (aMember.joinAccepted || !IsDue(aMember.joinSentAt, mOptions.orderRetryInterval, aNow)) {
+    return;
+  }
+  engine_order order = MakeOrder(aGroup, aMember.instance, order_kind::join);
+  order.model = aGroup.model;
+  for (const managed_member& member : aGroup.members) {
+    order.members.push_back(member.instance);
+  }
+  if (SendOrder(std::move(order), aNow, aActions)) {
+    aMember.joinSentAt = aNow;
+  }
+}
+
 void
 group_controller::AdvanceForming(managed_group& aGroup,
                                  const fleet::fleet_view& aFleet,
@@ -165,22 +181,12 @@
     }
     allReady = allReady && member.hasBeenReady;
     // A late order may have made it a member of another group since it was selected.
-    const fleet::instance* entry = aFleet.Find(member.instance);
-    if (!member.joinAccepted && entry != nullptr && IsBoundToGroup(*entry, aFleet)) {
+    if (!member.joinAccepted && MayBeInGroup(member.instance)) {
       AbandonForming(
         aGroup, "instance " + member.instance.value + " is in another group", aNow, aActions);
       return;
     }
-    if (!member.joinAccepted && IsDue(member.joinSentAt, mOptions.orderRetryInterval, aNow)) {
-      engine_order order = MakeOrder(aGroup, member.instance, order_kind::join);
-      order.model = aGroup.model;
-      for (const managed_member& other : aGroup.members) {
-        order.members.push_back(other.instance);
-      }
-      if (SendOrder(std::move(order), aNow, aActions)) {
-        member.joinSentAt = aNow;
-      }
-    }
+    OrderToJoin(aGroup, member, aNow, aActions);
   }
   if (allReady) {
     aGroup.currentStage = managed_group::stage::opening;
@@ -386,22 +392,17 @@
 }
 
 void
-group_controller::ReleaseHeadsOfEndedGroups(const fleet::fleet_view& aFleet,
-                                            time_point aNow,
-                                            actions& aActions)
+group_controller::ReleaseMembersOfEndedGroups(const fleet::fleet_view& aFleet,
+                                              time_point aNow,
+                                              actions& aActions)
 {
-  mEndedGroupsWithHead.clear();
   for (auto& [id, state] : mInstanceStates) {
     const auto membership = MembershipOf(id, aFleet);
-    const bool isHead = membership && membership->rank == 0;
-    if (!isHead || mEndedGroups.count({ membership->group, membership->epoch }) == 0) {
-      continue;
-    }
-    if (state.leftEpoch == membership->epoch && state.lastReportAt < state.leftAt + kMaxLeaveLag) {
-      continue;
-    }
-    mEndedGroupsWithHead.emplace(membership->group, membership->epoch);
-    if (!IsDue(state.strayLeaveSentAt, mOptions.orderRetryInterval, aNow)) {
+    const bool isEnded =
+      membership && mEndedGroups.count({ membership->group, membership->epoch }) != 0;
+    // The report of one that has joined another group since may lag behind.
+    if (!isEnded || state.IsInNoGroup() || FindGroupOf(id) != nullptr || state.missedReports > 0 ||
+        !IsDue(state.endedGroupLeaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
     engine_order order;
@@ -410,7 +411,7 @@
     order.group = membership->group;
     order.epoch = membership->epoch;
     if (SendOrder(std::move(order), aNow, aActions)) {
-      state.strayLeaveSentAt = aNow;
+      state.endedGroupLeaveSentAt = aNow;
     }
   }
 }
@@ -483,10 +484,6 @@
     RecordAcceptance(answered, aOutcome, found->second);
     found->second.nextProbeAt =
       std::min(found->second.nextProbeAt, aNow + mOptions.formingProbeInterval);
-    if (order.kind == order_kind::leave && IsSuccess(aOutcome)) {
-      found->second.leftEpoch = order.epoch;
-      found->second.leftAt = aNow;
-    }
     if (order.kind == order_kind::stage && !IsSuccess(aOutcome)) {
       found->second.stagingModel = {};
       found->second.ineligibleUntil = aNow + mOptions.orderRetryInterval;
--- a/src/assembly/internal/groupplanning.cpp
+++ b/src/assembly/internal/groupplanning.cpp
@@ -73,7 +73,7 @@
   for (const fleet::instance* instance : aFleet.InstancesOfService(mService.name)) {
     const auto found = mInstanceStates.find(instance->id);
     if (found == mInstanceStates.end() || instance->draining ||
-        mEmptiedZones.count(instance->zone) != 0 || IsBoundToGroup(*instance, aFleet)) {
+        mEmptiedZones.count(instance->zone) != 0 || MayBeInGroup(instance->id)) {
       continue;
     }
     const instance_state& state = found->second;
@@ -88,19 +88,10 @@
 }
 
 bool
-group_controller::IsBoundToGroup(const fleet::instance& aInstance,
-                                 const fleet::fleet_view& aFleet) const
+group_controller::MayBeInGroup(const instance_id& aInstance) const
 {
-  const auto membership = MembershipOf(aInstance.id, aFleet);
-  if (!membership) {
-    return false;
-  }
-  const std::pair group(membership->group, membership->epoch);
-  if (mEndedGroups.count(group) > 0) {
-    return mEndedGroupsWithHead.count(group) > 0;
-  }
-  const auto found = mInstanceStates.find(aInstance.id);
-  return found == mInstanceStates.end() || found->second.leftEpoch != membership->epoch;
+  const auto found = mInstanceStates.find(aInstance);
+  return found == mInstanceStates.end() || !found->second.IsInNoGroup();
 }
 
 bool
--- a/src/assembly/tests/groupcontrollerpropertytests.cpp
+++ b/src/assembly/tests/groupcontrollerpropertytests.cpp
@@ -1,4 +1,4 @@
-#include "assembly/tests/mocks/controllerfixture.h"
+#include "assembly/tests/mocks/twoleaderfixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -26,23 +26,9 @@
 /// Number of values of `event`.
 constexpr int kEventCount = 10;
 
-/// Two controllers that alternate as leader. The former one can act once more with its old token.
-struct two_leader_fixture : controller_fixture
+/// Two leaders beside random events.
+struct eventful_fixture : two_leader_fixture
 {
-  group_controller other{ simulator.service, assembly_options{} };
-  bool otherIsLeading = false;
-  std::uint64_t token = 1;
-
-  group_controller& Current() { return otherIsLeading ? other : controller; }
-  group_controller& Former() { return otherIsLeading ? controller : other; }
-
-  engine_simulator::engine& Select(unsigned aNumber)
-  {
-    auto it = simulator.engines.begin();
-    std::advance(it, aNumber % simulator.engines.size());
-    return it->second;
-  }
-
   /// Applies an event, to the engine that a random number selects where it needs one.
   void Apply(event aEvent, unsigned aNumber)
   {
@@ -68,8 +54,7 @@
         DeliverHeldOrders();
         break;
       case event::change_leader:
-        otherIsLeading = !otherIsLeading;
-        Current().StartLeading({ ++token }, now);
+        ChangeLeader();
         break;
       case event::former_leader_acts:
         Step(Former());
@@ -89,16 +74,6 @@
     controller.StartLeading({ 1 }, now);
     RunCurrent(6_s);
   }
-
-  /// Steps the current leader every 50 ms for a span of time.
-  void RunCurrent(duration aSpan)
-  {
-    const time_point end = now + aSpan;
-    while (now < end) {
-      now = now + 50_ms;
-      Step(Current());
-    }
-  }
 };
 
 /// Draws a sequence of events, each with a random number that selects the affected engine.
@@ -121,7 +96,7 @@
 {
   const bool passed =
     rc::check("groups open only when complete, instances join only one group", [] {
-      two_leader_fixture fixture;
+      eventful_fixture fixture;
       fixture.Start();
       const auto events = DrawEvents();
       for (const auto& [kind, number] : events) {
@@ -140,7 +115,7 @@
 TEST(group_controller_properties, GroupsServeAgainAfterRecovery)
 {
   const bool passed = rc::check("groups serve again once all faults are repaired", [] {
-    two_leader_fixture fixture;
+    eventful_fixture fixture;
     fixture.Start();
     const auto events = DrawEvents();
     for (const auto& [kind, number] : events) {
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -1,28 +1,11 @@
 #include "assembly/tests/mocks/controllerfixture.h"
-#include "base/random.h"
+#include "assembly/tests/mocks/lateness.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmon;
 using namespace persimmon::assembly;
 
-namespace {
-
-/// How late an order is carried out at the least and at the most.
-constexpr duration kLeastLateness{ 2000 };
-constexpr duration kMostLateness{ 12000 };
-
-/// Returns how late an order is carried out; empty for each second one, which is answered.
-std::optional<duration>
-DrawLateness(random_source& aRandom)
-{
-  const auto span = static_cast<std::uint64_t>((kMostLateness - kLeastLateness).ms);
-  const duration late{ kLeastLateness.ms + static_cast<std::int64_t>(aRandom.Below(span)) };
-  return aRandom.Below(2) == 0 ? std::optional(late) : std::nullopt;
-}
-
-} // namespace
-
 // Each test has orders that get no answer and are carried out seconds later, after newer ones.
 // clang-format off
 TEST_GROUP(late_orders)
--- a/src/assembly/tests/mocks/enginesimulator.h
+++ b/src/assembly/tests/mocks/enginesimulator.h
@@ -220,6 +220,8 @@
   std::vector<std::string> violations;
   /// Number of orders to leave that the heads of open groups carried out.
   std::size_t leavesOfOpenHeads = 0;
+  /// Number of orders to join that took an engine out of another group.
+  std::size_t joinsWithoutLeaving = 0;
   /// Start times of the loads from the weight store.
   std::vector<time_point> loadStarts;
   /// False for engines that do not check the tokens of orders.
@@ -280,6 +282,7 @@
                            " was ordered to join another group while the head of " +
                            aEngine.entry.membership->group.value + " still serves");
     }
+    joinsWithoutLeaving += aEngine.entry.membership ? 1 : 0;
     aEngine.highestEpoch = aOrder.epoch.value;
     ++aEngine.entry.acceptedOrders;
     const auto position = std::find(aOrder.members.begin(), aOrder.members.end(), aEngine.entry.id);
