A group that is adopted while it forms is opened once its members have answered the new leader

Seen by callers: after a change of the lease holder a group is opened, and an order to leave of the former holder, late by seconds, takes a member out of it; what it runs stands still until it is released.

Now each member but the head is ordered to join again, with the token of the new holder. That names a state which holds already, so that it is answered 200 and changes nothing; where engines check tokens, orders with a lower one are refused from then on. The head's order to open does the same for the head. The order goes out at the adoption and each 400 ms until it is answered; the group is opened once all have answered, and given up when its members are ready and one of them has not answered 5 s after the adoption.

Not done: groups that are open when they are adopted get no such order.

--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -30,6 +30,7 @@
 ///
 /// An order may be carried out long after it was sent. Each order therefore names the number of
 /// orders that its instance has accepted, so that it has no effect once a later one was accepted.
+/// An instance of which a leader asks nothing takes late orders of former leaders still.
 class group_controller
 {
 public:
@@ -119,6 +120,8 @@
                     time_point aNow,
                     actions& aActions);
   /// Orders members to join until they accept. Ends the group when they are not all ready in time.
+  /// Members of an adopted group are ordered to join as well, which changes nothing but shuts out
+  /// orders of former leaders: the group is opened once all have answered.
   void AdvanceForming(managed_group& aGroup,
                       const fleet::fleet_view& aFleet,
                       time_point aNow,
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -9,6 +9,9 @@
 constexpr duration kBaseFormingTimeout = 5_s;
 /// Longest time from the stage change to opening until the head accepts requests.
 constexpr duration kOpeningTimeout = 5_s;
+/// Longest time from the adoption of a group until its members, once ready, have confirmed that
+/// they are in it: long enough for several orders, some of which get no answer.
+constexpr duration kConfirmationTimeout = 5_s;
 /// A releasing group with no registered instance is forgotten after this time.
 constexpr duration kUnregisteredGroupTimeout = 20_s;
 
@@ -29,6 +32,16 @@
   return aOutcome == order_outcome::begun || aOutcome == order_outcome::done;
 }
 
+/// Returns true when a member takes no order of former leaders once its group is open, where
+/// engines check tokens: it has accepted one of this leader, or is the head, which will with the
+/// order to open.
+bool
+IsBoundToLeader(const managed_group& aGroup, const managed_member& aMember)
+{
+  const bool isHead = &aMember == &aGroup.Head();
+  return !aGroup.isAdopted || aMember.isConfirmed || isHead;
+}
+
 /// Returns an order about a group to one of its members.
 engine_order
 MakeOrder(const managed_group& aGroup, const instance_id& aMember, order_kind aKind)
@@ -151,7 +164,10 @@
                               time_point aNow,
                               actions& aActions)
 {
-  if (aMember.joinAccepted || !IsDue(aMember.joinSentAt, mOptions.orderRetryInterval, aNow)) {
+  std::optional<time_point>& sentAt =
+    aMember.joinAccepted ? aMember.confirmationSentAt : aMember.joinSentAt;
+  const bool mustJoin = !aMember.joinAccepted || !IsBoundToLeader(aGroup, aMember);
+  if (!mustJoin || !IsDue(sentAt, mOptions.orderRetryInterval, aNow)) {
     return;
   }
   engine_order order = MakeOrder(aGroup, aMember.instance, order_kind::join);
@@ -160,7 +176,7 @@
     order.members.push_back(member.instance);
   }
   if (SendOrder(std::move(order), aNow, aActions)) {
-    aMember.joinSentAt = aNow;
+    sentAt = aNow;
   }
 }
 
@@ -173,6 +189,7 @@
   const routes::model_profile* model = mService.engine->FindModel(aGroup.model);
   const duration loadTime = model == nullptr ? duration{} : model->loadTime;
   bool allReady = true;
+  bool allBound = true;
   for (managed_member& member : aGroup.members) {
     const auto membership = MembershipOf(member.instance, aFleet);
     if (IsMemberOf(aGroup.id, aGroup.epoch, member.instance, aFleet)) {
@@ -180,6 +197,7 @@
       member.hasBeenReady = membership->phase != fleet::member_phase::joining;
     }
     allReady = allReady && member.hasBeenReady;
+    allBound = allBound && IsBoundToLeader(aGroup, member);
     // A late order may have made it a member of another group since it was selected.
     if (!member.joinAccepted && MayBeInGroup(member.instance)) {
       AbandonForming(
@@ -188,12 +206,16 @@
     }
     OrderToJoin(aGroup, member, aNow, aActions);
   }
-  if (allReady) {
+  if (allReady && allBound) {
     aGroup.currentStage = managed_group::stage::opening;
     aGroup.stageStartedAt = aNow;
     AdvanceOpeningOrServing(aGroup, aFleet, aNow, aActions);
     return;
   }
+  if (allReady && aNow - aGroup.stageStartedAt > kConfirmationTimeout) {
+    AbandonForming(aGroup, "members did not confirm in time", aNow, aActions);
+    return;
+  }
   if (aNow - aGroup.stageStartedAt >
       kBaseFormingTimeout + loadTime * mOptions.formingTimeoutFactor) {
     AbandonForming(aGroup, "members were not ready in time", aNow, aActions);
@@ -502,6 +524,7 @@
     }
     if (order.kind == order_kind::join && IsSuccess(aOutcome)) {
       member.joinAccepted = true;
+      member.isConfirmed = true;
     }
     if (order.kind == order_kind::leave && IsSuccess(aOutcome)) {
       member.hasLeft = true;
--- a/src/assembly/managedgroup.h
+++ b/src/assembly/managedgroup.h
@@ -28,6 +28,11 @@
   bool hasLeft = false;
   /// When the latest order to leave was sent.
   std::optional<time_point> leaveSentAt;
+  /// True when the instance has answered an order to join of this leader: earlier orders of former
+  /// leaders have no effect since, where engines check tokens. Used in adopted groups.
+  bool isConfirmed = false;
+  /// When the latest order to join that confirms the membership was sent.
+  std::optional<time_point> confirmationSentAt;
 };
 
 /// A group and its state from the first order to its members until they are released.
--- a/src/assembly/tests/handovertests.cpp
+++ b/src/assembly/tests/handovertests.cpp
@@ -127,6 +127,32 @@
     CheckNoViolation();
   }
 
+  /// Starts a group whose leader is followed by another one once all its members are ready.
+  void HandOverWhenReady(std::size_t aInstances)
+  {
+    Start(1, aInstances);
+    CHECK(RunUntil([this] { return IsOrdered(order_kind::join); }));
+    fixture.RunCurrent(1_s);
+    fixture.sentOrders.clear();
+    fixture.ChangeLeader();
+  }
+
+  /// Returns whether an order of a kind was sent.
+  [[nodiscard]] bool IsOrdered(order_kind aKind) const { return CountOrders(aKind) > 0; }
+
+  [[nodiscard]] long CountOrders(order_kind aKind) const
+  {
+    const auto& sent = fixture.sentOrders;
+    return std::count_if(sent.begin(), sent.end(), [=](const engine_order& aOrder) { return aOrder.kind == aKind; });
+  }
+
+  /// Returns whether an instance is in a group.
+  bool IsInGroup(const instance_id& aInstance, const group_id& aGroup)
+  {
+    const auto& membership = fixture.simulator.engines.at(aInstance).entry.membership;
+    return membership && membership->group == aGroup;
+  }
+
   void CheckNoViolation()
   {
     STRCMP_EQUAL("", fixture.simulator.violations.empty() ? "" : fixture.simulator.violations.front().c_str());
@@ -208,6 +234,68 @@
   }
 }
 
+// Guards against a member that a late order of the former leader takes out of a group that the next
+// leader has adopted and opened, where engines check tokens.
+TEST(hand_over, LateOrderToLeaveTakesNoMemberOfAGroupThatIsAdoptedAndOpened)
+{
+  UsePairs(true);
+  Start(1, 5);
+  CutWhileForming({ 0_ms, 0_ms, 5_s },
+                  [](const engine_order& aOrder) { return aOrder.kind == order_kind::leave; });
+  fixture.RunCurrent(16_s);
+  CHECK(IsInGroup(head, group));
+  CHECK(IsInGroup(member, group));
+  LONGS_EQUAL(static_cast<int>(fleet::member_phase::open),
+              static_cast<int>(fixture.simulator.engines.at(head).entry.membership->phase));
+  CheckNoViolation();
+}
+
+// Guards against a hand-over that costs more than one order to each member but the head, beside the
+// order to open, and more than one exchange.
+TEST(hand_over, GroupThatIsAdoptedWhileItFormsIsOpenedAfterOneOrderToEachMember)
+{
+  HandOverWhenReady(4);
+  CHECK(RunUntil([this] { return IsOrdered(order_kind::open); }));
+  LONGS_EQUAL(3, CountOrders(order_kind::join));
+  fixture.RunCurrent(1_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+  UNSIGNED_LONGS_EQUAL(4, fixture.sentOrders.size());
+}
+
+// Guards against a group that is opened while a member has not answered the leader that adopted it,
+// and against one that waits for an answer that is lost.
+TEST(hand_over, GroupIsOpenedOnceAConfirmationThatWasLostIsAnswered)
+{
+  HandOverWhenReady(4);
+  int lost = 0;
+  fixture.lateness = [&lost](const engine_order& aOrder) {
+    const bool isLost = aOrder.kind == order_kind::join && lost < 2;
+    lost += isLost ? 1 : 0;
+    return isLost ? std::optional(12_s) : std::nullopt;
+  };
+  fixture.RunCurrent(300_ms);
+  LONGS_EQUAL(3, CountOrders(order_kind::join));
+  LONGS_EQUAL(0, CountOrders(order_kind::open));
+  fixture.RunCurrent(500_ms);
+  LONGS_EQUAL(5, CountOrders(order_kind::join));
+  LONGS_EQUAL(1, CountOrders(order_kind::open));
+  fixture.RunCurrent(16_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+  CheckNoViolation();
+}
+
+// Guards against a group that waits without an end for a member which answers no order.
+TEST(hand_over, GroupOfAMemberThatNeverConfirmsIsGivenUp)
+{
+  HandOverWhenReady(4);
+  fixture.lateness = [](const engine_order& aOrder) {
+    return aOrder.kind == order_kind::join ? std::optional(60_s) : std::nullopt;
+  };
+  fixture.RunCurrent(7_s);
+  LONGS_EQUAL(0, CountOrders(order_kind::open));
+  LONGS_EQUAL(4, CountOrders(order_kind::leave));
+}
+
 // Guards against a member that is ordered to join another group while it is in one that its leader
 // has given up: where engines check no tokens, nothing else shuts a late order out.
 TEST(hand_over, MembersLeaveAGroupThatWasGivenUpBeforeTheyJoinAnother)
