--- a/src/gateway/assemblyrunner.h
+++ b/src/gateway/assemblyrunner.h
@@ -60,6 +60,11 @@
 
   /// Tells a controller when the groups that it manages last sent data to this process.
   void RecordActivity(assembly::group_controller& aController) const;
+  /// Returns the number of accepted orders that an order names, for logs; "unknown" for none.
+  static std::string ExpectedText(const assembly::engine_order& aOrder)
+  {
+    return aOrder.expectedOrders ? std::to_string(*aOrder.expectedOrders) : "unknown";
+  }
   void Execute(const controller_ptr& aController, const assembly::send_order& aAction);
   void Execute(const controller_ptr& aController, const assembly::probe_instance& aAction);
   void Execute(const controller_ptr& aController, const assembly::record_decision& aAction);
@@ -198,6 +203,7 @@
                { "epoch", std::to_string(aAction.order.epoch.value) },
                { "model", aAction.order.model.value },
                { "token", std::to_string(aAction.order.token.value) },
+               { "expected", ExpectedText(aAction.order) },
                { "outcome", assembly::OrderOutcomeName(outcome) } });
     aController->HandleOrderOutcome(aAction.id, outcome, mContext.Now());
   };
