Placer: a group serves once its members have seen the new owner's token

Where engines check tokens, the order to load goes out again to members whose reports show a lower token than the owner's, and the group serves once all show it. Engines answer an order that names what holds already without a change; nothing is loaded again. Where engines check none, the owner waits for the former lease and its longest order, as before.

Tests: take_over.MembersOfAGroupTakeNoOrderOfTheFormerOwnerOnceItServes (before: the late order is accepted), take_over.RepeatedOrderToLoadLoadsNothingAgain. Groups that serve already when the domain changes hands get no such order.

--- a/src/placement/internal/domainowner.cpp
+++ b/src/placement/internal/domainowner.cpp
@@ -285,7 +285,9 @@
     }
     order.kind = order_kind::drain;
   } else {
-    if (ordered && state.state != engine_state::draining) {
+    // An order that names what holds already changes nothing, but shuts out former owners.
+    const bool isDone = ordered && state.state != engine_state::draining;
+    if (isDone && !instance->TakesOrdersBefore(mTable.token)) {
       return;
     }
     const bool adapterOnly = state.group == aGroup.id &&
--- a/src/placement/internal/grouplifecycle.cpp
+++ b/src/placement/internal/grouplifecycle.cpp
@@ -208,6 +208,9 @@
     if (!instance->state || instance->stateReadSentAt < enteredAt) {
       return false;
     }
+    if (instance->TakesOrdersBefore(mDraft.Current().token)) {
+      return false;
+    }
     if (!instance->listed.checksFencingTokens &&
         instance->stateReadSentAt < mDraft.Context().previousOwnerExpiry) {
       return false;
--- a/src/placement/membertracker.h
+++ b/src/placement/membertracker.h
@@ -38,6 +38,13 @@
   /// Consecutive reads of the head that reported a slow step of the instance.
   unsigned consecutiveSlowReads = 0;
   bool lost = false;
+
+  /// Returns true when the instance checks tokens but has seen none as high as aToken, so that it
+  /// takes orders of former owners still.
+  [[nodiscard]] bool TakesOrdersBefore(fencing_token aToken) const
+  {
+    return listed.checksFencingTokens && state && state->token < aToken;
+  }
 };
 
 /// Tracks the instances of one domain: when the state of each must be read, which are lost and
