Adoption, release and orders of groups in files of their own

Two conditions of the adoption are functions; otherwise functions moved as they were. No change of behaviour.

--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -105,8 +105,13 @@
   [[nodiscard]] bool LacksQuorum(const fleet::fleet_view& aFleet) const;
   /// Adopts the groups of a former leader.
   void AdoptGroups(const fleet::fleet_view& aFleet, time_point aNow, actions& aActions);
-  /// Adopts one group in the stage that its members report, once their reports are current or the
-  /// grace period is over. An incomplete group may finish what it runs.
+  /// Returns whether a group may be adopted now: it is whole and the reports of its members are
+  /// current, or the grace period is over.
+  [[nodiscard]] bool MayAdopt(const fleet::engine_group& aGroup,
+                              const fleet::fleet_view& aFleet,
+                              time_point aNow) const;
+  /// Adopts one group in the stage that its members report. An incomplete group may finish what it
+  /// runs.
   void AdoptGroup(const fleet::engine_group& aGroup,
                   const fleet::fleet_view& aFleet,
                   time_point aNow,
--- a/src/assembly/internal/memberloss.cpp
+++ b/src/assembly/internal/memberloss.cpp
@@ -129,4 +129,19 @@
   return {};
 }
 
+void
+group_controller::EndAfterLoss(managed_group& aGroup,
+                               const std::string& aCause,
+                               bool aIsProved,
+                               time_point aNow,
+                               actions& aActions)
+{
+  if (aGroup.currentStage == managed_group::stage::forming) {
+    AbandonForming(aGroup, aCause, aNow, aActions);
+    return;
+  }
+  aGroup.isReleasedForSilence = !aIsProved;
+  StartReleasing(aGroup, aCause, aNow, aActions);
+}
+
 } // namespace persimmon::assembly
