Members leave a released group together with its head

With one after the other, each group that is formed anew waited for one exchange more, and for a repeated order wherever one was lost. Members are ordered to leave at once with the head now, unless the group is released for silence and may be kept.

--- a/src/assembly/instancestate.h
+++ b/src/assembly/instancestate.h
@@ -51,8 +51,8 @@
   std::optional<std::uint64_t> ordersWithoutGroup;
   /// True when it has rejected an order since its latest report: it may have accepted another one.
   bool mustReportOrders = false;
-  /// When it was last ordered to leave an ended group as whose member it is known.
-  std::optional<time_point> endedGroupLeaveSentAt;
+  /// When it was last ordered to leave a group.
+  std::optional<time_point> leaveSentAt;
   /// Model whose weights are being staged; empty when there is none.
   routes::model_name stagingModel;
   /// When the staging is given up.
--- a/src/assembly/internal/grouporders.cpp
+++ b/src/assembly/internal/grouporders.cpp
@@ -42,6 +42,7 @@
   mPendingOrders[id] = { aOrder, aNow, EndsMembership(aOrder, state) };
   if (aOrder.kind == order_kind::leave) {
     state.leaveOrderedEpoch = aOrder.epoch;
+    state.leaveSentAt = aNow;
   }
   aActions.push_back(send_order{ id, state.address, std::move(aOrder) });
   return true;
--- a/src/assembly/internal/grouprelease.cpp
+++ b/src/assembly/internal/grouprelease.cpp
@@ -106,8 +106,10 @@
     if (aGroup.isReleasedForSilence && isSilent) {
       continue;
     }
-    const bool mustLeave =
-      !member.hasLeft && (member.instance == head || hasHeadRestarted || IsUnresponsive(head));
+    // A group that was released for silence may be kept: it ends with its head.
+    const bool mayLeave = member.instance == head || !aGroup.isReleasedForSilence ||
+                          hasHeadRestarted || IsUnresponsive(head);
+    const bool mustLeave = !member.hasLeft && mayLeave;
     if (!mustLeave || !IsDue(member.leaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
@@ -145,13 +147,11 @@
       membership && mEndedGroups.count({ membership->group, membership->epoch }) != 0;
     // The report of one that has joined another group since may lag behind.
     if (!isEnded || state.IsInNoGroup() || FindGroupOf(id) != nullptr || state.missedReports > 0 ||
-        !IsDue(state.endedGroupLeaveSentAt, mOptions.orderRetryInterval, aNow)) {
+        !IsDue(state.leaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
-    engine_order order = MakeOrder(membership->group, membership->epoch, id, order_kind::leave);
-    if (SendOrder(std::move(order), aNow, aActions)) {
-      state.endedGroupLeaveSentAt = aNow;
-    }
+    SendOrder(
+      MakeOrder(membership->group, membership->epoch, id, order_kind::leave), aNow, aActions);
   }
 }
 
