Members of a group whose head has left it join the next one at once again

All members of each ended group left it before they joined another: an order and an exchange more for each group that is formed anew, and a repeated one wherever an order is lost.

What the fault needs is a head that stays in the group. So members of a group that ended without its head's leaving (given up while it formed) leave it first, as before this commit, and those of a group whose head has left join at once, as on.

--- a/src/assembly/groupcontroller.h
+++ b/src/assembly/groupcontroller.h
@@ -24,9 +24,10 @@
 /// Two invariants hold even when messages are lost or delayed:
 /// - A group is ordered to open only after each member has reported that it is ready in this group
 ///   and epoch.
-/// - An instance is ordered to join a group only when it is known to be in none, at the number of
-///   accepted orders that the order names: each membership begins and ends with an accepted order.
-///   However late the order is carried out, it takes no member from another group.
+/// - An instance is ordered to join a group only when it is known to be in none, or in one whose
+///   head has left it, at the number of accepted orders that the order names: each membership
+///   begins and ends with an accepted order. However late the order is carried out, it takes no
+///   member from a group that can serve.
 ///
 /// An order may be carried out long after it was sent. Each order therefore names the number of
 /// orders that its instance has accepted, so that it has no effect once a later one was accepted.
@@ -157,8 +158,8 @@
                       const std::string& aCause,
                       time_point aNow,
                       actions& aActions);
-  /// Orders those who are members of ended groups to leave: they may join no other group before,
-  /// and late orders, also to a former life of a head, may let it serve.
+  /// Orders heads of ended groups to leave: late orders, also to a former life of the head, may let
+  /// it serve. Where the head has not left, orders the other members, too.
   void ReleaseMembersOfEndedGroups(const fleet::fleet_view& aFleet,
                                    time_point aNow,
                                    actions& aActions);
@@ -168,8 +169,10 @@
                       time_point aNow,
                       actions& aActions);
   /// Frees all members of a group and removes them from it, which marks the group as ended.
+  /// aHasHeadLeft tells whether its head is known to have left it.
   void EndGroup(managed_group& aGroup,
                 const std::string& aCause,
+                bool aHasHeadLeft,
                 time_point aNow,
                 actions& aActions);
   /// Removes all members of a group of which nothing is known any more. It is adopted again when
@@ -315,8 +318,10 @@
   /// Returns the responsive instances that are in no group and are neither draining nor ineligible.
   [[nodiscard]] std::vector<const fleet::instance*> FreeInstances(const fleet::fleet_view& aFleet,
                                                                   time_point aNow) const;
-  /// Returns true unless an instance is known to be in no group.
-  [[nodiscard]] bool MayBeInGroup(const instance_id& aInstance) const;
+  /// Returns true unless an instance is known to be in no group, or in one that ended with the
+  /// leaving of its head.
+  [[nodiscard]] bool MayBeInGroup(const instance_id& aInstance,
+                                  const fleet::fleet_view& aFleet) const;
   /// Returns true when an instance has the weights of a model staged or was ready with that model
   /// in its last group.
   [[nodiscard]] bool HoldsWeights(const fleet::instance& aInstance,
@@ -376,8 +381,11 @@
   std::uint64_t mHighestEpoch = 0;
   std::map<instance_id, instance_state> mInstanceStates;
   std::vector<managed_group> mGroups;
-  /// Groups that have ended. Instances that are still their members have to leave.
-  std::set<std::pair<group_id, generation>> mEndedGroups;
+  /// Groups that have ended, and whether their heads had left them. Where these had, and are not
+  /// shown as members again, the other members may join another group at once.
+  std::map<std::pair<group_id, generation>, bool> mEndedGroups;
+  /// Those of them whose heads are shown as members again.
+  std::set<std::pair<group_id, generation>> mEndedGroupsWithHead;
   std::map<order_id, pending_order> mPendingOrders;
   domain_assignment mDomainAssignment;
   time_point mDomainsAssignedAt{ INT64_MIN / 2 };
--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -33,6 +33,7 @@
   mInstanceStates.clear();
   mGroups.clear();
   mEndedGroups.clear();
+  mEndedGroupsWithHead.clear();
   mDomainAssignment.Clear();
   mMovedDomains.clear();
   mRebalancedAt = aNow;
--- a/src/assembly/internal/grouplifecycle.cpp
+++ b/src/assembly/internal/grouplifecycle.cpp
@@ -139,7 +139,7 @@
     allReady = allReady && member.hasBeenReady;
     allBound = allBound && IsBoundToLeader(aGroup, member);
     // A late order may have made it a member of another group since it was selected.
-    if (!member.joinAccepted && MayBeInGroup(member.instance)) {
+    if (!member.joinAccepted && MayBeInGroup(member.instance, aFleet)) {
       AbandonForming(
         aGroup, "instance " + member.instance.value + " is in another group", aNow, aActions);
       return;
--- a/src/assembly/internal/groupplanning.cpp
+++ b/src/assembly/internal/groupplanning.cpp
@@ -73,7 +73,7 @@
   for (const fleet::instance* instance : aFleet.InstancesOfService(mService.name)) {
     const auto found = mInstanceStates.find(instance->id);
     if (found == mInstanceStates.end() || instance->draining ||
-        mEmptiedZones.count(instance->zone) != 0 || MayBeInGroup(instance->id)) {
+        mEmptiedZones.count(instance->zone) != 0 || MayBeInGroup(instance->id, aFleet)) {
       continue;
     }
     const instance_state& state = found->second;
@@ -88,10 +88,20 @@
 }
 
 bool
-group_controller::MayBeInGroup(const instance_id& aInstance) const
+group_controller::MayBeInGroup(const instance_id& aInstance, const fleet::fleet_view& aFleet) const
 {
   const auto found = mInstanceStates.find(aInstance);
-  return found == mInstanceStates.end() || !found->second.IsInNoGroup();
+  if (found == mInstanceStates.end() || found->second.IsInNoGroup()) {
+    return found == mInstanceStates.end();
+  }
+  const auto membership = MembershipOf(aInstance, aFleet);
+  if (!membership) {
+    return true;
+  }
+  const std::pair group(membership->group, membership->epoch);
+  const auto ended = mEndedGroups.find(group);
+  const bool hasHeadLeft = ended != mEndedGroups.end() && ended->second;
+  return !hasHeadLeft || mEndedGroupsWithHead.count(group) != 0;
 }
 
 bool
--- a/src/assembly/internal/grouprelease.cpp
+++ b/src/assembly/internal/grouprelease.cpp
@@ -83,7 +83,7 @@
   const bool hasHeadRestarted = HasRestarted(aGroup.Head());
   const bool isHeadAlone = aGroup.members.size() == 1;
   if (aGroup.Head().hasLeft && (!hasHeadRestarted || isHeadAlone)) {
-    EndGroup(aGroup, "head left the group", aNow, aActions);
+    EndGroup(aGroup, "head left the group", true, aNow, aActions);
     return;
   }
   // An unreachable head may still be alive, and one that restarted may be brought back into the
@@ -106,10 +106,8 @@
     if (aGroup.isReleasedForSilence && isSilent) {
       continue;
     }
-    // A group that was released for silence may be kept: it ends with its head.
-    const bool mayLeave = member.instance == head || !aGroup.isReleasedForSilence ||
-                          hasHeadRestarted || IsUnresponsive(head);
-    const bool mustLeave = !member.hasLeft && mayLeave;
+    const bool mustLeave =
+      !member.hasLeft && (member.instance == head || hasHeadRestarted || IsUnresponsive(head));
     if (!mustLeave || !IsDue(member.leaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
@@ -132,7 +130,7 @@
   if (aGroup.isAdopted) {
     StartReleasing(aGroup, aCause, aNow, aActions);
   } else {
-    EndGroup(aGroup, aCause, aNow, aActions);
+    EndGroup(aGroup, aCause, false, aNow, aActions);
   }
 }
 
@@ -141,12 +139,23 @@
                                               time_point aNow,
                                               actions& aActions)
 {
+  mEndedGroupsWithHead.clear();
   for (auto& [id, state] : mInstanceStates) {
     const auto membership = MembershipOf(id, aFleet);
-    const bool isEnded =
-      membership && mEndedGroups.count({ membership->group, membership->epoch }) != 0;
+    if (!membership || state.IsInNoGroup()) {
+      continue;
+    }
+    const std::pair group(membership->group, membership->epoch);
+    const auto ended = mEndedGroups.find(group);
+    const bool isHead = membership->rank == 0;
+    if (ended == mEndedGroups.end() || (ended->second && !isHead)) {
+      continue;
+    }
+    if (isHead) {
+      mEndedGroupsWithHead.insert(group);
+    }
     // The report of one that has joined another group since may lag behind.
-    if (!isEnded || state.IsInNoGroup() || FindGroupOf(id) != nullptr || state.missedReports > 0 ||
+    if (FindGroupOf(id) != nullptr || state.missedReports > 0 ||
         !IsDue(state.leaveSentAt, mOptions.orderRetryInterval, aNow)) {
       continue;
     }
@@ -158,11 +167,12 @@
 void
 group_controller::EndGroup(managed_group& aGroup,
                            const std::string& aCause,
+                           bool aHasHeadLeft,
                            time_point aNow,
                            actions& aActions)
 {
   RecordDecision(record_decision::decision_kind::freed, aGroup, aCause, aActions);
-  mEndedGroups.emplace(aGroup.id, aGroup.epoch);
+  mEndedGroups[{ aGroup.id, aGroup.epoch }] = aHasHeadLeft;
   for (const managed_member& member : aGroup.members) {
     FreeMember(aGroup, member, aNow);
   }
