--- a/src/assembly/internal/groupcontroller.cpp
+++ b/src/assembly/internal/groupcontroller.cpp
@@ -227,10 +227,13 @@
   }
   state.report = report;
   mHasTraffic = mHasTraffic || report->running > 0 || report->queued > 0;
-  state.acceptedOrders = state.mustReportOrders
-                           ? report->acceptedOrders
-                           : std::max(state.acceptedOrders.value_or(0), report->acceptedOrders);
-  state.mustReportOrders = false;
+  if (state.mustReportOrders) {
+    // What was believed before the rejection may have been too much.
+    state.acceptedOrders = report->acceptedOrders;
+    state.ordersWithoutGroup.reset();
+    state.mustReportOrders = false;
+  }
+  state.acceptedOrders = std::max(state.acceptedOrders.value_or(0), report->acceptedOrders);
   if (!report->membership) {
     state.ordersWithoutGroup =
       std::max(state.ordersWithoutGroup.value_or(0), report->acceptedOrders);
--- a/src/assembly/tests/lateordertests.cpp
+++ b/src/assembly/tests/lateordertests.cpp
@@ -218,6 +218,27 @@
   UNSIGNED_LONGS_EQUAL(0, fixture.conflictCount);
 }
 
+// Guards against an instance that is never chosen again since it has accepted fewer orders than was
+// believed: what it reports after a rejection counts.
+TEST(late_orders, InstanceWhoseLeaveDidNotCountIsUsedAgain)
+{
+  fixture.simulator.service.engine->models.resize(1);
+  fixture.controller.Configure(fixture.simulator.service);
+  Start(1, 4);
+  fixture.RunFor(6_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+  engine_simulator::engine& head = *fixture.FindMember(true);
+  fixture.FindMember(false)->entry.draining = true;
+  for (int step = 0; step < 100 && head.entry.membership; ++step) {
+    fixture.RunFor(50_ms);
+  }
+  CHECK(!head.entry.membership);
+  --head.entry.acceptedOrders;
+  fixture.simulator.Add("h-new", "d0");
+  fixture.RunFor(10_s);
+  UNSIGNED_LONGS_EQUAL(1, fixture.simulator.CountOpenGroups());
+}
+
 // Guards against an order to open that is repeated while the head opens as it was told, and while
 // its report lags behind.
 TEST(late_orders, HeadThatOpensIsNotOrderedToOpenAgain)
